--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 	$(BIN)/ruff check $(SOURCES)
 
 docstrings: $(STAMP)  ## Check docstrings against the NumPy form.
-	$(BIN)/numpydoc lint redwingspring/*.py
+	$(BIN)/numpydoc lint redwingspring/*.py redwingspring/platform/*.py
 
 check: lint docstrings test  ## Everything that CI runs.
 
--- a/harness/timedentry.py
+++ b/harness/timedentry.py
@@ -24,7 +24,7 @@
     "decide": (dispatch.Dispatcher, "_choose"),
     "build": (dispatch.Dispatcher, "_build_attempt"),
     "pool": (upstream.TargetPool, "take"),
-    "request": (upstream, "_send_request"),
+    "request": (upstream, "send_request"),
     "guard": (dispatch.Dispatcher, "_check_send"),
     "wait": (upstream, "_wait_response"),
     "head": (upstream.TargetConnection, "getresponse"),
--- a/redwingspring/body.py
+++ b/redwingspring/body.py
@@ -34,9 +34,14 @@
         Unix time in seconds by which the body must have arrived.
     limit_reads : callable or None, default=None
         Bounds the time of reads, in seconds from now or None.
+    clock : callable, default=time.time
+        Clock of the deadline; returns seconds.
     """
 
-    def __init__(self, stream, length, limit, deadline, limit_reads=None):
+    def __init__(
+        self, stream, length, limit, deadline, limit_reads=None, clock=time.time
+    ):
+        self._clock = clock
         self._stream = stream
         self._limit = limit
         self._deadline = deadline
@@ -100,7 +105,7 @@
 
     def _read(self):
         """Return the next part and note the end."""
-        self._limit_reads(max(0.001, self._deadline - time.time()))
+        self._limit_reads(max(0.001, self._deadline - self._clock()))
         try:
             data = self._stream.read(READ_SIZE)
         except TimeoutError:
--- a/redwingspring/calls.py
+++ b/redwingspring/calls.py
@@ -167,7 +167,7 @@
         service=service,
         method=method,
         path=path,
-        headers=_read_headers(environ),
+        headers=read_headers(environ, _REPLACED_HEADERS),
         body=body,
         deadline=deadline,
         depth=depth,
@@ -209,9 +209,22 @@
     return service, f"/{rest}{mark}{query}"
 
 
-def _read_headers(environ):
-    """Return the end-to-end headers of a request."""
-    dropped = HOP_BY_HOP_HEADERS | _REPLACED_HEADERS
+def read_headers(environ, replaced):
+    """Return the end-to-end headers of a request.
+
+    Parameters
+    ----------
+    environ : dict
+        WSGI environment.
+    replaced : frozenset of str
+        Lower-case names of headers that the entry host sets itself.
+
+    Returns
+    -------
+    dict of str to str
+        Headers without those of the connection and the replaced ones.
+    """
+    dropped = HOP_BY_HOP_HEADERS | replaced
     listed = environ.get("HTTP_CONNECTION")
     if listed:
         dropped = dropped | {name.strip().lower() for name in listed.split(",")}
--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -1,7 +1,10 @@
 """The command line: parses arguments and reports results."""
 
 import json
+import logging
+import os
 import signal
+import sys
 from enum import StrEnum
 from pathlib import Path
 from typing import Annotated
@@ -24,6 +27,8 @@
 )
 from .load import LoadGenerator, LoadPlan, render_result
 from .logs import configure_logs, escape_controls
+from .routedentry import RoutedEntry
+from .routedsettings import is_routed, parse_routed_settings
 from .settings import parse_settings
 from .standinbehaviour import TargetBehaviour
 from .standinconfig import ConfigurationStandIn
@@ -32,6 +37,8 @@
 from .version import __version__
 from .yamlsource import read_file
 
+logger = logging.getLogger(__name__)
+
 app = typer.Typer(
     help="Load balancer for servers whose load shifts in milliseconds.",
     no_args_is_help=True,
@@ -70,7 +77,11 @@
 ):
     """Run the entry process of this host until SIGTERM."""
     try:
-        parsed = parse_settings(read_file(settings), str(settings))
+        text = read_file(settings)
+        if is_routed(text):
+            run_routed(settings)
+            return
+        parsed = parse_settings(text, str(settings))
     except RedwingspringError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(EXIT_INVALID) from error
@@ -82,6 +93,29 @@
     process.wait()
 
 
+def run_routed(path):
+    """Run an entry process that follows a store, until it stops."""
+    parsed = parse_routed_settings(read_file(path), str(path))
+    writer = configure_logs("json", parsed.log_level, sys.stdout)
+    process = RoutedEntry(parsed)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: process.drain())
+    signal.signal(signal.SIGHUP, lambda *_: reload_settings(process, path))
+    process.start()
+    process.wait()
+    writer.stop()
+    # Threads that wait for targets would keep the interpreter from ending.
+    os._exit(0)
+
+
+def reload_settings(process, path):
+    """Read the settings again; invalid ones change nothing."""
+    try:
+        process.reload(parse_routed_settings(read_file(path), str(path)))
+    except RedwingspringError as error:
+        logger.warning("settings not read again: %s", error)
+
+
 @app.command()
 def check(
     file: Annotated[Path, typer.Argument(help="The YAML file to check.")],
--- a/redwingspring/control.py
+++ b/redwingspring/control.py
@@ -1,6 +1,5 @@
 """The facade of an entry process."""
 
-import logging
 import threading
 
 from cherrypy.process import servers, wspbus
@@ -11,10 +10,9 @@
 from .drain import drain_server
 from .hosts import parse_hosts
 from .status import Moment, ValueInForce
+from .threads import run_always, run_thread
 from .values import CONFIGURATION_KEY, KEYS
 
-logger = logging.getLogger(__name__)
-
 
 class Entry:
     """One entry process.
@@ -42,19 +40,17 @@
         """Start serving; return when the listener is open."""
         self.audit.record("process-started", self.settings.name)
         self.peers.start()
-        self._run("metrics", self.metrics.run_flusher, self.stopping)
-        self._run_always("heartbeats", self.membership.run_heartbeats, self.stopping)
-        self._run_always("prober", self.prober.run, self.stopping)
-        self._run_always("apply", self.publication.run_apply, self.stopping)
+        run_thread("metrics", self.metrics.run_flusher, self.stopping)
+        self._run_always("heartbeats", self.membership.run_heartbeats)
+        self._run_always("prober", self.prober.run)
+        self._run_always("apply", self.publication.run_apply)
         for key in KEYS:
-            self._run_always(
-                f"watch-{key}", self.publication.run_watch, key, self.stopping
-            )
+            self._run_always(f"watch-{key}", self.publication.run_watch, key)
         self.bus.start()
 
     def drain(self):
         """Begin a graceful shutdown; return at once."""
-        self._run("drain", self._drain)
+        run_thread("drain", self._drain)
 
     def stop(self):
         """Stop at once; requests in progress are cut."""
@@ -143,20 +139,5 @@
         times = [read("address.keep", service) for service in table.services]
         return max(times, default=0.0)
 
-    def _run(self, name, target, *args):
-        threading.Thread(target=target, args=args, name=name, daemon=True).start()
-
     def _run_always(self, name, target, *args):
-        self._run(name, self._restart, target, *args)
-
-    def _restart(self, target, *args):
-        """Call a function again after an unexpected error, until the stop."""
-        while not self.stopping.is_set():
-            try:
-                target(*args)
-            except Exception:
-                # A host without heartbeats or watches would look healthy while
-                # its knowledge ages.
-                self.metrics.increment("process.thread_failures")
-                logger.exception("restarting a thread")
-                self.stopping.wait(1.0)
+        run_always(name, target, self.stopping, self.metrics, *args)
--- /dev/null
+++ b/redwingspring/gossip.capnp
@@ -0,0 +1,30 @@
+@0xb3c1d5a7e94f2608;
+# Datagrams between entry hosts; see gossip.py.
+
+enum State {
+  starting @0;
+  serving @1;
+  leaving @2;
+}
+
+struct MemberEntry {
+  name @0 :Text;
+  ip @1 :UInt32;
+  port @2 :UInt16;
+  # Where callers connect.
+  peerPort @3 :UInt16;
+  dataCentre @4 :Text;
+  startedAt @5 :UInt64;
+  # Unix time in milliseconds; a later start replaces an earlier one.
+  beat @6 :UInt32;
+  state @7 :State;
+  ageMs @8 :UInt16;
+  # Time since the sender's knowledge of the beat was fresh.
+}
+
+struct Gossip {
+  # The first member is the sender.
+  version @0 :UInt16;
+  members @1 :List(MemberEntry);
+  asksAnswer @2 :Bool;
+}
--- /dev/null
+++ b/redwingspring/instances.py
@@ -0,0 +1,402 @@
+"""Instances of targets that discovery lists, and what this host knows of them."""
+
+import threading
+from dataclasses import dataclass, field
+
+from .clock import read_clock
+from .targetconnection import TargetConnection
+from .upstream import TargetPool
+
+# Failures in a row after which an instance is left out for a while.
+EJECT_FAILURES = 2
+EJECT_S = 0.8
+MAX_EJECT_S = 6.0
+# A new connection that takes longer than this goes to a dead instance.
+CONNECT_TIMEOUT_S = 0.25
+DEFAULT_KEEP_ALIVE_S = 5.0
+# Part of the announced idle time after which a connection is not used again.
+KEEP_ALIVE_SHARE = 0.7
+MAX_IDLE = 6
+
+
+@dataclass(frozen=True)
+class Instance:
+    """One start of a target, as discovery lists it.
+
+    Attributes
+    ----------
+    id : str
+        Identifies the instance.
+    service : str
+        Name of its service.
+    address : str
+        ``ip:port`` of the target; it may later belong to another instance.
+    data_centre : str
+        Where it is.
+    slots : int
+        Requests that it runs at once.
+    leaving : bool
+        True when it takes no new requests.
+    cold_s : float
+        Seconds that it stayed cold when the entry was written.
+    born_ms : int
+        Unix milliseconds of its start; 0 when the entry does not tell.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool = False
+    cold_s: float = 0.0
+    born_ms: int = 0
+
+
+@dataclass(frozen=True)
+class LoadSample:
+    """Load of an instance at one moment, as it told itself.
+
+    Attributes
+    ----------
+    running : int
+        Requests in progress.
+    waiting : int
+        Requests in its queue.
+    slots : int
+        Requests that it runs at once.
+    slowness : float
+        Time that work takes now, relative to the usual time.
+    cold_s : float
+        Seconds that it stays cold.
+    time : float
+        When the sample arrived, on the clock of this host.
+    healthy : bool
+        Whether it takes new requests.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+    cold_s: float = 0.0
+    time: float = 0.0
+    healthy: bool = True
+
+
+class InstanceConnection(TargetConnection):
+    """Connection to an instance whose deadlines include suspended time."""
+
+    clock = staticmethod(read_clock)
+    keep_alive_s = DEFAULT_KEEP_ALIVE_S
+
+
+class InstancePool(TargetPool):
+    """Reusable connections to one instance.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the instance.
+    source : str or None, default=None
+        IP number that connections come from.
+    """
+
+    def __init__(self, address, source=None):
+        super().__init__(address, source)
+        self._max_idle = MAX_IDLE
+
+    def take_idle(self):
+        """Return an idle connection that should still be open.
+
+        Returns
+        -------
+        InstanceConnection or None
+            None when there is none.
+        """
+        while True:
+            with self._lock:
+                connection = self._idle.pop() if self._idle else None
+            if connection is None:
+                return None
+            age = connection.clock() - connection.idle_since
+            fresh = age < connection.keep_alive_s * KEEP_ALIVE_SHARE
+            if fresh and connection.is_connected:
+                return connection
+            connection.close()
+
+    def open(self):
+        """Return a connection that is not yet open.
+
+        Returns
+        -------
+        InstanceConnection
+            A connection used by nobody else.
+        """
+        return InstanceConnection(self.address, CONNECT_TIMEOUT_S, self._source)
+
+    def give_back(self, connection):
+        """Keep a connection whose last response was read whole.
+
+        Parameters
+        ----------
+        connection : InstanceConnection
+            The connection.
+        """
+        super().give_back(connection)
+        connection.idle_since = connection.clock()
+
+
+class InstanceState:
+    """What this host knows of one instance.
+
+    Parameters
+    ----------
+    instance : Instance
+        The entry of discovery.
+    pool : InstancePool
+        Connections to it.
+    now : float
+        Present time on the clock of this host.
+    """
+
+    def __init__(self, instance, pool, now):
+        self.instance = instance
+        self.pool = pool
+        self.in_flight = 0
+        self.sample = None
+        self.tells_load = True
+        self.listed_at = now
+        self.cold_until = now + instance.cold_s
+        self.ejected_until = 0.0
+        self.failures = 0
+        # Exchanges whose probe is still unanswered.
+        self.unanswered = []
+        self._lock = threading.Lock()
+
+    def update(self, instance, now):
+        """Take a newer entry of the same start.
+
+        Parameters
+        ----------
+        instance : Instance
+            The entry.
+        now : float
+            Present time.
+        """
+        self.instance = instance
+        self.cold_until = now + instance.cold_s
+
+    def record_sample(self, sample):
+        """Note the load that the instance told.
+
+        Parameters
+        ----------
+        sample : LoadSample
+            The load.
+        """
+        self.sample = sample
+        if sample.cold_s > 0:
+            self.cold_until = max(self.cold_until, sample.time + sample.cold_s)
+        elif sample.time < self.cold_until:
+            self.cold_until = sample.time
+
+    def begin(self):
+        """Count a request that is sent to the instance."""
+        with self._lock:
+            self.in_flight += 1
+
+    def end(self):
+        """Count the end of a request."""
+        with self._lock:
+            self.in_flight -= 1
+
+    def record_success(self):
+        """Note that a request or probe went well."""
+        self.failures = 0
+
+    def record_failure(self, now):
+        """Note a failed request or probe; eject after several in a row.
+
+        Parameters
+        ----------
+        now : float
+            Present time.
+
+        Returns
+        -------
+        bool
+            True when the instance is ejected by this failure.
+        """
+        self.failures += 1
+        if self.failures < EJECT_FAILURES:
+            return False
+        doublings = min(self.failures - EJECT_FAILURES, 4)
+        ejected = now >= self.ejected_until
+        self.ejected_until = now + min(MAX_EJECT_S, EJECT_S * 2**doublings)
+        return ejected
+
+    def is_cold(self, now):
+        """Tell whether the instance is cold.
+
+        Parameters
+        ----------
+        now : float
+            Present time.
+
+        Returns
+        -------
+        bool
+            True while it bears only few requests a second.
+        """
+        return now < self.cold_until
+
+
+@dataclass(frozen=True)
+class InstanceView:
+    """The instances in use at one moment.
+
+    Attributes
+    ----------
+    services : dict of str to tuple of InstanceState
+        Instances that take requests, by service.
+    evacuated : frozenset of str
+        Data centres that get no requests.
+    """
+
+    services: dict = field(default_factory=dict)
+    evacuated: frozenset = frozenset()
+
+
+class InstanceDirectory:
+    """All listed instances with their state, and the evacuated data centres.
+
+    Parameters
+    ----------
+    source : str or None, default=None
+        IP number that connections come from.
+    clock : callable, default=read_clock
+        Returns seconds.
+    """
+
+    def __init__(self, source=None, clock=read_clock):
+        self._source = source
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._states = {}
+        self._view = InstanceView()
+
+    @property
+    def view(self):
+        """The instances in use, as of now."""
+        return self._view
+
+    def put(self, instance):
+        """Take the entry of an instance.
+
+        Parameters
+        ----------
+        instance : Instance
+            The entry.
+
+        Returns
+        -------
+        bool
+            False when the entry is older than the known one.
+        """
+        with self._lock:
+            now = self._clock()
+            known = self._states.get(instance.id)
+            if known is not None and instance.born_ms < known.instance.born_ms:
+                return False
+            if known is not None and _is_same_start(known.instance, instance):
+                known.update(instance, now)
+            else:
+                pool = InstancePool(instance.address, self._source)
+                self._states[instance.id] = InstanceState(instance, pool, now)
+                if known is not None:
+                    known.pool.close()
+            self._rebuild(self._view.evacuated)
+            return True
+
+    def remove(self, instance_id):
+        """Forget an instance.
+
+        Parameters
+        ----------
+        instance_id : str
+            Its id.
+
+        Returns
+        -------
+        bool
+            False when it was not known.
+        """
+        with self._lock:
+            known = self._states.pop(instance_id, None)
+            if known is None:
+                return False
+            known.pool.close()
+            self._rebuild(self._view.evacuated)
+            return True
+
+    def set_evacuated(self, data_centres):
+        """Set the data centres that get no requests.
+
+        Parameters
+        ----------
+        data_centres : frozenset of str
+            Their names.
+        """
+        with self._lock:
+            self._rebuild(frozenset(data_centres))
+
+    def list_ids(self):
+        """Return the ids of all known instances.
+
+        Returns
+        -------
+        set of str
+            Those of leaving instances included.
+        """
+        with self._lock:
+            return set(self._states)
+
+    def accepts(self, state):
+        """Tell whether a request may be sent to an instance now.
+
+        Parameters
+        ----------
+        state : InstanceState
+            The instance.
+
+        Returns
+        -------
+        bool
+            False when it leaves, is gone or its data centre is evacuated.
+        """
+        instance = state.instance
+        return (
+            self._states.get(instance.id) is state
+            and not instance.leaving
+            and instance.data_centre not in self._view.evacuated
+        )
+
+    def _rebuild(self, evacuated):
+        """Compute the view; the lock is held."""
+        services = {}
+        for state in self._states.values():
+            instance = state.instance
+            if not instance.leaving and instance.data_centre not in evacuated:
+                services.setdefault(instance.service, []).append(state)
+        self._view = InstanceView(
+            {name: tuple(states) for name, states in services.items()}, evacuated
+        )
+
+
+def _is_same_start(known, instance):
+    return (
+        known.born_ms == instance.born_ms
+        and known.address == instance.address
+        and known.service == instance.service
+    )
--- a/redwingspring/logs.py
+++ b/redwingspring/logs.py
@@ -69,6 +69,8 @@
         request_id = getattr(record, "request_id", None)
         if request_id is not None:
             line += f" request {escape_controls(str(request_id))}"
+        for name, value in getattr(record, "fields", {}).items():
+            line += f" {name}={escape_controls(str(value))}"
         return line
 
     def formatException(self, ei):
@@ -115,6 +117,7 @@
             value = getattr(record, name, None)
             if value is not None:
                 fields[name] = value
+        fields.update(getattr(record, "fields", {}))
         if record.exc_info:
             fields["exception"] = self.formatException(record.exc_info)
         return json.dumps(fields, default=str)
--- /dev/null
+++ b/redwingspring/platform/documents.py
@@ -0,0 +1,252 @@
+"""Documents in the platform's store, decoded into types of the product."""
+
+import json
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from ..errors import DocumentError
+from ..instances import Instance
+from ..knowledge import (
+    EvacuationChange,
+    InstanceChange,
+    InstanceGone,
+    TableChange,
+)
+from ..routes import CallerLimits, Route, RoutedService, ServiceShare, build_table
+from ..units import check_address
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+INSTANCE_PREFIX = "servers/"
+
+_Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+_NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+_Text = Annotated[str, Field(min_length=1, max_length=1024)]
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+
+class _Share(_Document):
+    service: _Text
+    weight: _NotNegative
+
+
+class _Route(_Document):
+    name: _Text
+    prefix: _Text
+    type: Literal["idempotent", "non_idempotent", "download"]
+    timeout_s: _Positive
+    target_latency_s: _Positive
+    max_attempts: Annotated[int, Field(ge=1)] = 1
+    priority: int = 0
+    service: _Text | None = None
+    traffic_split: list[_Share] = []
+    allowed_regions: list[_Text] = []
+
+    @model_validator(mode="after")
+    def _check_services(self):
+        if self.service is None and not any(s.weight for s in self.traffic_split):
+            raise ValueError("names no service with a weight")
+        return self
+
+
+class _Host(_Document):
+    host: _Text
+    paths: list[_Route]
+
+
+class _Service(_Document):
+    name: _Text
+    health_path: _Text = "/health"
+    max_conns: Annotated[int, Field(ge=1)] = 1
+    warmup_s: _NotNegative = 0.0
+    warmup_per_s: _NotNegative = 0.0
+
+
+class _Limits(_Document):
+    max_header_bytes: Annotated[int, Field(gt=0)] = CallerLimits.header_bytes
+    max_body_bytes: Annotated[int, Field(ge=0)] = CallerLimits.body_bytes
+    header_timeout_s: _Positive = CallerLimits.header_timeout_s
+    idle_timeout_s: _Positive = CallerLimits.idle_timeout_s
+
+
+class _Configuration(_Document):
+    config_version: int
+    services: list[_Service]
+    virtual_hosts: list[_Host]
+    limits: _Limits = _Limits()
+
+    @model_validator(mode="after")
+    def _check_references(self):
+        known = {service.name for service in self.services}
+        for host in self.virtual_hosts:
+            for route in host.paths:
+                named = {share.service for share in route.traffic_split}
+                named |= {route.service} - {None}
+                if unknown := named - known:
+                    raise ValueError(f"route {route.name} names {sorted(unknown)}")
+        return self
+
+
+class _InstanceInfo(_Document):
+    service: _Text
+    zone: _Text
+    max_concurrency: Annotated[int, Field(ge=1)] = 1
+
+
+class _InstanceStatus(_Document):
+    state: Literal["ready", "draining"]
+    warmup_left_s: _NotNegative = 0.0
+
+
+class _InstanceEntry(_Document):
+    address: _Text
+    info: _InstanceInfo
+    status: _InstanceStatus
+    born: int = 0
+
+
+def decode_change(change):
+    """Return what an entry of the store means to the product.
+
+    Parameters
+    ----------
+    change : StoreChange
+        The entry.
+
+    Returns
+    -------
+    TableChange, EvacuationChange, InstanceChange, InstanceGone or None
+        None for an entry without meaning here.
+
+    Raises
+    ------
+    DocumentError
+        If the entry is invalid.
+    """
+    key, value = change.key, change.value
+    if key.startswith(INSTANCE_PREFIX):
+        if value is None:
+            return InstanceGone(key.removeprefix(INSTANCE_PREFIX))
+        return InstanceChange(read_instance(key, value))
+    if key.startswith(EVACUATION_PREFIX):
+        data_centre = key.removeprefix(EVACUATION_PREFIX)
+        return EvacuationChange(data_centre, value is not None)
+    if key == CONFIGURATION_KEY and value is not None:
+        return TableChange(read_configuration(value))
+    return None
+
+
+def read_configuration(value):
+    """Return the routing table that the operator published.
+
+    Parameters
+    ----------
+    value : bytes
+        The document.
+
+    Returns
+    -------
+    RoutingTable
+        The table.
+
+    Raises
+    ------
+    DocumentError
+        If the document is invalid.
+    """
+    document = _read(_Configuration, value, CONFIGURATION_KEY)
+    limits = CallerLimits(
+        document.limits.max_header_bytes,
+        document.limits.max_body_bytes,
+        document.limits.header_timeout_s,
+        document.limits.idle_timeout_s,
+    )
+    routes = [
+        (host.host, _build_route(route))
+        for host in document.virtual_hosts
+        for route in host.paths
+    ]
+    services = [
+        RoutedService(s.name, s.health_path, s.max_conns, s.warmup_s, s.warmup_per_s)
+        for s in document.services
+    ]
+    return build_table(document.config_version, routes, services, limits)
+
+
+def _build_route(route):
+    shares = tuple(
+        ServiceShare(share.service, share.weight)
+        for share in route.traffic_split
+        if share.weight
+    )
+    return Route(
+        name=route.name,
+        prefix=route.prefix,
+        # A single service takes the place of a split.
+        shares=shares or (ServiceShare(route.service, 1.0),),
+        # Downloads are long responses to idempotent requests.
+        idempotent=route.type != "non_idempotent",
+        attempts=route.max_attempts,
+        timeout_s=route.timeout_s,
+        target_latency_s=route.target_latency_s,
+        priority=route.priority,
+        regions=tuple(route.allowed_regions),
+    )
+
+
+def read_instance(key, value):
+    """Return the instance that an entry of the store describes.
+
+    Parameters
+    ----------
+    key : str
+        Key of the entry; it holds the instance's id.
+    value : bytes
+        The document.
+
+    Returns
+    -------
+    Instance
+        The instance.
+
+    Raises
+    ------
+    DocumentError
+        If the entry is invalid; it names no target to use then.
+    """
+    entry = _read(_InstanceEntry, value, key)
+    try:
+        check_address(entry.address)
+    except ValueError as error:
+        raise DocumentError([f"{key}: address: {error}"]) from error
+    return Instance(
+        id=key.removeprefix(INSTANCE_PREFIX),
+        service=entry.info.service,
+        address=entry.address,
+        data_centre=entry.info.zone,
+        slots=entry.info.max_concurrency,
+        leaving=entry.status.state == "draining",
+        cold_s=entry.status.warmup_left_s,
+        born_ms=entry.born,
+    )
+
+
+def _read(model, value, key):
+    """Return a checked document."""
+    try:
+        return model.model_validate_json(value)
+    except ValidationError as error:
+        faults = error.errors(include_url=False, include_input=False)
+        raise DocumentError(
+            [
+                f"{key}: {'.'.join(map(str, fault['loc'])) or 'document'}: "
+                f"{fault['msg']}"
+                for fault in faults[:5]
+            ]
+        ) from error
+    except (UnicodeDecodeError, json.JSONDecodeError, RecursionError) as error:
+        raise DocumentError([f"{key}: cannot be read: {error}"]) from error
--- /dev/null
+++ b/redwingspring/platform/pages.py
@@ -0,0 +1,66 @@
+"""Calls of the platform and of callers that ask for addresses."""
+
+import json
+from urllib.parse import parse_qs
+
+READY_PATH = "/redwingspring/ready"
+RESOLVE_PATH = "/redwingspring/resolve"
+_JSON = [("Content-Type", "application/json")]
+
+
+class PlatformPages:
+    """WSGI application for the ready and the directory address.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Tells whether this host takes new connections.
+    find_addresses : callable
+        Returns addresses for callers in a data centre, and the seconds to keep
+        them.
+    """
+
+    def __init__(self, is_ready, find_addresses):
+        self._is_ready = is_ready
+        self._find_addresses = find_addresses
+
+    def __call__(self, environ, start_response):
+        """Serve one call.
+
+        Parameters
+        ----------
+        environ : dict
+            WSGI environment.
+        start_response : callable
+            WSGI callable.
+
+        Returns
+        -------
+        list of bytes
+            The response body.
+        """
+        path = environ["PATH_INFO"]
+        if path == READY_PATH:
+            ready = self._is_ready()
+            status = "200 OK" if ready else "503 Service Unavailable"
+            return _answer(start_response, status, {"ready": ready})
+        if path == RESOLVE_PATH:
+            return self._resolve(environ, start_response)
+        return _answer(start_response, "404 Not Found", {"error": "no such page"})
+
+    def _resolve(self, environ, start_response):
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        # What the platform calls a zone is a data centre here.
+        data_centre = query.get("zone", [None])[0]
+        addresses, keep_s = self._find_addresses(data_centre)
+        if not addresses:
+            body = {"error": "no host takes requests"}
+            return _answer(start_response, "503 Service Unavailable", body)
+        body = {"addresses": addresses, "ttl_s": keep_s}
+        return _answer(start_response, "200 OK", body)
+
+
+def _answer(start_response, status, document):
+    body = json.dumps(document, separators=(",", ":")).encode()
+    start_response(status, [*_JSON, ("Content-Length", str(len(body)))])
+    return [body]
--- /dev/null
+++ b/redwingspring/routedentry.py
@@ -0,0 +1,161 @@
+"""The facade of an entry process that follows a store."""
+
+import logging
+import random
+import threading
+
+from cherrypy.process import servers, wspbus
+
+from .assembly import assemble_routed
+from .clock import read_clock
+from .gossip import MemberState
+from .threads import run_always, run_thread
+
+logger = logging.getLogger(__name__)
+
+# New connections are accepted for this long after SIGTERM, since callers still
+# hold answers of the directory that name this host.
+ACCEPT_S = 2.0
+# Idle connections of callers are closed after this time.
+CLOSE_IDLE_S = 3.0
+# Time kept for the end of the process itself.
+END_MARGIN_S = 0.5
+POLL_S = 0.05
+# Most addresses in one answer of the directory.
+MAX_ADDRESSES = 64
+# With fewer hosts in the caller's data centre, those of the others are named too.
+MIN_NEAR_HOSTS = 2
+
+
+class RoutedEntry:
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : RoutedSettings
+        The host's own settings.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.stopping = threading.Event()
+        self._stopped = threading.Event()
+        self._draining = False
+        self._lock = threading.Lock()
+        self.bus = wspbus.Bus()
+        assemble_routed(self, settings)
+        for server in self.servers:
+            adapter = servers.ServerAdapter(self.bus, server, server.bind_addr)
+            adapter.subscribe()
+
+    def start(self):
+        """Start serving; return when the listeners are open."""
+        self.decisions.record(
+            "process started",
+            host=self.settings.name,
+            data_centre=self.settings.data_centre,
+            address=self.settings.address,
+        )
+        self.gossip.open()
+        self._run_always("gossip-receiver", self.gossip.run_receiver)
+        self._run_always("gossip-sender", self.gossip.run_sender)
+        self._run_always("follower", self.follower.run)
+        self._run_always("sweep", self.follower.run_sweep)
+        self._run_always("metrics", self.metrics.run_flusher)
+        self.bus.start()
+
+    @property
+    def is_ready(self):
+        """Tell whether this host takes new connections."""
+        return self.knowledge.table is not None and not self._draining
+
+    def apply_table(self, table):
+        """Put a routing table in force.
+
+        Parameters
+        ----------
+        table : RoutingTable
+            The table.
+        """
+        self.server.apply_limits(table.limits)
+        self.dispatcher.apply_table(table)
+        if self.members.own.state is MemberState.STARTING and not self._draining:
+            self.gossip.announce(MemberState.SERVING)
+
+    def find_addresses(self, data_centre):
+        """Return the addresses that a caller should use.
+
+        Parameters
+        ----------
+        data_centre : str or None
+            Data centre of the caller.
+
+        Returns
+        -------
+        tuple of (list of str, float)
+            Addresses of hosts, and the seconds to keep them.
+        """
+        serving = self.members.list_serving()
+        near = [m for m in serving if m.data_centre == data_centre]
+        chosen = near if len(near) >= MIN_NEAR_HOSTS else serving
+        addresses = [member.address for member in chosen]
+        if len(addresses) > MAX_ADDRESSES:
+            addresses = random.sample(addresses, MAX_ADDRESSES)
+        return addresses, self.settings.address_keep
+
+    def reload(self, settings):
+        """Take settings that may change while the process runs.
+
+        Parameters
+        ----------
+        settings : RoutedSettings
+            The new settings.
+        """
+        self.gossip.set_seeds(settings.seed_peers)
+        changed = settings != self.settings
+        self.decisions.record("settings read again", changed=changed)
+
+    def drain(self):
+        """Begin a graceful shutdown; return at once."""
+        run_thread("drain", self._drain)
+
+    def stop(self):
+        """Stop at once; requests in progress are cut."""
+        if self.stopping.is_set():
+            return
+        self.decisions.record("process stopped", host=self.settings.name)
+        self.stopping.set()
+        self._stopped.set()
+
+    def wait(self):
+        """Wait until the process has stopped."""
+        self._stopped.wait()
+
+    def _drain(self):
+        with self._lock:
+            if self._draining:
+                return
+            self._draining = True
+        started = read_clock()
+        self.decisions.record(
+            "process leaving",
+            host=self.settings.name,
+            connections=self.server.requests.count,
+        )
+        self.server.keeps_connections = False
+        self.gossip.announce(MemberState.LEAVING)
+        self._sleep_until(started + ACCEPT_S)
+        self.server.close_listener()
+        self._sleep_until(started + CLOSE_IDLE_S)
+        end = started + self.settings.grace - END_MARGIN_S
+        while self.server.requests.count and read_clock() < end:
+            self.server.close_idle()
+            self._sleep_until(read_clock() + POLL_S)
+        self.stop()
+
+    def _sleep_until(self, end):
+        while (left := end - read_clock()) > 0:
+            self.stopping.wait(left)
+
+    def _run_always(self, name, target):
+        run_always(name, target, self.stopping, self.metrics)
--- a/redwingspring/server.py
+++ b/redwingspring/server.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+from dataclasses import dataclass
 
 from cheroot import wsgi
 from cheroot.server import HTTPConnection
@@ -25,8 +26,12 @@
     """Reader that can be bound to a point in time."""
 
     deadline = None
+    # Whether a read returns at once when nothing has arrived.
+    peeking = False
 
     def readinto(self, buffer):
+        if self.peeking and not _is_readable(self._sock):
+            return None
         if self.deadline is not None:
             left = self.deadline - time.monotonic()
             if left <= 0:
@@ -36,6 +41,12 @@
         return super().readinto(buffer)
 
 
+def _is_readable(sock):
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _make_file(sock, mode, size):
     """Return a buffered reader or an unbuffered writer over a socket."""
     # The server's own file objects are written in Python and copy each block
@@ -106,15 +117,16 @@
             False when the time is over.
         """
         # A pipelined request can already be in the reader's buffer, where
-        # poll does not see it.
-        self.socket.settimeout(0)
+        # poll does not see it. The socket's own timeout stays as it is, because
+        # another thread may be writing.
+        self.rfile.raw.peeking = True
         try:
             if self.rfile.peek(1):
                 return True
         except OSError:
             return False
         finally:
-            self.socket.settimeout(self.server.timeout)
+            self.rfile.raw.peeking = False
         poller = select.poll()
         poller.register(self.socket.fileno(), select.POLLIN)
         return bool(poller.poll(timeout * 1000))
@@ -185,6 +197,17 @@
         """Number of open connections."""
         return len(self._connections)
 
+    def list_connections(self):
+        """Return the open connections.
+
+        Returns
+        -------
+        list of EntryConnection
+            As of now.
+        """
+        with self._lock:
+            return list(self._connections)
+
     def start(self):
         """Do nothing; threads start with their connections."""
 
@@ -268,6 +291,31 @@
         """
 
 
+@dataclass(frozen=True)
+class ServerBounds:
+    """Bounds and timeouts of a server for callers.
+
+    Attributes
+    ----------
+    max_connections : int, default=1024
+        Connections at once.
+    caller_timeout : float, default=10.0
+        Seconds that a caller may stall within a request or response.
+    keep_alive : float, default=30.0
+        Seconds that an unused connection is kept.
+    max_header_bytes : int, default=16384
+        Size of a request's line and headers.
+    max_body_bytes : int, default=0
+        Size of a request body; 0 leaves the bound to the application.
+    """
+
+    max_connections: int = 1024
+    caller_timeout: float = 10.0
+    keep_alive: float = 30.0
+    max_header_bytes: int = 16 << 10
+    max_body_bytes: int = 0
+
+
 class EntryServer(wsgi.Server):
     """The server for callers.
 
@@ -277,7 +325,7 @@
         ``ip:port`` to listen on.
     application : callable
         WSGI application.
-    settings : Settings
+    settings : Settings or ServerBounds
         Bounds and timeouts.
     metrics : Metrics
         Counters.
--- a/redwingspring/settings.py
+++ b/redwingspring/settings.py
@@ -42,12 +42,12 @@
     return parse_quantity("duration", value) if isinstance(value, str) else value
 
 
-_Text = Annotated[str, Strict()]
-_Count = Annotated[int, Strict()]
-_Address = Annotated[_Text, AfterValidator(check_address)]
-_Name = Annotated[_Text, AfterValidator(check_name)]
-_Size = Annotated[_Count, BeforeValidator(_read_size)]
-_Seconds = Annotated[
+Text = Annotated[str, Strict()]
+Count = Annotated[int, Strict()]
+Address = Annotated[Text, AfterValidator(check_address)]
+Name = Annotated[Text, AfterValidator(check_name)]
+Size = Annotated[Count, BeforeValidator(_read_size)]
+Seconds = Annotated[
     float,
     Strict(),
     BeforeValidator(_read_duration),
@@ -98,25 +98,23 @@
 
     __pydantic_config__ = ConfigDict(extra="forbid")
 
-    name: _Name
-    data_centre: _Name
-    address: _Address
-    peer_address: _Address
-    configuration_service: Annotated[_Text, AfterValidator(_check_url)]
+    name: Name
+    data_centre: Name
+    address: Address
+    peer_address: Address
+    configuration_service: Annotated[Text, AfterValidator(_check_url)]
     # A short key could be found by trying all keys against a recorded frame.
-    peer_key: Annotated[_Text, Field(min_length=16, max_length=1024)] = field(
-        repr=False
-    )
-    seeds: tuple[_Address, ...] = ()
-    peer_listen: _Address | None = None
-    statsd: _Address | None = None
+    peer_key: Annotated[Text, Field(min_length=16, max_length=1024)] = field(repr=False)
+    seeds: tuple[Address, ...] = ()
+    peer_listen: Address | None = None
+    statsd: Address | None = None
     log_style: Literal["text", "json"] = "text"
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"] = "INFO"
-    max_connections: Annotated[_Count, Field(ge=1, le=100_000)] = 1024
-    max_header_bytes: Annotated[_Size, Field(ge=1 << 10, le=1 << 20)] = 32 << 10
-    max_body_bytes: Annotated[_Size, Field(ge=0, le=1 << 40)] = 1 << 30
-    caller_timeout: _Seconds = 30.0
-    keep_alive: _Seconds = 30.0
+    max_connections: Annotated[Count, Field(ge=1, le=100_000)] = 1024
+    max_header_bytes: Annotated[Size, Field(ge=1 << 10, le=1 << 20)] = 32 << 10
+    max_body_bytes: Annotated[Size, Field(ge=0, le=1 << 40)] = 1 << 30
+    caller_timeout: Seconds = 30.0
+    keep_alive: Seconds = 30.0
 
 
 _ADAPTER = TypeAdapter(Settings)
@@ -144,23 +142,44 @@
         With one message for each fault.
     """
     source = YamlSource(text, name)
-    entries = source.read_mapping(source.root, (), _NAMES)
+    settings, entries = check_settings(source, _ADAPTER, _NAMES)
+    if settings is not None and settings.address == settings.peer_address:
+        message = "must differ from address, which serves callers"
+        source.report(entries["peer_address"], message)
+    source.raise_problems()
+    return settings
+
+
+def check_settings(source, adapter, names):
+    """Return the settings of a document, checked against their types.
+
+    Parameters
+    ----------
+    source : YamlSource
+        The document; faults are reported to it.
+    adapter : pydantic.TypeAdapter
+        Types of the settings.
+    names : sequence of str
+        All keys.
+
+    Returns
+    -------
+    tuple of (object or None, dict)
+        The settings, None when there are faults, and the entries by key.
+    """
+    entries = source.read_mapping(source.root, (), names)
     if not entries:
         # The text may be no mapping at all; missing keys would only distract.
         source.raise_problems()
+    settings = None
     try:
-        settings = _ADAPTER.validate_python(
+        settings = adapter.validate_python(
             {key: entry.strip_places() for key, entry in entries.items()}
         )
     except ValidationError as error:
         for fault in error.errors():
             _report_fault(source, entries, fault)
-    else:
-        if settings.address == settings.peer_address:
-            message = "must differ from address, which serves callers"
-            source.report(entries["peer_address"], message)
-    source.raise_problems()
-    return settings
+    return settings, entries
 
 
 def _report_fault(source, entries, fault):
@@ -171,7 +190,9 @@
         return
     entry = entries[key]
     for part in path:
-        if isinstance(part, int) and isinstance(entry.value, tuple):
+        of_list = isinstance(part, int) and isinstance(entry.value, tuple)
+        of_mapping = isinstance(entry.value, dict) and part in entry.value
+        if of_list or of_mapping:
             entry = entry.value[part]
     if key == "peer_key":
         # The value is a secret and stays out of messages.
--- a/redwingspring/targetconnection.py
+++ b/redwingspring/targetconnection.py
@@ -1,11 +1,13 @@
 """Connections to targets that know what they sent and read responses strictly."""
 
+import errno
 import http.client
 import io
 import re
 import select
 import socket
 import time
+from dataclasses import replace
 from http.client import HTTPException, IncompleteRead
 
 from urllib3.connection import HTTPConnection
@@ -58,9 +60,10 @@
 class _BoundedReader(io.RawIOBase):
     """Reader of a socket that is bound to a deadline, then to a stall time."""
 
-    def __init__(self, raw, sock, deadline):
+    def __init__(self, raw, sock, deadline, clock):
         self._raw = raw
         self._sock = sock
+        self._clock = clock
         self.deadline = deadline
         self.stall = None
 
@@ -72,7 +75,7 @@
             self._sock.settimeout(self.stall)
         else:
             # A timeout of the socket alone would restart with every byte.
-            left = self.deadline - time.time()
+            left = self.deadline - self._clock()
             if left <= 0:
                 raise TimeoutError("timed out")
             self._sock.settimeout(left)
@@ -99,11 +102,14 @@
         Unix time in seconds by which the head must have arrived.
     method : str
         Method of the request.
+    clock : callable, default=time.time
+        Clock of the deadline; returns seconds.
     """
 
-    def __init__(self, sock, deadline, method):
+    def __init__(self, sock, deadline, method, clock=time.time):
         super().__init__(sock, method=method)
-        self.reader = _BoundedReader(self.fp.detach(), sock, deadline)
+        self.method_of_request = method
+        self.reader = _BoundedReader(self.fp.detach(), sock, deadline, clock)
         self.fp = io.BufferedReader(self.reader)
         self.surplus = False
 
@@ -180,6 +186,9 @@
         IP number that the connection comes from.
     """
 
+    # Clock of the attempts' deadlines; returns seconds.
+    clock = staticmethod(time.time)
+
     def __init__(self, address, connect_timeout, source=None):
         host, port = address.rsplit(":", 1)
         super().__init__(
@@ -225,9 +234,46 @@
         StrictResponse
             Its head is not yet read.
         """
-        self.response = StrictResponse(sock, self._attempt.deadline, method)
+        self.response = StrictResponse(sock, self._attempt.deadline, method, self.clock)
         return self.response
 
+    @property
+    def deadline(self):
+        """Time by which the response to the present attempt must begin."""
+        return self._attempt.deadline
+
+    def extend_deadline(self, deadline):
+        """Set another deadline for the response to the present attempt.
+
+        Parameters
+        ----------
+        deadline : float
+            Seconds on the clock of the connection.
+        """
+        self._attempt = replace(self._attempt, deadline=deadline)
+
+    def begin_connect(self):
+        """Start to connect; the socket becomes writable when that has ended.
+
+        Raises
+        ------
+        OSError
+            If no connection can be started.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.source_address:
+                sock.bind(self.source_address)
+            sock.setblocking(False)
+            error = sock.connect_ex((self.host, self.port))
+            if error not in (0, errno.EINPROGRESS):
+                raise OSError(error, "cannot connect")
+        except OSError:
+            sock.close()
+            raise
+        self.sock = sock
+
     def send(self, data):
         """Send bytes; ask the guard before the first ones.
 
@@ -282,13 +328,13 @@
         if failure is not None:
             raise SendRefused(failure)
         self.sock.settimeout(0)
-        self.timeout = max(0.001, self._attempt.deadline - time.time())
+        self.timeout = max(0.001, self._attempt.deadline - self.clock())
 
     def _wait_writable(self):
         """Wait until the target takes more; stop if it responds instead."""
         poller = select.poll()
         poller.register(self.sock.fileno(), select.POLLIN | select.POLLOUT)
-        left = self._attempt.deadline - time.time()
+        left = self._attempt.deadline - self.clock()
         if left <= 0:
             raise TimeoutError("timed out")
         events = dict(poller.poll(left * 1000)).get(self.sock.fileno(), 0)
--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -59,23 +59,44 @@
             self.abort()
             raise ResponseBroken(f"response body broke off: {error}") from error
 
-    def finish(self):
-        """Return the connection for reuse after the whole body was read."""
-        if self.closed:
-            return
-        self.closed = True
+    @property
+    def ended_cleanly(self):
+        """Tell, after the whole body was read, whether the connection is usable."""
         # This also looks for bytes that follow the response.
         self._response.close()
-        reusable = (
+        return (
             self._connection.sock is not None
             and self._response.version >= 11
             and not self._connection.unfinished
             and not self._parsed.surplus
         )
-        if reusable and self._connection.is_connected:
-            self._pool.give_back(self._connection)
-        else:
+
+    def finish(self):
+        """Return the connection for reuse after the whole body was read."""
+        self.finish_for(False)
+
+    def finish_for(self, keep):
+        """End the response after the whole body was read.
+
+        Parameters
+        ----------
+        keep : bool
+            Whether the connection stays with its user instead of its pool.
+
+        Returns
+        -------
+        bool
+            False when the connection was closed.
+        """
+        if self.closed:
+            return False
+        self.closed = True
+        if not self.ended_cleanly or not self._connection.is_connected:
             self._connection.close()
+            return False
+        if not keep:
+            self._pool.give_back(self._connection)
+        return True
 
     def abort(self):
         """Close the connection, which cancels the work at the target."""
@@ -130,22 +151,43 @@
 
 def _check_framing(response, attempt):
     """Return a failure if the end of the body could not be verified."""
-    headers = response.headers
+    if not has_clear_framing(response, attempt.method):
+        # Another reader could see another end of the body.
+        return doubt(Reason.TRUNCATED, "the response has no single valid framing")
     if attempt.method == "HEAD" or response.status in (204, 304):
         return None
+    headers = response.headers
+    if "content-length" not in headers and "transfer-encoding" not in headers:
+        # The end of such a body looks the same as a lost connection.
+        return doubt(Reason.TRUNCATED, "the response does not mark its end")
+    return None
+
+
+def has_clear_framing(response, method):
+    """Tell whether every reader sees the same end of a response's body.
+
+    Parameters
+    ----------
+    response : TargetResponse
+        The response.
+    method : str
+        Method of the request.
+
+    Returns
+    -------
+    bool
+        True also for a body that ends with its connection.
+    """
+    headers = response.headers
+    if method == "HEAD" or response.status in (204, 304):
+        return True
     if response.status == 205 and response.length != 0:
         # The server for callers frames no body of this status, so bytes of
         # one would pass for the next response.
-        return doubt(Reason.TRUNCATED, "a 205 response does not declare to be empty")
+        return False
     lengths = set(headers.getlist("content-length"))
     coding = headers.get("transfer-encoding")
     chunked = coding is not None and coding.lower() == "chunked"
     if coding is not None and (lengths or not chunked or response.version < 11):
-        # Another reader could see another end of the body.
-        return doubt(Reason.TRUNCATED, "the response has no single framing")
-    if len(lengths) > 1 or (lengths and response.length is None):
-        return doubt(Reason.TRUNCATED, "the response has no valid length")
-    if not lengths and not chunked:
-        # The end of such a body looks the same as a lost connection.
-        return doubt(Reason.TRUNCATED, "the response does not mark its end")
-    return None
+        return False
+    return not (len(lengths) > 1 or (lengths and response.length is None))
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -244,24 +244,42 @@
 def _exchange(connection, attempt):
     """Send the request and read the response's head on one connection."""
     try:
-        _send_request(connection, attempt)
+        send_request(connection, attempt)
         _wait_response(connection, attempt)
         return Ok(connection.getresponse())
-    except SendRefused as refused:
-        return Error(refused.failure)
-    except CallerGone as gone:
-        return Error(_blame(connection, gone.reason, str(gone), gone.status))
-    except TimeoutError:
+    except (OSError, HTTPException, HTTPError, ValueError, SendRefused) as error:
+        return Error(explain_fault(connection, error))
+
+
+def explain_fault(connection, error):
+    """Return the failure that an error on a connection to a target means.
+
+    Parameters
+    ----------
+    connection : TargetConnection
+        The connection; it knows whether a byte of the request was sent.
+    error : Exception
+        What was raised while it sent the request or read the response.
+
+    Returns
+    -------
+    Failure
+        Its verdict is ``NOT_RUN`` only if no byte was sent.
+    """
+    if isinstance(error, SendRefused):
+        return error.failure
+    if isinstance(error, CallerGone):
+        return _blame(connection, error.reason, str(error), error.status)
+    if isinstance(error, TimeoutError):
         failure = _blame(connection, Reason.DEADLINE, "no response before the deadline")
         if not failure.proves_not_run:
             failure = doubt(Reason.DEADLINE, failure.detail, 504)
-        return Error(failure)
-    except InvalidHeader as error:
-        return Error(_blame(connection, Reason.TRUNCATED, str(error)))
-    except (OSError, HTTPException, HTTPError, ValueError) as error:
-        detail = f"{type(error).__name__}: {error}"
-        reason = Reason.RESET if connection.started else Reason.CONNECT
-        return Error(_blame(connection, reason, detail))
+        return failure
+    if isinstance(error, InvalidHeader):
+        return _blame(connection, Reason.TRUNCATED, str(error))
+    detail = f"{type(error).__name__}: {error}"
+    reason = Reason.RESET if connection.started else Reason.CONNECT
+    return _blame(connection, reason, detail)
 
 
 def _blame(connection, reason, detail, status=503):
@@ -271,8 +289,16 @@
     return refuse(reason, detail, status)
 
 
-def _send_request(connection, attempt):
-    """Send head and body; tolerate a target that responds before the end."""
+def send_request(connection, attempt):
+    """Send head and body; tolerate a target that responds before the end.
+
+    Parameters
+    ----------
+    connection : TargetConnection
+        A connection that was prepared for the attempt.
+    attempt : Attempt
+        What to send.
+    """
     headers = dict(attempt.headers)
     headers.setdefault("Accept-Encoding", SKIP_HEADER)
     headers.setdefault("User-Agent", SKIP_HEADER)
--- a/tests/names.py
+++ b/tests/names.py
@@ -13,7 +13,7 @@
     at the call is reported as ``?file:line``, so that no call escapes.
     """
     names = set()
-    for path in sorted(package.glob("*.py")):
+    for path in sorted(package.rglob("*.py")):
         tree = ast.parse(path.read_text())
         for node in ast.walk(tree):
             if _is_call(node, methods, receivers):
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,443 @@
+"""Stand-ins for the platform's store and its targets, and a host between them."""
+
+import base64
+import contextlib
+import http.client
+import json
+import socket
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+from redwingspring.routedentry import RoutedEntry
+from redwingspring.routedsettings import RoutedSettings
+
+SERVICE = "desk"
+READS = "/read/"
+POSTS = "/post/"
+HOST = "desk.example"
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 64
+
+    def handle_error(self, request, client_address):
+        """Stay silent; tests cut connections on purpose."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args):
+        pass
+
+    def answer(self, status, document):
+        body = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class StoreStandIn:
+    """A small store with items, a history, watches and faults."""
+
+    def __init__(self, host="127.0.0.1"):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.oldest = 1
+        self.status = 200
+        self.silent = False
+        self.page = 500
+        self.calls = 0
+        self.changed = threading.Condition()
+        stand_in = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                stand_in.serve(self)
+
+        self._server = _Server((host, 0), Handler)
+        self.address = f"{host}:{self._server.server_port}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, key, value):
+        """Write a document, or bytes as they are."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.revision += 1
+            self.items[key] = {
+                "key": key,
+                "value": base64.b64encode(raw).decode(),
+                "revision": self.revision,
+                "create_rev": self.revision,
+                "lease": 0,
+            }
+            self._note(self.items[key])
+
+    def delete(self, key):
+        with self.changed:
+            self.revision += 1
+            del self.items[key]
+            self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def forget_history(self):
+        with self.changed:
+            self.oldest = self.revision + 1
+            self.events.clear()
+            self.changed.notify_all()
+
+    def _note(self, event):
+        self.events.append(event)
+        self.changed.notify_all()
+
+    def serve(self, handler):
+        self.calls += 1
+        if self.silent:
+            time.sleep(30)
+        if self.status != 200:
+            handler.answer(self.status, {"error": "no"})
+            return
+        parts = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        call = parts.path.rsplit("/", 1)[1]
+        if call == "kv-range":
+            handler.answer(200, self.read_range(query))
+        elif call == "kv-watch":
+            handler.answer(*self.read_watch(query))
+        else:
+            handler.answer(404, {"error": "no such call"})
+
+    def read_range(self, query):
+        with self.changed:
+            keys = sorted(k for k in self.items if k > query.get("after", ""))
+            page = keys[: self.page]
+            return {
+                "items": [self.items[key] for key in page],
+                "has_more": len(keys) > len(page),
+                "store_revision": self.revision,
+            }
+
+    def read_watch(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.changed:
+            while True:
+                if after + 1 < self.oldest:
+                    return 410, {"error": "history lost"}
+                events = [e for e in self.events if e["revision"] > after]
+                left = end - time.monotonic()
+                if events or left <= 0 or self.status != 200:
+                    return 200, {"events": events, "store_revision": self.revision}
+                self.changed.wait(left)
+
+
+class InstanceStandIn:
+    """One target on the platform, with faults."""
+
+    def __init__(self, instance_id, host="127.0.0.1"):
+        self.id = instance_id
+        self.load = "0,0,3,100"
+        self.warmup_ms = None
+        self.work_s = 0.0
+        self.mode = "sound"
+        self.body = b"whole body"
+        self.runs = []
+        self.arrivals = []
+        self.probes = 0
+        self.headers = []
+        self.gone = threading.Event()
+        stand_in = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                stand_in.serve(self)
+
+            do_POST = do_GET
+
+        self._server = _Server((host, 0), Handler)
+        self.address = f"{host}:{self._server.server_port}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def entry(self, **changes):
+        status = {"state": "ready", "sequence": 1, "warmup_left_s": 0}
+        status.update(changes.pop("status", {}))
+        return {
+            "address": self.address,
+            "info": {
+                "service": SERVICE,
+                "config_version": "v1",
+                "zone": "akl-a",
+                "max_concurrency": 3,
+            },
+            "status": status,
+            "born": 1000,
+            **changes,
+        }
+
+    def serve(self, handler):
+        if handler.path == "/health":
+            self.serve_probe(handler)
+            return
+        length = int(handler.headers.get("Content-Length", 0))
+        body = handler.rfile.read(length)
+        self.serve_request(handler, body)
+
+    def serve_probe(self, handler):
+        self.probes += 1
+        if self.mode == "mute":
+            time.sleep(30)
+        handler.send_response(200)
+        handler.send_header("Instance-Id", self.id)
+        if self.load is not None:
+            handler.send_header("Server-Load", self.load)
+        if self.warmup_ms is not None:
+            handler.send_header("Warmup-Ms", str(self.warmup_ms))
+        handler.send_header("Content-Length", "0")
+        handler.end_headers()
+
+    def serve_request(self, handler, body):
+        request_id = handler.headers["Request-Id"]
+        self.arrivals.append(request_id)
+        self.headers.append(dict(handler.headers.items()))
+        mode = self.mode
+        if handler.headers.get("Target-Instance") != self.id:
+            self.refuse(handler, 421)
+        elif mode == "shed":
+            self.refuse(handler, 503)
+        else:
+            self.runs.append((request_id, handler.command, handler.path, body))
+            time.sleep(self.work_s)
+            getattr(self, f"answer_{mode}")(handler, request_id)
+
+    def refuse(self, handler, status):
+        handler.send_response(status)
+        handler.send_header("Not-Executed", "1")
+        handler.send_header("Content-Length", "0")
+        handler.end_headers()
+
+    def send_head(self, handler, request_id, length, signed=True, status=200):
+        handler.send_response(status)
+        handler.send_header("Request-Id", request_id)
+        if signed:
+            handler.send_header("Response-Signature", f"signed.{self.id}")
+        if length is not None:
+            handler.send_header("Content-Length", str(length))
+        handler.end_headers()
+
+    def answer_sound(self, handler, request_id):
+        self.send_head(handler, request_id, len(self.body))
+        handler.wfile.write(self.body)
+
+    answer_mute = answer_sound
+
+    def answer_error(self, handler, request_id):
+        self.send_head(handler, request_id, 3, status=500)
+        handler.wfile.write(b"bad")
+
+    def answer_unsigned(self, handler, request_id):
+        self.send_head(handler, request_id, len(self.body), signed=False)
+        handler.wfile.write(self.body)
+
+    def answer_cut(self, handler, request_id):
+        self.send_head(handler, request_id, len(self.body) + 5)
+        handler.wfile.write(self.body)
+        self.end(handler)
+
+    def answer_unframed(self, handler, request_id):
+        handler.send_response(200)
+        handler.send_header("Request-Id", request_id)
+        handler.send_header("Response-Signature", "signed")
+        handler.end_headers()
+        handler.wfile.write(self.body)
+        self.end(handler)
+
+    def answer_reset(self, handler, request_id):
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.end(handler)
+
+    def answer_stray(self, handler, request_id):
+        """Send a second response to an earlier request first."""
+        self.send_head(handler, "earlier", 5)
+        handler.wfile.write(b"stray")
+        handler.wfile.flush()
+        time.sleep(0.02)
+        self.answer_sound(handler, request_id)
+
+    def answer_hang(self, handler, request_id):
+        """Hold the answer until the host closes the connection."""
+        handler.connection.settimeout(5)
+        with contextlib.suppress(OSError):
+            if not handler.connection.recv(1):
+                self.gone.set()
+        handler.close_connection = True
+
+    @staticmethod
+    def end(handler):
+        handler.wfile.flush()
+        handler.close_connection = True
+
+
+def describe_route(name, prefix, kind, **changes):
+    return {
+        "name": name,
+        "prefix": prefix,
+        "type": kind,
+        "timeout_s": 2.0,
+        "target_latency_s": 0.3,
+        "priority": 1,
+        "service": SERVICE,
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+def describe_configuration(version=1, routes=None, **changes):
+    service = {
+        "name": SERVICE,
+        "health_path": "/health",
+        "max_conns": 260,
+        "warmup_s": 3.0,
+        "warmup_per_s": 9.4,
+    }
+    default = [
+        describe_route("reads", READS, "idempotent"),
+        describe_route("posts", POSTS, "non_idempotent"),
+    ]
+    return {
+        "config_version": version,
+        "services": [service],
+        "virtual_hosts": [{"host": HOST, "paths": routes or default}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+        **changes,
+    }
+
+
+def find_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class HostFixture:
+    """A host with a store and some targets, all in this process."""
+
+    def __init__(self, test, instances=2, configuration=None, **settings):
+        self.store = StoreStandIn()
+        test.addCleanup(self.store.close)
+        self.instances = [InstanceStandIn(f"i-{n}") for n in range(instances)]
+        for instance in self.instances:
+            test.addCleanup(instance.close)
+            self.list_instance(instance)
+        self.store.put("op/config", configuration or describe_configuration())
+        values = {
+            "name": "edge-akl-a-1",
+            "data_centre": "akl-a",
+            "data_centres": {"akl-a": "aotearoa-north"},
+            "address": f"127.0.0.1:{find_port()}",
+            "ready_address": f"127.0.0.1:{find_port()}",
+            "directory_address": f"127.0.0.1:{find_port()}",
+            "peer_address": f"127.0.0.1:{find_port(socket.SOCK_DGRAM)}",
+            "metrics_address": f"127.0.0.1:{find_port()}",
+            "store": self.store.address,
+            "retry_slack": 64.0,
+            **settings,
+        }
+        self.entry = RoutedEntry(RoutedSettings(**values))
+        test.addCleanup(self.entry.bus.exit)
+        test.addCleanup(self.entry.stop)
+        self.entry.start()
+        wait_until(lambda: self.entry.is_ready)
+        wait_until(lambda: len(self.entry.directory.list_ids()) >= len(self.instances))
+
+    def list_instance(self, instance, **changes):
+        self.store.put(f"servers/{instance.id}", instance.entry(**changes))
+
+    def connect(self):
+        return Caller(self.entry.settings.address)
+
+    def ask(self, method="GET", path=READS + "1", **options):
+        caller = self.connect()
+        try:
+            return caller.ask(method, path, **options)
+        finally:
+            caller.close()
+
+    def fetch(self, address, path):
+        host, port = address.rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        try:
+            connection.request("GET", path)
+            response = connection.getresponse()
+            return response.status, response.read()
+        finally:
+            connection.close()
+
+    @property
+    def runs(self):
+        return [run for instance in self.instances for run in instance.runs]
+
+
+class Caller:
+    """A caller with one connection."""
+
+    numbers = iter(range(1, 1 << 30))
+
+    def __init__(self, address):
+        host, port = address.rsplit(":", 1)
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=10)
+
+    def ask(self, method, path, body=None, deadline_ms=2000, **headers):
+        request_id = f"r{next(self.numbers)}"
+        fields = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(deadline_ms),
+            **headers,
+        }
+        self.connection.request(method, path, body=body, headers=fields)
+        response = self.connection.getresponse()
+        received = {name.lower(): value for name, value in response.getheaders()}
+        return response.status, received, response.read()
+
+    def send(self, data):
+        """Send bytes as they are."""
+        if self.connection.sock is None:
+            self.connection.connect()
+        self.connection.sock.sendall(data)
+
+    def close(self):
+        self.connection.close()
+
+
+def render_request(method, path, request_id, deadline_ms=2000):
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+        f"Deadline-Ms: {deadline_ms}\r\n\r\n"
+    ).encode()
+
+
+def wait_until(predicate, timeout_s=10.0):
+    end = time.monotonic() + timeout_s
+    while not predicate():
+        if time.monotonic() > end:
+            raise AssertionError("the condition did not come true")
+        time.sleep(0.01)
