Count the first known host list as the start of the list history

Cause: ListHistory noted a list only when it was asked. Ruled out: hosts that are not listed counting themselves as grantors; leaving them out still failed the same case. Change: probes wait from the first noted list on, not only from the start. One test sets the renamed private attribute; its checks are the same.

--- a/redwingspring/listhistory.py
+++ b/redwingspring/listhistory.py
@@ -28,7 +28,7 @@
         self._name = name
         self._membership = membership
         self._clock = clock
-        self._started = clock()
+        self._known_since = clock()
         self._hosts = ()
         self._names = frozenset()
         self._former = deque(maxlen=MAX_LISTS)
@@ -50,8 +50,8 @@
             a former list know of.
         """
         self._note_list()
-        # A host that has just started does not know the former lists.
-        safe = self._started + lasts + SPREAD_S
+        # A host does not know the lists from before the first one that it noted.
+        safe = self._known_since + lasts + SPREAD_S
         present = self._find_grantors(self._names, address)
         for ended, names in self._former:
             end = ended + lasts + SPREAD_S
@@ -65,6 +65,8 @@
             return
         if self._names:
             self._former.append((self._clock(), self._names))
+        else:
+            self._known_since = self._clock()
         self._hosts = hosts
         self._names = frozenset(host.name for host in hosts)
 
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -280,7 +280,7 @@
         now = time.monotonic()
         for name in NAMES:
             prober = self.make_prober(name)
-            prober._lists._started = NEVER
+            prober._lists._known_since = NEVER
             prober.visit_due()
             (watch,) = prober._watches.values()
             moments.append(prober._find_due(watch, now + 1, now))
