--- a/redwingspring/assembly.py
+++ b/redwingspring/assembly.py
@@ -7,6 +7,7 @@
 from .decisions import DecisionLog
 from .dispatch import Dispatcher
 from .exposition import Latencies, MetricsPage, build_registry
+from .feed import FeedClient, FeedPage, StoreMirror
 from .follower import StoreFollower
 from .forwarder import Forwarder
 from .gossip import GossipNetwork, Members, build_member
@@ -41,8 +42,9 @@
 from .routeforwarder import RouteForwarder
 from .server import EntryServer, ServerBounds
 from .servicereader import ServiceReader
-from .shares import ColdShare, HostCount, RetryShare
+from .shares import ColdShare, HostCount, ProbeShare, RetryShare
 from .slots import SlotCounter
+from .sources import WATCH_WAIT_S, SourceChoice, StoreSource
 from .status import sample_gauges
 from .targets import TargetDirectory, Temperature
 from .temperatures import TemperatureNews
@@ -176,9 +178,13 @@
         entry.directory, decode_change, entry.metrics, entry.decisions
     )
     entry.knowledge.on_table = entry.apply_table
-    store = StoreClient(settings.store, entry.metrics)
-    entry.follower = StoreFollower(store, entry.knowledge)
     assemble_membership(entry, settings)
+    entry.mirror = StoreMirror()
+    store = StoreSource(StoreClient(settings.store, entry.metrics), WATCH_WAIT_S)
+    entry.sources = SourceChoice(
+        entry.members, store, lambda address: FeedClient(address, entry.metrics)
+    )
+    entry.follower = StoreFollower(entry.sources, entry.knowledge, entry.mirror)
     hosts = HostCount()
     entry.gossip.on_count = hosts.note
     entry.dispatcher = RouteDispatcher(
@@ -187,6 +193,7 @@
         retries=RetryShare(
             settings.retry_ratio, settings.retry_slack, settings.retry_window, hosts
         ),
+        probes=ProbeShare(settings.probe_rate, hosts),
         cold=ColdShare(settings.name, entry.members.list_serving_names),
         metrics=entry.metrics,
         decisions=entry.decisions,
@@ -241,7 +248,11 @@
     bounds = ServerBounds(settings.max_connections)
     entry.server = RoutedServer(settings.address, forwarder, bounds, entry.metrics)
     pages = PlatformPages(lambda: entry.is_ready, entry.find_addresses)
-    applications = {settings.ready_address: pages, settings.directory_address: pages}
+    applications = {
+        settings.ready_address: pages,
+        settings.directory_address: pages,
+        settings.peer_address: FeedPage(entry.mirror),
+    }
     if settings.metrics_address is not None:
         applications[settings.metrics_address] = MetricsPage(registry)
     entry.servers = [
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -95,6 +95,7 @@
         self.sample = None
         self.failure = None
         self.started_at = clock()
+        self.sent_at = None
         self.stage = Stage.READY
         self.connection = None
         self._dialect = dialect
@@ -175,6 +176,7 @@
             self._fail(explain_fault(self.connection, error))
             return self.failure
         self.stage = Stage.SENT
+        self.sent_at = self._clock()
         return None
 
     def read_answer(self, attempt):
@@ -265,23 +267,23 @@
 
     def _read_probe_response(self):
         """Return the response to the probe; skip one to an earlier request."""
-        response = self._read_response(first=True)
-        for _ in range(MAX_STRAY_RESPONSES):
-            terms = self._dialect.read_response(response.headers)
-            if not terms.signed:
-                break
-            response = self._read_next(response)
-        return response, self._dialect.read_response(response.headers)
+        return self._skip_strays(lambda terms: not terms.signed)
 
     def _read_own_response(self, attempt):
         """Return the response to the request; skip one to an earlier request."""
+        own = (None, attempt.attempt_id)
+        return self._skip_strays(lambda terms: terms.request_id in own)
+
+    def _skip_strays(self, is_own):
+        """Return the first response that is wanted, or the last one allowed."""
         response = self._read_response(first=True)
-        for _ in range(MAX_STRAY_RESPONSES):
-            terms = self._dialect.read_response(response.headers)
-            if terms.request_id in (None, attempt.attempt_id):
-                break
+        terms = self._dialect.read_response(response.headers)
+        strays = 0
+        while not is_own(terms) and strays < MAX_STRAY_RESPONSES:
             response = self._read_next(response)
-        return response, self._dialect.read_response(response.headers)
+            terms = self._dialect.read_response(response.headers)
+            strays += 1
+        return response, terms
 
     def _read_next(self, stray):
         """Return the response that follows one of an earlier request."""
--- /dev/null
+++ b/redwingspring/feed.capnp
@@ -0,0 +1,19 @@
+@0xc7e2f1904b8d3a65;
+# What one entry host tells another of the store; see feed.py.
+
+struct Change {
+  key @0 :Text;
+  value @1 :Data;
+  deleted @2 :Bool;
+  revision @3 :UInt64;
+}
+
+struct Feed {
+  version @0 :UInt16;
+  revision @1 :UInt64;
+  whole @2 :Bool;
+  # Whether the changes are everything that the store holds.
+  confirmedAgeMs @3 :UInt32;
+  # Time since the store last answered the sender.
+  changes @4 :List(Change);
+}
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -1,16 +1,11 @@
-"""Follows the store: a snapshot first, then a watch, and again after a gap."""
-
-import random
+"""Follows the store: a snapshot first, then changes, and again after a gap."""
 
 from .knowledge import HistoryLost, StoreError
 
-# A watch that answers nothing for this long is asked anew, because a connection
-# on which an answer was lost stays silent.
-WATCH_WAIT_S = 2.5
-# Changes that come in quick succession are read together.
-GATHER_S = 0.2
-MIN_PAUSE_S = 0.15
-MAX_PAUSE_S = 0.8
+# Changes that come in quick succession are read from the store together.
+GATHER_S = 0.15
+# Pause while all sources have just failed.
+PAUSE_S = 0.05
 SWEEP_S = 0.2
 
 
@@ -19,15 +14,19 @@
 
     Parameters
     ----------
-    store : StoreClient
-        The store.
+    sources : SourceChoice
+        Where changes are heard of.
     knowledge : Knowledge
         Takes what the store tells.
+    mirror : StoreMirror
+        Keeps it for other hosts.
     """
 
-    def __init__(self, store, knowledge):
-        self._store = store
+    def __init__(self, sources, knowledge, mirror):
+        self._sources = sources
         self._knowledge = knowledge
+        self._mirror = mirror
+        self._has_snapshot = False
 
     def run(self, stopping):
         """Follow the store until the process stops.
@@ -37,29 +36,42 @@
         stopping : threading.Event
             Set when the process stops.
         """
-        pause_s = MIN_PAUSE_S
         while not stopping.is_set():
+            source = self._sources.choose()
+            if source is None:
+                stopping.wait(PAUSE_S)
+                continue
             try:
-                self._knowledge.apply_snapshot(self._store.read_all())
-                self._knowledge.note_in_touch()
-                pause_s = MIN_PAUSE_S
-                self._watch(stopping)
-            except HistoryLost as error:
-                # Changes may be missing until the next snapshot is in force.
-                self._knowledge.note_lost(error)
+                gathers = self._ask(source)
+            except HistoryLost:
+                self._has_snapshot = False
             except StoreError as error:
-                self._knowledge.note_lost(error)
-                # The spread keeps the hosts from asking all at once.
-                stopping.wait(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(MAX_PAUSE_S, pause_s * 1.6)
+                self._take_failure(source, error)
+            else:
+                self._sources.note_answered(source)
+                self._knowledge.note_in_touch(source.name)
+                if gathers:
+                    stopping.wait(GATHER_S)
 
-    def _watch(self, stopping):
-        revision = self._knowledge.revision
-        while not stopping.is_set():
-            changes, revision = self._store.watch(revision, WATCH_WAIT_S)
-            if changes:
-                self._knowledge.apply_changes(changes, revision)
-                stopping.wait(GATHER_S)
+    def _ask(self, source):
+        """Take one answer of a source; tell whether to pause before the next."""
+        if not self._has_snapshot:
+            snapshot, age_s = source.read_all()
+            self._mirror.take_snapshot(snapshot, age_s)
+            self._knowledge.apply_snapshot(snapshot)
+            self._has_snapshot = True
+            return False
+        after = self._knowledge.revision
+        changes, revision, age_s = source.watch(after)
+        self._mirror.take_changes(changes, revision, age_s)
+        self._knowledge.apply_changes(changes, revision)
+        return bool(changes) and source.is_store
+
+    def _take_failure(self, source, error):
+        """Turn to another source; without one the store is lost."""
+        self._sources.note_failed(source)
+        if self._sources.choose() is None:
+            self._knowledge.note_lost(error)
 
     def run_sweep(self, stopping):
         """Drop entries that stay missing, until the process stops.
--- a/redwingspring/gossip.py
+++ b/redwingspring/gossip.py
@@ -206,6 +206,16 @@
                 *(m for m, heard in self._members.values() if heard >= oldest),
             ]
 
+    def list_steady(self):
+        """Return the hosts that are heard and do not leave.
+
+        Returns
+        -------
+        list of Member
+            This one included unless it leaves.
+        """
+        return [m for m in self.list_alive() if m.state is not MemberState.LEAVING]
+
     def list_serving(self):
         """Return the hosts that take requests.
 
--- a/redwingspring/knowledge.py
+++ b/redwingspring/knowledge.py
@@ -190,8 +190,14 @@
             configuration_version=self.version,
         )
 
-    def note_in_touch(self):
-        """Note that the store answered and changes arrive again."""
+    def note_in_touch(self, source):
+        """Note that the store's changes arrive.
+
+        Parameters
+        ----------
+        source : str
+            Where they come from.
+        """
         with self._lock:
             if self._lost_at is None:
                 return
@@ -200,7 +206,10 @@
             self._returned_at = self._clock()
         self._metrics.increment("store.regained")
         self._decisions.record(
-            "store regained", away_s=round(away_s, 2), revision=self.revision
+            "store regained",
+            source=source,
+            away_s=round(away_s, 2),
+            revision=self.revision,
         )
 
     def apply_snapshot(self, snapshot):
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -22,6 +22,14 @@
 # A slow spell ends within this time; older samples say nothing of slowness.
 SAMPLE_USE_S = 0.06
 
+# Weight of the latest response in what is expected.
+NEW_WEIGHT = 0.08
+MAX_ROUTES = 5000
+MAX_LAST_SLOTS_FACTOR = 4.0
+# Work on a target that runs slower than this says little of the usual time.
+USUAL_SLOWNESS = 1.5
+FIRST_WORK_SHARE = 0.35
+
 candidate_policies = Registry("candidate policy")
 
 
@@ -50,13 +58,144 @@
     now: float
 
 
-def predict_factor(sample):
+@dataclass(frozen=True)
+class Outcome:
+    """A request that was answered, as far as later choices learn from it.
+
+    Attributes
+    ----------
+    route : Route
+        Its route.
+    service : str
+        Service that answered it.
+    sample : LoadSample or None
+        Load of the target at the send.
+    seconds : float
+        Time from the send to the end of the response.
+    size : int or None
+        Bytes of the body; None when it is not known.
+    """
+
+    route: object
+    service: str
+    sample: object
+    seconds: float
+    size: int | None
+
+
+class ServiceHistory:
+    """What answered requests tell of routes and services.
+
+    Work is the time of a request at an idle target of usual speed. The slowdown
+    of nearly full targets is learned, because some services have none.
+    """
+
+    def __init__(self):
+        self._sizes = {}
+        self._works = {}
+        self._slowdowns = {}
+
+    def record(self, outcome):
+        """Learn from an answered request.
+
+        Parameters
+        ----------
+        outcome : Outcome
+            The request.
+        """
+        if outcome.size is not None:
+            _average(self._sizes, outcome.route.prefix, outcome.size)
+        sample = outcome.sample
+        if sample is None or sample.waiting or sample.cold_s > 0:
+            return
+        if sample.slowness > USUAL_SLOWNESS:
+            return
+        seconds = outcome.seconds / sample.slowness
+        if not is_nearly_full(sample):
+            _average(self._works, outcome.route.prefix, seconds)
+        elif work := self._works.get(outcome.route.prefix):
+            ratio = min(MAX_LAST_SLOTS_FACTOR, max(1.0, seconds / work))
+            _average(self._slowdowns, outcome.service, ratio, NEARLY_FULL_FACTOR)
+
+    def expect_size(self, route):
+        """Return the size of a response to expect.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+
+        Returns
+        -------
+        float
+            Bytes; 0 before the first response.
+        """
+        return self._sizes.get(route.prefix, 0.0)
+
+    def expect_work(self, route):
+        """Return the work of a request to expect.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+
+        Returns
+        -------
+        float
+            Seconds; a part of the target latency before the first response.
+        """
+        return self._works.get(route.prefix, FIRST_WORK_SHARE * route.target_latency_s)
+
+    def expect_slowdown(self, service):
+        """Return how much slower nearly full targets of a service are.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float
+            Factor on the time of work.
+        """
+        return self._slowdowns.get(service, NEARLY_FULL_FACTOR)
+
+
+def _average(means, key, value, first=None):
+    """Move the mean of a key towards a value; forget the oldest key if needed."""
+    mean = means.get(key, value if first is None else first)
+    means[key] = mean + NEW_WEIGHT * (value - mean)
+    while len(means) > MAX_ROUTES:
+        del means[next(iter(means))]
+
+
+def is_nearly_full(sample):
+    """Tell whether one more request makes a target nearly full.
+
+    Parameters
+    ----------
+    sample : LoadSample
+        Fresh load of the target.
+
+    Returns
+    -------
+    bool
+        True when it may slow down.
+    """
+    return (sample.running + 1) / max(1, sample.slots) > NEARLY_FULL
+
+
+def predict_factor(sample, last_slots_factor=NEARLY_FULL_FACTOR):
     """Return the predicted time of one more request, relative to the usual time.
 
     Parameters
     ----------
     sample : LoadSample
         Fresh load of the instance.
+    last_slots_factor : float, default=NEARLY_FULL_FACTOR
+        Slowdown of a nearly full target.
 
     Returns
     -------
@@ -67,8 +206,8 @@
     factor = sample.slowness
     if sample.cold_s > 0:
         factor *= COLD_FACTOR
-    if (sample.running + 1) / slots > NEARLY_FULL:
-        factor *= NEARLY_FULL_FACTOR
+    if is_nearly_full(sample):
+        factor *= last_slots_factor
     excess = sample.running + sample.waiting + 1 - slots
     if excess > 0:
         factor *= 1 + excess / slots
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -7,20 +7,31 @@
 
 from .clock import read_clock
 from .exchanges import Exchange, Stage, poll_exchanges
-from .placement import CandidateQuery, candidate_policies, choose_best, predict_factor
+from .placement import (
+    CandidateQuery,
+    Outcome,
+    ServiceHistory,
+    candidate_policies,
+    choose_best,
+    is_nearly_full,
+    predict_factor,
+)
 from .upstream import Attempt
 from .verdict import Reason, doubt, refuse
 from .waiting import (
     LOOK_AGAIN_S,
     Wait,
-    accept_factor,
+    accepts_place,
     choose_return_time,
-    has_room,
+    may_spread,
     should_reject,
 )
+from .waitinglines import WaitingLines
 
-# Targets asked for their load before a send.
-CANDIDATES = 3
+# Targets asked for their load at once before a send, and how often a request asks
+# before it joins the line.
+CANDIDATES = 2
+FIRST_LOOKS = 2
 # Longest wait for the answers to probes.
 PROBE_WAIT_S = 0.025
 # Wait for further answers after the first acceptable one.
@@ -38,8 +49,6 @@
 # A decision rests on load of that moment; after a pause of the process it is
 # made again.
 MAX_DECISION_AGE_S = 0.1
-# Share of the target latency after which a request looks in all data centres.
-SPREAD_SHARE = 0.03
 
 
 @dataclass(frozen=True)
@@ -109,6 +118,8 @@
         Headers that targets understand.
     retries : RetryShare
         Share of arrivals beyond the first of each request.
+    probes : ProbeShare
+        Share of probes.
     cold : ColdShare
         Share of requests to cold targets.
     metrics : Metrics
@@ -129,6 +140,7 @@
         directory,
         dialect,
         retries,
+        probes,
         cold,
         metrics,
         decisions,
@@ -139,6 +151,9 @@
         self.directory = directory
         self.dialect = dialect
         self.retries = retries
+        self.probes = probes
+        self.lines = WaitingLines()
+        self.history = ServiceHistory()
         self.cold = cold
         self.metrics = metrics
         self.decisions = decisions
@@ -202,6 +217,7 @@
             call.route.target_latency_s,
             call.route.priority,
             self.top_priority,
+            self.history.expect_work(call.route),
         )
 
     def find_instances(self, call):
@@ -277,50 +293,81 @@
 
     def _find_place(self):
         """Return Ok with a ready Exchange, or an Error with a Failure."""
+        call = self._call
+        line = self._dispatcher.lines.find(call.service.name)
+        for _ in range(FIRST_LOOKS):
+            if line:
+                break
+            placed = self._try_place()
+            if placed is not None:
+                return placed
+        placed = None
+        ticket = line.enter(call.route.priority, call.received)
+        try:
+            placed = self._wait_for_place(line, ticket)
+            return placed
+        finally:
+            line.leave(ticket, placed is not None and placed.is_ok())
+
+    def _wait_for_place(self, line, ticket):
+        """Look for a place whenever this request is the first in line."""
         while True:
+            ahead = line.count_ahead(ticket)
             wait = self._dispatcher.describe_wait(self._call)
-            if wait.left_s <= 0:
-                return Error(refuse(Reason.DEADLINE, "the time of the caller is over"))
-            states = self._dispatcher.find_instances(self._call)
-            if not states:
-                detail = f"no target of {self._call.service.name} takes requests"
-                return Error(refuse(Reason.NO_CAPACITY, detail))
-            limit = accept_factor(wait)
-            exchange = self._look(states, limit, wait)
-            if exchange is not None:
-                return Ok(exchange)
-            if should_reject(self._dispatcher.describe_wait(self._call)):
-                detail = "no target has room within the time of the request"
+            if should_reject(wait, ahead, line.places_per_s):
+                detail = f"no place in time, {ahead} requests are ahead"
                 return Error(refuse(Reason.NO_CAPACITY, detail))
+            if ticket.first.wait(LOOK_AGAIN_S):
+                placed = self._try_place()
+                if placed is not None:
+                    return placed
+                time.sleep(LOOK_AGAIN_S)
             if self._caller_left():
                 return Error(refuse(Reason.CALLER_GONE, "the caller hung up", 400))
-            time.sleep(LOOK_AGAIN_S)
+
+    def _try_place(self):
+        """Look once; return Ok with an Exchange, an Error, or None to wait."""
+        wait = self._dispatcher.describe_wait(self._call)
+        if wait.left_s <= 0:
+            return Error(refuse(Reason.DEADLINE, "the time of the caller is over"))
+        states = self._dispatcher.find_instances(self._call)
+        if not states:
+            detail = f"no target of {self._call.service.name} takes requests"
+            return Error(refuse(Reason.NO_CAPACITY, detail))
+        exchange = self._look(states, wait, self._accepts)
+        return None if exchange is None else Ok(exchange)
 
     def _caller_left(self):
         return poll_exchanges([], 0, self._call.socket)[1]
 
-    def _look(self, states, limit, wait):
+    def _accepts(self, sample):
+        """Tell whether the call goes to a target with this load now."""
+        service = self._call.service.name
+        slowdown = self._dispatcher.history.expect_slowdown(service)
+        wait = self._dispatcher.describe_wait(self._call)
+        return accepts_place(sample, wait, slowdown)
+
+    def _look(self, states, wait, accepts):
         """Ask some instances for their load; return an acceptable exchange."""
-        now = self._clock()
-        spread = wait.waited_s > SPREAD_SHARE * wait.target_latency_s
         tells_load = any(state.tells_load for state in states)
         name = "fresh-load" if tells_load else "least-requests"
+        service = self._call.service.name
+        count = 1
+        if tells_load:
+            count = self._dispatcher.probes.take(service, len(states), CANDIDATES)
         query = CandidateQuery(
             self._dispatcher.data_centre,
-            CANDIDATES if tells_load else 1,
-            spread,
+            count,
+            may_spread(wait, self._dispatcher.history.expect_size(self._call.route)),
             frozenset(self._tried),
-            now,
+            self._clock(),
         )
-        chosen = candidate_policies.find(name)(
-            self._without_foreign_cold(states), query
-        )
-        if not chosen and self._tried:
-            return None
+        usable = self._without_foreign_cold(states)
+        chosen = candidate_policies.find(name)(usable, query)
         if not tells_load:
             return self._take_plain(chosen)
-        answered = self._probe(chosen, limit)
-        return self._select(answered, limit)
+        answered = self._probe(chosen, accepts)
+        return self._select(answered, accepts)
 
     def _without_foreign_cold(self, states):
         """Leave out cold instances that belong to another host."""
@@ -336,7 +383,7 @@
                 return exchange
         return None
 
-    def _probe(self, chosen, limit):
+    def _probe(self, chosen, accepts):
         """Return the exchanges whose instances told their load in time."""
         pending, answered = [], []
         for state in chosen:
@@ -353,7 +400,7 @@
                 if exchange.ends_at_once:
                     pending.remove(exchange)
                     self._sort_exchange(exchange, pending, answered)
-            if any(self._is_acceptable(e, limit) for e in answered):
+            if any(accepts(exchange.sample) for exchange in answered):
                 end = min(end, self._clock() + PROBE_GRACE_S)
         for exchange in pending:
             exchange.state.unanswered.append(exchange)
@@ -393,13 +440,9 @@
             else:
                 state.unanswered.append(exchange)
 
-    def _is_acceptable(self, exchange, limit):
-        sample = exchange.sample
-        return has_room(sample) and predict_factor(sample) <= limit
-
-    def _select(self, answered, limit):
+    def _select(self, answered, accepts):
         """Return the best acceptable exchange; release the others."""
-        fit = [e for e in answered if self._is_acceptable(e, limit)]
+        fit = [exchange for exchange in answered if accepts(exchange.sample)]
         chosen = None
         while fit and chosen is None:
             best = fit.pop(choose_best([e.sample for e in fit]))
@@ -496,8 +539,19 @@
                 return Error(doubt(Reason.TARGET_FAILED, "the target failed"))
         else:
             state.record_success()
+            self._learn(exchange, outcome.ok)
         return outcome
 
+    def _learn(self, exchange, answer):
+        """Let later choices know how the request went."""
+        call = self._call
+        seconds = self._clock() - exchange.sent_at
+        self._dispatcher.history.record(
+            Outcome(
+                call.route, call.service.name, exchange.sample, seconds, answer.length
+            )
+        )
+
     def _replaces_failure(self, racing):
         """Tell whether a target's own failure gives way to another attempt."""
         call = self._call
@@ -517,6 +571,8 @@
             and call.body.repeatable
             and len(racing) == 1
             and self._arrivals < call.route.attempts
+            # While others wait for a place, a second one would be theirs.
+            and not self._dispatcher.lines.find(call.service.name)
         )
 
     def _hedge(self, racing):
@@ -524,7 +580,7 @@
         call = self._call
         wait = self._dispatcher.describe_wait(call)
         states = self._dispatcher.find_instances(call)
-        exchange = self._look(states, HEDGE_FACTOR, wait)
+        exchange = self._look(states, wait, _accepts_hedge)
         if exchange is None:
             return
         if not self._dispatcher.retries.take(call.service.name, HEDGE_PART):
@@ -603,6 +659,16 @@
         )
 
 
+def _accepts_hedge(sample):
+    """Tell whether a second attempt goes to a target with this load."""
+    return (
+        sample.healthy
+        and not sample.waiting
+        and not is_nearly_full(sample)
+        and predict_factor(sample) <= HEDGE_FACTOR
+    )
+
+
 _BLAMELESS = frozenset(
     (Reason.CALLER_GONE, Reason.DEADLINE, Reason.STALE_DECISION, Reason.MALFORMED)
 )
--- a/redwingspring/routedsettings.py
+++ b/redwingspring/routedsettings.py
@@ -55,6 +55,8 @@
         Such arrivals in each window beside those, over all hosts.
     retry_window : float, default=10.0
         Length of that window in seconds.
+    probe_rate : float, default=20.0
+        Probes a second that each target may get, over all hosts.
     """
 
     __pydantic_config__ = ConfigDict(extra="forbid")
@@ -77,6 +79,7 @@
     retry_ratio: _Factor = 0.2
     retry_slack: _Factor = 0.0
     retry_window: Seconds = 10.0
+    probe_rate: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 20.0
 
     @property
     def source(self):
--- a/redwingspring/shares.py
+++ b/redwingspring/shares.py
@@ -17,6 +17,10 @@
 HOST_COUNT_MEMORY_S = 30.0
 
 
+# Probes that were not sent for this long may be sent in a burst.
+PROBE_BURST_S = 5.0
+
+
 class HostCount:
     """Number of hosts that share a limit: the most that were known recently.
 
@@ -127,6 +131,54 @@
         return len(recent)
 
 
+class ProbeShare:
+    """Share of one host in the probes that targets may get.
+
+    Parameters
+    ----------
+    per_target_s : float
+        Probes a second that each target may get from all hosts, on average.
+    hosts : HostCount
+        Number of hosts that share it.
+    clock : callable, default=read_clock
+        Returns seconds.
+    """
+
+    def __init__(self, per_target_s, hosts, clock=read_clock):
+        self._per_target_s = per_target_s
+        self._hosts = hosts
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._tokens = {}
+
+    def take(self, service, targets, wanted):
+        """Take the right to send some probes.
+
+        Parameters
+        ----------
+        service : str
+            The service whose targets are asked.
+        targets : int
+            Number of its targets.
+        wanted : int
+            Probes that are wanted.
+
+        Returns
+        -------
+        int
+            Probes that may be sent now.
+        """
+        rate = DEALT_PART * self._per_target_s * targets / self._hosts.value
+        most = max(wanted, rate * PROBE_BURST_S)
+        with self._lock:
+            now = self._clock()
+            tokens, filled_at = self._tokens.get(service, (most, now))
+            tokens = min(most, tokens + (now - filled_at) * rate)
+            granted = min(wanted, int(tokens))
+            self._tokens[service] = (tokens - granted, now)
+            return granted
+
+
 class ColdShare:
     """Share of one host in the requests that cold targets tolerate.
 
--- a/redwingspring/waiting.py
+++ b/redwingspring/waiting.py
@@ -1,26 +1,39 @@
 """Decisions on waiting for a place and on turning away; no input or output.
 
 Load pattern: a burst asks for more than all targets can run for some seconds.
-A request that is sent to a full target slows down those that run there. It waits
-here instead, asks again every few milliseconds and accepts a slower target the
-longer it has waited. One that can no longer be served in time is rejected at
-once, with the time at which a place is likely.
+A request that is sent to a full target slows down those that run there, and one
+that is late already takes a place from one that is not. So a request waits here,
+asks again every few milliseconds, goes only where it is answered in time, and is
+rejected as soon as that can no longer be expected, with a time to come back.
 """
 
 import random
 from dataclasses import dataclass
 
+from .placement import is_nearly_full, predict_factor
+
 # Predicted factors that are accepted until a share of the target latency has
-# passed. Later everything but a full queue is accepted.
-ACCEPTED_FACTORS = ((0.06, 1.6), (0.16, 2.7), (0.3, 4.2))
-# A request of the highest priority goes on where others still wait.
-URGENT_BONUS = 1.5
-# Requests that may wait in the queue of a target.
-MAX_QUEUE = 2
+# passed. Later every place that is in time is accepted.
+ACCEPTED_FACTORS = ((0.06, 1.6), (0.16, 2.7))
+# A late request takes only places that nobody else would miss.
+LATE_FACTOR = 1.6
+# The last slots of a target that slows down when it is nearly full are used by
+# urgent requests, and by others after this share of the target latency.
+LAST_SLOTS_SHARE = 0.45
+# Up to this slowdown the last slots of a target add to what it gets done.
+LAST_SLOTS_FACTOR = 1.35
+# Part of the time that is left within which the work is expected to end.
+WORK_MARGIN = 1.0
 # Pause between two looks at the load of targets.
 LOOK_AGAIN_S = 0.012
-# Share of the target latency after which a request without place is rejected.
-REJECT_SHARE = 0.6
+# Shares of the target latency after which a request without a place is rejected:
+# if others wait, and in any case.
+MIN_REJECT_SHARE = 0.35
+MAX_REJECT_SHARE = 1.0
+# Share of the target latency after which a request looks in all data centres.
+SPREAD_SHARE = 0.06
+LONG_SPREAD_SHARE = 0.35
+LONG_RESPONSE_BYTES = 20_000
 # Share of the caller's remaining time that may pass before it comes back.
 MAX_RETURN_SHARE = 0.3
 MIN_RETURN_S = 0.05
@@ -41,7 +54,9 @@
     priority : int
         Rank; 0 is the highest.
     top_priority : int
-        The highest rank among the routes of the same services.
+        The highest rank among all routes.
+    work_s : float, default=0.0
+        Expected seconds of work at an idle target.
     """
 
     waited_s: float
@@ -49,64 +64,109 @@
     target_latency_s: float
     priority: int
     top_priority: int
+    work_s: float = 0.0
 
     @property
     def is_urgent(self):
         """Tell whether no other request goes first."""
         return self.priority <= self.top_priority
 
+    @property
+    def in_time_s(self):
+        """Return the seconds left within the target latency."""
+        return self.target_latency_s - self.waited_s
 
-def accept_factor(wait):
-    """Return the largest predicted factor that a request accepts now.
+    @property
+    def is_late(self):
+        """Tell whether even an idle target would answer too late."""
+        return self.work_s > self.in_time_s
+
+    @property
+    def share(self):
+        """Return the share of the target latency that has passed."""
+        return self.waited_s / self.target_latency_s
+
+
+def accepts_place(sample, wait, last_slots_factor):
+    """Tell whether a request goes to a target now.
 
     Parameters
     ----------
+    sample : LoadSample
+        Fresh load of the target.
     wait : Wait
         The request.
+    last_slots_factor : float
+        Slowdown of the service's targets when they are nearly full.
 
     Returns
     -------
-    float
-        Infinite when every target with room will do.
+    bool
+        False when it waits for another place.
     """
-    share = wait.waited_s / wait.target_latency_s
-    bonus = URGENT_BONUS if wait.is_urgent else 1.0
-    for limit, factor in ACCEPTED_FACTORS:
-        if share < limit:
-            return factor * bonus
-    return float("inf")
-
-
-def has_room(sample):
-    """Tell whether a target takes one more request without refusing it.
+    if not sample.healthy or sample.waiting:
+        return False
+    factor = predict_factor(sample, last_slots_factor)
+    if wait.is_late:
+        return factor <= LATE_FACTOR
+    if factor * wait.work_s > wait.in_time_s * WORK_MARGIN:
+        return False
+    if is_nearly_full(sample) and last_slots_factor > LAST_SLOTS_FACTOR:
+        return wait.is_urgent or wait.share >= LAST_SLOTS_SHARE
+    return all(
+        wait.share >= limit or factor <= accepted
+        for limit, accepted in ACCEPTED_FACTORS
+    )
+
+
+def may_spread(wait, response_bytes):
+    """Tell whether a request looks for a place in other data centres too.
+
+    Load pattern: the own data centre has no good place for a moment. Bytes
+    between data centres cost more than a short wait, those of a long response
+    much more.
 
     Parameters
     ----------
-    sample : LoadSample
-        Fresh load of the target.
+    wait : Wait
+        The request.
+    response_bytes : float
+        Expected size of the response.
 
     Returns
     -------
     bool
-        False when its queue is long.
+        False while only the own data centre is asked first.
     """
-    return sample.healthy and sample.waiting < MAX_QUEUE
+    long = response_bytes >= LONG_RESPONSE_BYTES
+    share = LONG_SPREAD_SHARE if long else SPREAD_SHARE
+    return wait.share > share
 
 
-def should_reject(wait):
+def should_reject(wait, ahead, places_per_s):
     """Tell whether a request without a place is rejected now.
 
     Parameters
     ----------
     wait : Wait
         The request.
+    ahead : int
+        Requests that stand before it in the line.
+    places_per_s : float
+        Rate at which the line's requests found places lately; 0 if unknown.
 
     Returns
     -------
     bool
-        True when it has waited so long that it would be of no use.
+        True when it can no longer be answered in time, or soon cannot.
     """
-    return wait.waited_s >= REJECT_SHARE * wait.target_latency_s or wait.left_s <= 0
+    if wait.left_s <= 0 or wait.share >= MAX_REJECT_SHARE:
+        return True
+    if ahead and wait.is_late and wait.share >= MIN_REJECT_SHARE:
+        return True
+    if not ahead or not places_per_s:
+        return False
+    return ahead / places_per_s + wait.work_s > wait.in_time_s
 
 
 def choose_return_time(wait, rng=random):
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,226 @@
+"""How hosts hear of the store, from the store and from each other."""
+
+from redwingspring import feed
+from redwingspring.feed import (
+    MAX_CONFIRMED_AGE_S,
+    FeedAnswer,
+    StoreMirror,
+    decode_answer,
+    encode_answer,
+)
+from redwingspring.follower import StoreFollower
+from redwingspring.gossip import Members, Sighting
+from redwingspring.knowledge import (
+    HistoryLost,
+    StoreChange,
+    StoreError,
+    StoreSnapshot,
+)
+from redwingspring.sources import SourceChoice
+
+from .base import RedwingspringTestCase
+from .standins import HostFixture, describe_configuration, wait_until
+from .test_gossip import build_member
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class MirrorTest(RedwingspringTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.mirror = StoreMirror(self.clock)
+
+    def fill(self):
+        entries = (StoreChange("a", b"1", 3), StoreChange("b", b"2", 5))
+        self.mirror.take_snapshot(StoreSnapshot(entries, 5))
+
+    def test_a_host_that_never_heard_the_store_tells_nothing(self):
+        self.assertEqual(None, self.mirror.read(None, 0))
+
+    def test_changes_follow_the_snapshot(self):
+        self.fill()
+        self.mirror.take_changes([StoreChange("a", None, 6)], 7)
+        answer = self.mirror.read(5, 0)
+        self.assertEqual(
+            ([None], 7), ([change.value for change in answer.changes], answer.revision)
+        )
+        whole = self.mirror.read(None, 0)
+        self.assertEqual(["b"], [change.key for change in whole.changes])
+
+    def test_a_host_that_lost_the_store_sends_the_others_elsewhere(self):
+        self.fill()
+        self.clock.now += MAX_CONFIRMED_AGE_S + 0.1
+        self.assertEqual(None, self.mirror.read(5, 0))
+
+    def test_hosts_that_hear_only_each_other_do_not_confirm_each_other(self):
+        other = StoreMirror(self.clock)
+        self.fill()
+        for _ in range(20):
+            self.clock.now += 0.1
+            for source, target in ((self.mirror, other), (other, self.mirror)):
+                answer = source.read(None, 0)
+                if answer is not None:
+                    snapshot = StoreSnapshot(answer.changes, answer.revision)
+                    target.take_snapshot(snapshot, answer.confirmed_age_s)
+        self.assertEqual(None, self.mirror.read(None, 0))
+        self.assertEqual(None, other.read(None, 0))
+
+    def test_what_the_history_no_longer_holds_is_told_whole(self):
+        self.patch(feed, "MAX_HISTORY", 3)
+        self.fill()
+        for number in range(6, 12):
+            self.mirror.take_changes([StoreChange("c", b"x", number)], number)
+        self.assertTrue(self.mirror.read(6, 0).whole)
+        self.assertFalse(self.mirror.read(9, 0).whole)
+
+    def test_an_answer_survives_the_encoding_and_other_bytes_are_refused(self):
+        changes = (StoreChange("a", b"\x00\xff", 3), StoreChange("b", None, 4))
+        answer = FeedAnswer(changes, 9, True, 0.25)
+        self.assertEqual(answer, decode_answer(encode_answer(answer)))
+        for data in (b"", b"\xff" * 60, encode_answer(answer)[:20]):
+            self.assertRaises(StoreError, decode_answer, data)
+
+
+class Source:
+    """A source whose answers a test sets."""
+
+    def __init__(self, name, is_store=False):
+        self.name = name
+        self.is_store = is_store
+        self.error = None
+        self.asked = 0
+
+    def read_all(self):
+        return StoreSnapshot((), 1), 0.0
+
+    def watch(self, after):
+        self.asked += 1
+        if self.error is not None:
+            raise self.error
+        return (), after, 0.0
+
+    def close(self):
+        pass
+
+
+class SourceChoiceTest(RedwingspringTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.store = Source("store", is_store=True)
+
+    def build(self, number, count=12):
+        """Return the choice of one of several hosts that all know each other."""
+        members = Members(build_member(number), self.clock)
+        members.take(Sighting(build_member(n), 0.0) for n in range(count))
+        return SourceChoice(members, self.store, Source, self.clock)
+
+    def test_one_host_of_each_data_centre_asks_the_store(self):
+        chosen = [self.build(number).choose() for number in range(12)]
+        self.assertEqual(4, chosen.count(self.store))
+
+    def test_the_next_source_is_asked_when_one_fails_and_the_store_comes_last(self):
+        choice = next(c for c in map(self.build, range(12)) if not c.choose().is_store)
+        names = []
+        while (source := choice.choose()) is not None:
+            names.append(source.name)
+            choice.note_failed(source)
+        self.assertEqual(5, len(names))
+        self.assertEqual("store", names[-1])
+
+    def test_a_host_alone_asks_the_store(self):
+        self.assertIs(self.store, self.build(3, count=0).choose())
+
+    def test_a_store_that_is_down_for_all_is_asked_seldom(self):
+        """Refused calls are priced, and 18 hosts must not press a sick store."""
+        choices = [self.build(number, 16) for number in range(16)]
+        asked = 0
+        for step in range(100):
+            self.clock.now += 0.1
+            for choice in choices:
+                others = [
+                    Sighting(build_member(n, beat=step + 2), 0.0) for n in range(16)
+                ]
+                choice._members.take(others)
+                while (source := choice.choose()) is not None:
+                    asked += source.is_store
+                    choice.note_failed(source)
+        self.assertTrue(asked <= 10 * (4 * 1.2 + 12 * 0.5), asked)
+
+
+class FollowerTest(RedwingspringTestCase):
+    def test_a_lost_history_is_answered_by_a_new_snapshot(self):
+        class Knowledge:
+            revision = 7
+            snapshots = 0
+
+            def apply_snapshot(self, snapshot):
+                self.snapshots += 1
+
+            def apply_changes(self, changes, revision):
+                pass
+
+            def note_in_touch(self, source):
+                pass
+
+        class Stopping:
+            def __init__(self):
+                self.left = 6
+
+            def is_set(self):
+                self.left -= 1
+                return self.left < 0
+
+        source = Source("store", is_store=True)
+        knowledge = Knowledge()
+
+        class Choice:
+            def choose(self):
+                source.error = HistoryLost("x") if source.asked == 1 else None
+                return source
+
+            def note_answered(self, source):
+                pass
+
+        StoreFollower(Choice(), knowledge, StoreMirror()).run(Stopping())
+        self.assertEqual(2, knowledge.snapshots)
+
+
+class FleetTest(RedwingspringTestCase):
+    def test_hosts_of_a_data_centre_hear_of_changes_with_one_reader(self):
+        first = HostFixture(self, name="edge-akl-a-1")
+        peer = first.entry.settings.peer_address
+        second = HostFixture(
+            self,
+            instances=0,
+            name="edge-akl-a-2",
+            store=first.store.address,
+            seeds=(peer,),
+            peer_address=f"127.0.0.2:{peer.rsplit(':', 1)[1]}",
+            address=f"127.0.0.2:{first.entry.settings.address.rsplit(':', 1)[1]}",
+        )
+        entries = (first.entry, second.entry)
+        for entry in entries:
+            wait_until(lambda e=entry: len(e.members.list_serving()) == 2)
+        wait_until(lambda: any(e.metrics.snapshot().get("feed.calls") for e in entries))
+        before = first.store.calls
+        first.store.put("op/config", describe_configuration(9))
+        for entry in entries:
+            wait_until(lambda e=entry: e.knowledge.version == 9, 2.0)
+        self.assertTrue(first.store.calls - before <= 4)
+
+    def test_a_host_whose_reader_dies_goes_on_with_the_store(self):
+        host = HostFixture(self)
+        ghost = build_member(4)
+        while host.entry.sources.choose().is_store:
+            host.entry.members.take([Sighting(ghost, 0.0)])
+            ghost = build_member(int(ghost.name[5:]) + 4)
+        host.store.put("op/config", describe_configuration(3))
+        wait_until(lambda: host.entry.knowledge.version == 3, 2.0)
--- /dev/null
+++ b/tests/test_waitinglines.py
@@ -0,0 +1,95 @@
+import random
+import threading
+
+from redwingspring.instances import LoadSample
+from redwingspring.placement import choose_best
+from redwingspring.shares import HostCount, ProbeShare
+from redwingspring.waiting import Wait, may_spread
+from redwingspring.waitinglines import WaitingLine
+
+from .base import RedwingspringTestCase
+
+
+class WaitingLineTest(RedwingspringTestCase):
+    def test_the_most_urgent_goes_first_then_the_oldest(self):
+        line = WaitingLine()
+        tickets = {
+            name: line.enter(priority, received)
+            for name, priority, received in (
+                ("new", 2, 3.0),
+                ("old", 2, 1.0),
+                ("urgent", 1, 4.0),
+            )
+        }
+        order = []
+        while tickets:
+            [name] = [n for n, ticket in tickets.items() if ticket.first.is_set()]
+            line.leave(tickets.pop(name))
+            order.append(name)
+        self.assertEqual(["urgent", "old", "new"], order)
+
+    def test_an_urgent_request_that_comes_later_takes_the_lead(self):
+        line = WaitingLine()
+        first = line.enter(2, 1.0)
+        line.enter(1, 2.0)
+        self.assertFalse(first.first.is_set())
+
+    def test_nobody_is_left_behind_when_many_come_and_go(self):
+        line = WaitingLine()
+        served = []
+
+        def wait(priority):
+            ticket = line.enter(priority, 0.0)
+            if ticket.first.wait(10):
+                served.append(priority)
+            line.leave(ticket)
+
+        threads = [threading.Thread(target=wait, args=(n % 3,)) for n in range(60)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual((60, 0), (len(served), len(line)))
+
+
+class BurstReplayTest(RedwingspringTestCase):
+    """Many requests wait at once while targets are full."""
+
+    def play(self, in_line):
+        """Return how many probes some seconds of a burst take."""
+        source = random.Random(4)
+        waiting, probes = 0, 0
+        for _ in range(250):
+            # More arrive than places get free.
+            waiting = min(40, waiting + source.randrange(3))
+            asking = min(waiting, 1) if in_line else waiting
+            probes += 3 * asking
+            samples = [LoadSample(source.choice((2, 3, 3)), 0, 3) for _ in range(3)]
+            free = samples[choose_best(samples, source)].running < 3
+            waiting -= free and waiting > 0
+        return probes
+
+    def test_probes_do_not_grow_with_the_number_of_waiting_requests(self):
+        self.assertTrue(self.play(in_line=True) < self.play(in_line=False) / 3)
+
+
+class ProbeShareTest(RedwingspringTestCase):
+    def test_the_sum_over_hosts_stays_within_the_rate(self):
+        now = [100.0]
+        hosts = HostCount(lambda: now[0])
+        hosts.note(18)
+        shares = [ProbeShare(60.0, hosts, lambda: now[0]) for _ in range(18)]
+        sent = 0
+        for _ in range(3200):
+            now[0] += 0.01
+            sent += sum(share.take("desk", 34, 3) for share in shares)
+        self.assertTrue(sent <= 60 * 34 * 32, sent)
+        self.assertTrue(sent >= 0.5 * 60 * 34 * 32, sent)
+
+
+class SpreadTest(RedwingspringTestCase):
+    def test_a_long_response_stays_in_its_data_centre_for_longer(self):
+        wait = Wait(0.05, 1.0, 0.3, 2, 1)
+        self.assertTrue(may_spread(wait, 1500))
+        self.assertFalse(may_spread(wait, 90_000))
+        self.assertTrue(may_spread(Wait(0.2, 1.0, 0.3, 2, 1), 90_000))
