Keep long responses near, eject after one lost answer, and learn usual work

(3) Where most targets refuse a part of their requests, nearly all were ejected and the rest was full. (4) Parked probes could be taken by two threads at once. A worker of one test run of tests/test_routedpath.py broke down once (not properly terminated); six runs after it passed, (4) is a possible cause and not proved.

--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -113,7 +113,8 @@
     try:
         process.reload(parse_routed_settings(read_file(path), str(path)))
     except RedwingspringError as error:
-        logger.warning("settings not read again: %s", error)
+        fields = {"cause": str(error)}
+        logger.warning("settings not read again", extra={"fields": fields})
 
 
 @app.command()
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -7,9 +7,10 @@
 from .targetconnection import TargetConnection
 from .upstream import TargetPool
 
-# Failures in a row after which an instance is left out for a while.
-EJECT_FAILURES = 2
-EJECT_S = 0.8
+# An instance is left out for a while after failures of this weight in a row. Each
+# host sends a target about one request a second, so one lost answer must do.
+EJECT_WEIGHT = 1.0
+EJECT_S = 1.2
 MAX_EJECT_S = 6.0
 # A new connection that takes longer than this goes to a dead instance.
 CONNECT_TIMEOUT_S = 0.25
@@ -169,11 +170,38 @@
         self.listed_at = now
         self.cold_until = now + instance.cold_s
         self.ejected_until = 0.0
-        self.failures = 0
-        # Exchanges whose probe is still unanswered.
-        self.unanswered = []
+        self.failures = 0.0
+        self._unanswered = []
         self._lock = threading.Lock()
 
+    @property
+    def is_silent(self):
+        """Tell whether a probe is still unanswered."""
+        return bool(self._unanswered)
+
+    def park(self, exchange):
+        """Keep an exchange whose probe is still unanswered.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            Nobody else uses it.
+        """
+        with self._lock:
+            self._unanswered.append(exchange)
+
+    def take_parked(self):
+        """Return the parked exchanges, each of them to one caller only.
+
+        Returns
+        -------
+        list of Exchange
+            They are no longer parked.
+        """
+        with self._lock:
+            taken, self._unanswered = self._unanswered, []
+            return taken
+
     def update(self, instance, now):
         """Take a newer entry of the same start.
 
@@ -213,25 +241,27 @@
 
     def record_success(self):
         """Note that a request or probe went well."""
-        self.failures = 0
+        self.failures = 0.0
 
-    def record_failure(self, now):
-        """Note a failed request or probe; eject after several in a row.
+    def record_failure(self, now, weight=1.0):
+        """Note a failed request or probe; eject after enough of them.
 
         Parameters
         ----------
         now : float
             Present time.
+        weight : float, default=1.0
+            How much the failure says; 1 is enough for an ejection.
 
         Returns
         -------
         bool
             True when the instance is ejected by this failure.
         """
-        self.failures += 1
-        if self.failures < EJECT_FAILURES:
+        self.failures += weight
+        if self.failures < EJECT_WEIGHT:
             return False
-        doublings = min(self.failures - EJECT_FAILURES, 4)
+        doublings = min(self.failures - EJECT_WEIGHT, 4)
         ejected = now >= self.ejected_until
         self.ejected_until = now + min(MAX_EJECT_S, EJECT_S * 2**doublings)
         return ejected
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -11,9 +11,10 @@
 
 from .registry import Registry
 
-# Share of its slots above which a target is taken to slow down.
+# Share of its slots above which some targets slow down, and the slowdown that is
+# assumed before requests have shown it.
 NEARLY_FULL = 0.8
-NEARLY_FULL_FACTOR = 1.5
+NEARLY_FULL_FACTOR = 1.4
 # Time of a request on a cold target, relative to a warm one.
 COLD_FACTOR = 1.6
 # Predicted factors closer than this are equal, so that hosts that ask at the
@@ -25,7 +26,9 @@
 # Weight of the latest response in what is expected.
 NEW_WEIGHT = 0.08
 MAX_ROUTES = 5000
-MAX_LAST_SLOTS_FACTOR = 4.0
+# Quantile that is taken for the usual work, and its relative step.
+WORK_QUANTILE = 0.4
+STEP = 0.08
 # Work on a target that runs slower than this says little of the usual time.
 USUAL_SLOWNESS = 1.5
 FIRST_WORK_SHARE = 0.35
@@ -44,11 +47,14 @@
     count : int
         Most candidates.
     spread : bool
-        Whether all data centres are equal.
+        Whether instances of other data centres are asked while there are some in
+        the own one.
     tried : frozenset of str
         Ids of instances that are left out.
     now : float
         Present time.
+    with_ejected : bool, default=False
+        Whether ejected instances are asked like the others.
     """
 
     data_centre: str
@@ -56,6 +62,7 @@
     spread: bool
     tried: frozenset
     now: float
+    with_ejected: bool = False
 
 
 @dataclass(frozen=True)
@@ -86,7 +93,7 @@
 class ServiceHistory:
     """What answered requests tell of routes and services.
 
-    Work is the time of a request at an idle target of usual speed. The slowdown
+    Work is the usual time of a request at a target of usual speed. The slowdown
     of nearly full targets is learned, because some services have none.
     """
 
@@ -111,11 +118,16 @@
         if sample.slowness > USUAL_SLOWNESS:
             return
         seconds = outcome.seconds / sample.slowness
+        prefix = outcome.route.prefix
         if not is_nearly_full(sample):
-            _average(self._works, outcome.route.prefix, seconds)
-        elif work := self._works.get(outcome.route.prefix):
-            ratio = min(MAX_LAST_SLOTS_FACTOR, max(1.0, seconds / work))
-            _average(self._slowdowns, outcome.service, ratio, NEARLY_FULL_FACTOR)
+            _track_quantile(self._works, prefix, seconds)
+            return
+        work = self._works.get(prefix)
+        if work is not None:
+            slowed = seconds / work
+            _track_quantile(
+                self._slowdowns, outcome.service, slowed, NEARLY_FULL_FACTOR
+            )
 
     def expect_size(self, route):
         """Return the size of a response to expect.
@@ -163,12 +175,28 @@
         return self._slowdowns.get(service, NEARLY_FULL_FACTOR)
 
 
-def _average(means, key, value, first=None):
-    """Move the mean of a key towards a value; forget the oldest key if needed."""
-    mean = means.get(key, value if first is None else first)
+def _average(means, key, value):
+    """Move the mean of a key towards a value."""
+    mean = means.get(key, value)
     means[key] = mean + NEW_WEIGHT * (value - mean)
-    while len(means) > MAX_ROUTES:
-        del means[next(iter(means))]
+    _forget_oldest(means)
+
+
+def _track_quantile(values, key, value, first=None):
+    """Move the lower quantile of a key towards a value.
+
+    Slow spells that begin during the work make a mean too long, and a request
+    would count as late while most targets still answer it in time.
+    """
+    known = values.get(key, value if first is None else first)
+    step = STEP * (WORK_QUANTILE if value > known else WORK_QUANTILE - 1)
+    values[key] = known * (1 + step)
+    _forget_oldest(values)
+
+
+def _forget_oldest(values):
+    while len(values) > MAX_ROUTES:
+        del values[next(iter(values))]
 
 
 def is_nearly_full(sample):
@@ -239,9 +267,8 @@
 def pick_fresh_load(states, query, rng=random):
     """Return instances that are asked for their load.
 
-    Instances of the host's own data centre come first; among them those that
-    recent samples show as slow or full, and those that leave a probe unanswered,
-    come last.
+    Those that recent samples show as slow or full, and those that leave a probe
+    unanswered, come last.
 
     Parameters
     ----------
@@ -257,24 +284,33 @@
     list of InstanceState
         At most ``query.count``.
     """
+    pool = _find_pool(states, query)
+    ranked = sorted(pool, key=lambda state: _rank(state, query, rng))
+    return ranked[: query.count]
+
+
+def _find_pool(states, query):
+    """Return the instances among which the policy chooses."""
     usable = [s for s in states if s.instance.id not in query.tried]
+    if not query.spread:
+        # A data centre with few instances must not send half of its requests
+        # elsewhere while these are idle.
+        near = [s for s in usable if s.instance.data_centre == query.data_centre]
+        usable = near or usable
+    if query.with_ejected:
+        return usable
     sound = [s for s in usable if query.now >= s.ejected_until]
     # When all are ejected, trying one is better than certain failure.
-    pool = sound or usable
-    if not pool:
-        return []
-    ranked = sorted(pool, key=lambda state: _rank(state, query, rng))
-    return ranked[: query.count]
+    return sound or usable
 
 
 def _rank(state, query, rng):
     """Return the sort key of a candidate; the smallest comes first."""
-    remote = not query.spread and state.instance.data_centre != query.data_centre
     sample = state.sample
     poor = False
     if sample is not None and query.now - sample.time < SAMPLE_USE_S:
         poor = predict_factor(sample) > 2 or not sample.healthy
-    return (remote, poor or bool(state.unanswered), rng.random())
+    return (poor or state.is_silent, rng.random())
 
 
 @candidate_policies.register("least-requests")
@@ -297,13 +333,10 @@
     list of InstanceState
         At most ``query.count``.
     """
-    usable = [s for s in states if s.instance.id not in query.tried]
-    sound = [s for s in usable if query.now >= s.ejected_until]
-    pool = sound or usable
+    pool = _find_pool(states, query)
 
     def _load(state):
-        remote = not query.spread and state.instance.data_centre != query.data_centre
         slots = max(1, state.instance.slots)
-        return (state.in_flight / slots + (0.5 if remote else 0.0), rng.random())
+        return (state.in_flight / slots, rng.random())
 
     return sorted(pool, key=_load)[: query.count]
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -24,6 +24,7 @@
     accepts_place,
     choose_return_time,
     may_spread,
+    needs_ejected,
     should_reject,
 )
 from .waitinglines import WaitingLines
@@ -45,7 +46,9 @@
 HEDGE_FACTOR = 1.6
 HEDGE_AGAIN_S = 0.03
 # Part of the extra arrivals that hedges may use; the rest is for retries.
-HEDGE_PART = 0.7
+HEDGE_PART = 0.85
+# An attempt that takes this many times as long as expected counts as silent.
+SILENT_FACTOR = 1.8
 # A decision rests on load of that moment; after a pause of the process it is
 # made again.
 MAX_DECISION_AGE_S = 0.1
@@ -361,6 +364,7 @@
             may_spread(wait, self._dispatcher.history.expect_size(self._call.route)),
             frozenset(self._tried),
             self._clock(),
+            needs_ejected(wait),
         )
         usable = self._without_foreign_cold(states)
         chosen = candidate_policies.find(name)(usable, query)
@@ -403,7 +407,7 @@
             if any(accepts(exchange.sample) for exchange in answered):
                 end = min(end, self._clock() + PROBE_GRACE_S)
         for exchange in pending:
-            exchange.state.unanswered.append(exchange)
+            exchange.state.park(exchange)
         return answered
 
     def _sort_exchange(self, exchange, pending, answered):
@@ -421,8 +425,7 @@
     def _collect_unanswered(self, state):
         """Read late answers to probes of an instance; give up on old ones."""
         now = self._clock()
-        waiting, state.unanswered = state.unanswered, []
-        for exchange in waiting:
+        for exchange in state.take_parked():
             ready, _ = poll_exchanges([exchange], 0)
             if ready:
                 exchange.advance()
@@ -438,7 +441,7 @@
                 self._metrics.increment(f"probes.failed.{failure.reason}")
                 self._record_failure(state, failure)
             else:
-                state.unanswered.append(exchange)
+                state.park(exchange)
 
     def _select(self, answered, accepts):
         """Return the best acceptable exchange; release the others."""
@@ -477,7 +480,19 @@
             for exchange, _ in racing:
                 exchange.abort()
                 exchange.state.end()
-                self._metrics.increment("attempts.cancelled")
+                self._note_cancelled(exchange)
+
+    def _note_cancelled(self, exchange):
+        """Count an attempt that this host ended, also against a silent target."""
+        self._metrics.increment("attempts.cancelled")
+        sample = exchange.sample
+        if sample is None:
+            return
+        work_s = self._dispatcher.history.expect_work(self._call.route)
+        expected_s = work_s * predict_factor(sample)
+        if self._clock() - exchange.sent_at > SILENT_FACTOR * expected_s:
+            silent = doubt(Reason.NO_ANSWER, "no response for long")
+            self._record_failure(exchange.state, silent)
 
     def _launch(self, exchange, racing):
         """Send the call; return a Failure if that did not work."""
@@ -633,7 +648,8 @@
         if failure.reason in _BLAMELESS:
             return
         self._metrics.increment(f"attempts.failed.{failure.reason}")
-        if state.record_failure(self._clock()):
+        weight = _WEIGHTS.get(failure.reason, 1.0)
+        if state.record_failure(self._clock(), weight):
             self._dispatcher.decisions.record(
                 "instance ejected",
                 instance=state.instance.id,
@@ -669,6 +685,8 @@
     )
 
 
+# A refusal may be a race for the last slot, and a slow answer a short spell.
+_WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
 _BLAMELESS = frozenset(
     (Reason.CALLER_GONE, Reason.DEADLINE, Reason.STALE_DECISION, Reason.MALFORMED)
 )
--- a/redwingspring/shares.py
+++ b/redwingspring/shares.py
@@ -9,6 +9,9 @@
 # Part of a summed limit that is dealt out; the rest covers hosts whose views of
 # the membership differ for a while.
 DEALT_PART = 0.6
+# Part of the ratio of extra arrivals that is used; each host counts its own
+# requests, so views of the membership do not matter.
+RATIO_PART = 0.9
 # Each host sends to the cold targets that rendezvous hashing gives it, at most
 # at this part of the rate that one target tolerates.
 COLD_RATE_PART = 0.8
@@ -117,8 +120,9 @@
             extras = self._trim(self._extras, service, now)
             # Requests are counted here and there is one host for each, so the
             # ratio needs no division; the slack is dealt out evenly.
-            allowed = self._ratio * requests + self._slack / self._hosts.value
-            if extras + 1 > allowed * DEALT_PART * part:
+            slack = DEALT_PART * self._slack / self._hosts.value
+            allowed = RATIO_PART * self._ratio * requests + slack
+            if extras + 1 > allowed * part:
                 return False
             self._extras[service].append(now)
             return True
--- a/redwingspring/waiting.py
+++ b/redwingspring/waiting.py
@@ -31,9 +31,11 @@
 MIN_REJECT_SHARE = 0.35
 MAX_REJECT_SHARE = 1.0
 # Share of the target latency after which a request looks in all data centres.
-SPREAD_SHARE = 0.06
-LONG_SPREAD_SHARE = 0.35
+SPREAD_SHARE = 0.1
+LONG_SPREAD_SHARE = 0.6
 LONG_RESPONSE_BYTES = 20_000
+# Share of the target latency after which ejected targets are asked too.
+EJECTED_SHARE = 0.12
 # Share of the caller's remaining time that may pass before it comes back.
 MAX_RETURN_SHARE = 0.3
 MIN_RETURN_S = 0.05
@@ -143,6 +145,26 @@
     return wait.share > share
 
 
+def needs_ejected(wait):
+    """Tell whether a request takes ejected targets into account.
+
+    Load pattern: most targets refuse or fail a part of their requests. The few
+    that are not ejected cannot bear all of the load, while most requests still
+    succeed at the others.
+
+    Parameters
+    ----------
+    wait : Wait
+        The request.
+
+    Returns
+    -------
+    bool
+        True once it has waited for a sound target.
+    """
+    return wait.share > EJECTED_SHARE
+
+
 def should_reject(wait, ahead, places_per_s):
     """Tell whether a request without a place is rejected now.
 
--- /dev/null
+++ b/tests/test_routedprocess.py
@@ -0,0 +1,109 @@
+"""The entry process as the platform starts it: settings, signals and its end."""
+
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from .base import RedwingspringTestCase
+from .standins import (
+    READS,
+    Caller,
+    InstanceStandIn,
+    StoreStandIn,
+    describe_configuration,
+    find_port,
+    wait_until,
+)
+
+SETTINGS = """\
+name: edge-akl-a-1
+data_centre: akl-a
+data_centres:
+  akl-a: aotearoa-north
+address: "{address}"
+ready_address: "127.0.0.1:{ready}"
+directory_address: "127.0.0.1:{directory}"
+peer_address: "127.0.0.1:{peer}"
+store: "{store}"
+seeds: []
+grace: {grace}
+"""
+
+
+class ProcessTest(RedwingspringTestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = StoreStandIn()
+        self.addCleanup(self.store.close)
+        self.instance = InstanceStandIn("i-0")
+        self.addCleanup(self.instance.close)
+        self.store.put("servers/i-0", self.instance.entry())
+        self.store.put("op/config", describe_configuration())
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.conf"
+        self.address = f"127.0.0.1:{find_port()}"
+        self.values = {
+            "address": self.address,
+            "ready": find_port(),
+            "directory": find_port(),
+            "peer": find_port(),
+            "store": self.store.address,
+            "grace": 3,
+        }
+        self.path.write_text(SETTINGS.format(**self.values))
+
+    def start(self):
+        self.output = self.path.with_name("output")
+        with self.output.open("wb") as stream:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "redwingspring", "entry"]
+                + ["--settings", str(self.path)],
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+            )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def read_lines(self, message):
+        lines = self.output.read_text().splitlines()
+        return [x for x in map(json.loads, lines) if x["message"] == message]
+
+    def ask(self):
+        caller = Caller(self.address)
+        try:
+            return caller.ask("GET", READS + "1")[0]
+        except OSError:
+            return None
+        finally:
+            caller.close()
+
+    def test_a_process_serves_reloads_and_ends_within_its_grace(self):
+        process = self.start()
+        wait_until(lambda: self.ask() == 200)
+        self.path.write_text("grace: never\n")
+        process.send_signal(signal.SIGHUP)
+        wait_until(lambda: self.read_lines("settings not read again"))
+        self.path.write_text(SETTINGS.format(**self.values))
+        process.send_signal(signal.SIGHUP)
+        wait_until(lambda: self.read_lines("settings read again"))
+        self.assertEqual(200, self.ask())
+        started = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(5))
+        self.assertTrue(time.monotonic() - started < 3.5)
+        for message in ("process started", "process leaving", "process stopped"):
+            self.assertEqual(1, len(self.read_lines(message)), message)
+
+    def test_bad_settings_end_with_one_error_that_names_the_key(self):
+        self.path.write_text(SETTINGS.format(**{**self.values, "grace": "soon"}))
+        process = self.start()
+        self.assertEqual(2, process.wait(20))
+        text = self.output.read_text()
+        self.assertIn(f"{self.path}:11: grace: must be a duration", text)
+        self.assertEqual(1, len(text.splitlines()))
