Split routed dispatch, gossip and instances into modules of one job

Change: placesearch, deliveries, members and instancepool hold what they name; shared counting of failures is a method of the dispatcher. One change of behaviour: the buffered part of a response is read up to the deadline of its attempt instead of allowing a pause of that length between any two reads, so a trickling target cannot hold a request past its time.

--- a/redwingspring/assembly.py
+++ b/redwingspring/assembly.py
@@ -10,11 +10,12 @@
 from .feed import FeedClient, FeedPage, StoreMirror
 from .follower import StoreFollower
 from .forwarder import Forwarder
-from .gossip import GossipNetwork, Members, build_member
+from .gossip import GossipNetwork
 from .grants import GrantTable
 from .instances import InstanceDirectory
 from .knowledge import Knowledge
 from .leases import LeaseClient, LeaseGrantor
+from .members import Members, build_member
 from .membership import Membership
 from .messages import (
     Hello,
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -12,7 +12,8 @@
 from urllib3.response import HTTPResponse
 
 from .clock import read_clock
-from .instances import DEFAULT_KEEP_ALIVE_S, LoadSample
+from .instancepool import DEFAULT_KEEP_ALIVE_S
+from .instances import LoadSample
 from .targetconnection import ResponseBroken, SendRefused, StrictResponse
 from .targetresponse import TargetResponse, has_clear_framing
 from .upstream import Attempt, explain_fault, send_request
@@ -23,6 +24,8 @@
 # Responses up to this size are read whole before the caller gets their head, so
 # that one that breaks off can still be replaced.
 BUFFERED_BYTES = 256 << 10
+# Longest pause within the rest of a long response.
+STREAM_STALL_S = 15.0
 # A late second response may stand before the one that is waited for.
 MAX_STRAY_RESPONSES = 2
 PROBE_BODY_BYTES = 64 << 10
@@ -299,8 +302,8 @@
             raw = connection.getresponse()
         else:
             raw = _read_another(connection)
-        left = max(0.001, connection.deadline - self._clock())
-        return TargetResponse(connection, self.state.pool, raw, left)
+        # Until a stall time is set, reads are bound to the deadline.
+        return TargetResponse(connection, self.state.pool, raw, None)
 
     def _judge(self, response, terms, attempt):
         """Return why a response cannot be passed on, or None."""
@@ -339,6 +342,7 @@
                 size += len(data)
                 if size >= BUFFERED_BYTES:
                     rest = response
+                    rest.set_stall(STREAM_STALL_S)
                     break
             if rest is None and not empty and response.length not in (None, size):
                 raise ResponseBroken(f"{size} of {response.length} bytes arrived")
--- /dev/null
+++ b/redwingspring/placesearch.py
@@ -0,0 +1,239 @@
+"""Search for a target that answers a call in time."""
+
+import time
+
+from expression import Error, Ok
+
+from .exchanges import Exchange, Stage, poll_exchanges
+from .placement import CandidateQuery, candidate_policies, choose_best
+from .verdict import Reason, refuse
+from .waiting import (
+    LOOK_AGAIN_S,
+    accepts_place,
+    may_spread,
+    needs_ejected,
+    should_reject,
+)
+
+# Targets asked for their load at once before a send, and how often a request asks
+# before it joins the line.
+CANDIDATES = 2
+FIRST_LOOKS = 2
+# Longest wait for the answers to probes.
+PROBE_WAIT_S = 0.025
+# Wait for further answers after the first acceptable one.
+PROBE_GRACE_S = 0.002
+# An unanswered probe whose connection is closed after this time.
+PROBE_LIMIT_S = 0.5
+
+
+class PlaceSearch:
+    """Looks for a place for one call, and waits in line for it.
+
+    Parameters
+    ----------
+    dispatcher : RouteDispatcher
+        Shares, history and instances.
+    call : RoutedCall
+        The call.
+    """
+
+    def __init__(self, dispatcher, call):
+        self.tried = set()
+        self._dispatcher = dispatcher
+        self._call = call
+        self._clock = dispatcher.clock
+        self._metrics = dispatcher.metrics
+
+    def find(self):
+        """Wait for a place.
+
+        Returns
+        -------
+        expression.Result
+            Ok with an Exchange that is ready to send, or an Error with a Failure.
+        """
+        call = self._call
+        line = self._dispatcher.lines.find(call.service.name)
+        for _ in range(FIRST_LOOKS):
+            if line:
+                break
+            placed = self._try_place()
+            if placed is not None:
+                return placed
+        placed = None
+        ticket = line.enter(call.route.priority, call.received)
+        try:
+            placed = self._wait_for_place(line, ticket)
+            return placed
+        finally:
+            line.leave(ticket, placed is not None and placed.is_ok())
+
+    def _wait_for_place(self, line, ticket):
+        """Look for a place whenever this request is the first in line."""
+        while True:
+            ahead = line.count_ahead(ticket)
+            wait = self._dispatcher.describe_wait(self._call)
+            if should_reject(wait, ahead, line.places_per_s):
+                detail = f"no place in time, {ahead} requests are ahead"
+                return Error(refuse(Reason.NO_CAPACITY, detail))
+            if ticket.first.wait(LOOK_AGAIN_S):
+                placed = self._try_place()
+                if placed is not None:
+                    return placed
+                time.sleep(LOOK_AGAIN_S)
+            if self._caller_left():
+                return Error(refuse(Reason.CALLER_GONE, "the caller hung up", 400))
+
+    def _try_place(self):
+        """Look once; return Ok with an Exchange, an Error, or None to wait."""
+        wait = self._dispatcher.describe_wait(self._call)
+        if wait.left_s <= 0:
+            return Error(refuse(Reason.DEADLINE, "the time of the caller is over"))
+        states = self._dispatcher.find_instances(self._call)
+        if not states:
+            detail = f"no target of {self._call.service.name} takes requests"
+            return Error(refuse(Reason.NO_CAPACITY, detail))
+        exchange = self.look(states, wait, self._accepts)
+        return None if exchange is None else Ok(exchange)
+
+    def _caller_left(self):
+        return poll_exchanges([], 0, self._call.socket)[1]
+
+    def _accepts(self, sample):
+        """Tell whether the call goes to a target with this load now."""
+        service = self._call.service.name
+        slowdown = self._dispatcher.history.expect_slowdown(service)
+        wait = self._dispatcher.describe_wait(self._call)
+        return accepts_place(sample, wait, slowdown)
+
+    def look(self, states, wait, accepts):
+        """Ask some instances for their load.
+
+        Parameters
+        ----------
+        states : sequence of InstanceState
+            Instances that may run the call.
+        wait : Wait
+            How long the call has waited.
+        accepts : callable
+            Tells whether the call goes to a target with a given load.
+
+        Returns
+        -------
+        Exchange or None
+            An exchange that is ready to send; None when no place was found.
+        """
+        tells_load = any(state.tells_load for state in states)
+        name = "fresh-load" if tells_load else "least-requests"
+        service = self._call.service.name
+        count = 1
+        if tells_load:
+            count = self._dispatcher.probes.take(service, len(states), CANDIDATES)
+        query = CandidateQuery(
+            self._dispatcher.data_centre,
+            count,
+            may_spread(wait, self._dispatcher.history.expect_size(self._call.route)),
+            frozenset(self.tried),
+            self._clock(),
+            needs_ejected(wait),
+        )
+        usable = self._without_foreign_cold(states)
+        chosen = candidate_policies.find(name)(usable, query)
+        if not tells_load:
+            return self._take_plain(chosen)
+        answered = self._probe(chosen, accepts)
+        return self._select(answered, accepts)
+
+    def _without_foreign_cold(self, states):
+        """Leave out cold instances that belong to another host."""
+        now = self._clock()
+        cold = self._dispatcher.cold
+        return [s for s in states if not s.is_cold(now) or cold.owns(s.instance.id)]
+
+    def _take_plain(self, chosen):
+        for state in chosen:
+            if self._may_use_cold(state):
+                exchange = Exchange(state, self._dispatcher.dialect)
+                exchange.begin_plain()
+                return exchange
+        return None
+
+    def _probe(self, chosen, accepts):
+        """Return the exchanges whose instances told their load in time."""
+        pending, answered = [], []
+        for state in chosen:
+            self._collect_unanswered(state)
+            exchange = Exchange(state, self._dispatcher.dialect)
+            exchange.begin_probe(self._call.service.health_path)
+            self._metrics.increment("probes.sent")
+            self._sort_exchange(exchange, pending, answered)
+        end = self._clock() + PROBE_WAIT_S
+        while pending and (left := end - self._clock()) > 0:
+            ready, _ = poll_exchanges(pending, left)
+            for exchange in ready:
+                exchange.advance()
+                if exchange.ends_at_once:
+                    pending.remove(exchange)
+                    self._sort_exchange(exchange, pending, answered)
+            if any(accepts(exchange.sample) for exchange in answered):
+                end = min(end, self._clock() + PROBE_GRACE_S)
+        for exchange in pending:
+            exchange.state.park(exchange)
+        return answered
+
+    def _sort_exchange(self, exchange, pending, answered):
+        if exchange.stage is Stage.READY:
+            answered.append(exchange)
+        elif exchange.stage is Stage.CLOSED:
+            self._note_probe_failure(exchange)
+        else:
+            pending.append(exchange)
+
+    def _note_probe_failure(self, exchange):
+        self._metrics.increment(f"probes.failed.{exchange.failure.reason}")
+        self._dispatcher.record_failure(exchange.state, exchange.failure)
+
+    def _collect_unanswered(self, state):
+        """Read late answers to probes of an instance; give up on old ones."""
+        now = self._clock()
+        for exchange in state.take_parked():
+            ready, _ = poll_exchanges([exchange], 0)
+            if ready:
+                exchange.advance()
+                if exchange.stage is Stage.READY:
+                    exchange.release()
+                    continue
+                if exchange.stage is Stage.CLOSED:
+                    self._note_probe_failure(exchange)
+                    continue
+            if now - exchange.started_at > PROBE_LIMIT_S:
+                exchange.abort()
+                failure = refuse(Reason.NO_ANSWER, "a probe got no answer")
+                self._metrics.increment(f"probes.failed.{failure.reason}")
+                self._dispatcher.record_failure(state, failure)
+            else:
+                state.park(exchange)
+
+    def _select(self, answered, accepts):
+        """Return the best acceptable exchange; release the others."""
+        fit = [exchange for exchange in answered if accepts(exchange.sample)]
+        chosen = None
+        while fit and chosen is None:
+            best = fit.pop(choose_best([e.sample for e in fit]))
+            if self._may_use_cold(best.state):
+                chosen = best
+        for exchange in answered:
+            if exchange is not chosen:
+                exchange.release()
+        return chosen
+
+    def _may_use_cold(self, state):
+        """Tell whether an instance is warm, or this host may use it while cold."""
+        if not state.is_cold(self._clock()):
+            return True
+        rate = self._call.service.cold_per_s
+        if self._dispatcher.cold.take(state.instance.id, rate):
+            return True
+        self._metrics.increment("cold.over_share")
+        return False
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -8,7 +8,7 @@
 
 from .assembly import assemble_routed
 from .clock import read_clock
-from .gossip import MemberState
+from .members import MemberState
 from .threads import run_always, run_thread
 
 logger = logging.getLogger(__name__)
--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -21,8 +21,8 @@
         Where the connection returns to.
     response : urllib3.HTTPResponse
         The response.
-    stall_timeout : float
-        Seconds the body may pause.
+    stall_timeout : float or None
+        Seconds the body may pause; None binds it to the attempt's deadline.
     """
 
     def __init__(self, connection, pool, response, stall_timeout):
@@ -38,7 +38,17 @@
         # The connection forgets its socket when the response ends it, so the
         # time is set on the reader.
         self._parsed = connection.response
-        self._parsed.reader.stall = stall_timeout
+        self.set_stall(stall_timeout)
+
+    def set_stall(self, seconds):
+        """Set how long the body may pause.
+
+        Parameters
+        ----------
+        seconds : float or None
+            None binds the body to the deadline of its attempt.
+        """
+        self._parsed.reader.stall = seconds
 
     def read(self):
         """Return the next part of the body, empty at its end.
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -9,13 +9,13 @@
     encode_answer,
 )
 from redwingspring.follower import StoreFollower
-from redwingspring.gossip import Members, Sighting
 from redwingspring.knowledge import (
     HistoryLost,
     StoreChange,
     StoreError,
     StoreSnapshot,
 )
+from redwingspring.members import Members, Sighting
 from redwingspring.sources import SourceChoice
 
 from .base import RedwingspringTestCase
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,15 +1,13 @@
 import random
 
-from redwingspring.gossip import (
-    MAX_DATAGRAM,
+from redwingspring.gossip import MAX_DATAGRAM, decode_gossip, encode_gossip
+from redwingspring.members import (
     MAX_ENTRIES,
     SILENT_S,
     Member,
     Members,
     MemberState,
     Sighting,
-    decode_gossip,
-    encode_gossip,
 )
 
 from .base import RedwingspringTestCase
