Place requests without probes when the share of probes is used up

Cause: a request whose host had no probe left waited and was rejected although targets were idle. The share was 0.6 of the bound with 5 s of burst: 68 probes a second for each of 18 hosts and 34 targets, where a burst asks for 130 and more.

--- a/redwingspring/placesearch.py
+++ b/redwingspring/placesearch.py
@@ -124,23 +124,22 @@
         Exchange or None
             An exchange that is ready to send; None when no place was found.
         """
-        tells_load = any(state.tells_load for state in states)
-        name = "fresh-load" if tells_load else "least-requests"
         service = self._call.service.name
-        count = 1
-        if tells_load:
-            count = self._dispatcher.probes.take(service, len(states), CANDIDATES)
+        probes = 0
+        if any(state.tells_load for state in states):
+            probes = self._dispatcher.probes.take(service, len(states), CANDIDATES)
         query = CandidateQuery(
             self._dispatcher.data_centre,
-            count,
+            probes or CANDIDATES,
             may_spread(wait, self._dispatcher.history.expect_size(self._call.route)),
             frozenset(self.tried),
             self._clock(),
             needs_ejected(wait),
         )
         usable = self._without_foreign_cold(states)
+        name = "fresh-load" if probes else "least-requests"
         chosen = candidate_policies.find(name)(usable, query)
-        if not tells_load:
+        if not probes:
             return self._take_plain(chosen)
         answered = self._probe(chosen, accepts)
         return self._select(answered, accepts)
@@ -152,7 +151,14 @@
         return [s for s in states if not s.is_cold(now) or cold.owns(s.instance.id)]
 
     def _take_plain(self, chosen):
+        """Return an exchange without a probe.
+
+        Targets that tell their load get one request of this host at a time then,
+        because nothing shows what the other hosts send.
+        """
         for state in chosen:
+            if state.tells_load and state.in_flight:
+                continue
             if self._may_use_cold(state):
                 exchange = Exchange(state, self._dispatcher.dialect)
                 exchange.begin_plain()
--- a/redwingspring/shares.py
+++ b/redwingspring/shares.py
@@ -20,8 +20,10 @@
 HOST_COUNT_MEMORY_S = 30.0
 
 
-# Probes that were not sent for this long may be sent in a burst.
-PROBE_BURST_S = 5.0
+# The bound on probes is one over a long time, so a burst may use what calm seconds
+# left, and only hosts that do not know each other add to the sum.
+PROBE_PART = 0.75
+PROBE_BURST_S = 8.0
 
 
 class HostCount:
@@ -172,7 +174,7 @@
         int
             Probes that may be sent now.
         """
-        rate = DEALT_PART * self._per_target_s * targets / self._hosts.value
+        rate = PROBE_PART * self._per_target_s * targets / self._hosts.value
         most = max(wanted, rate * PROBE_BURST_S)
         with self._lock:
             now = self._clock()
--- a/tests/test_routedpath.py
+++ b/tests/test_routedpath.py
@@ -80,6 +80,14 @@
         self.assertEqual(b"whole body", stream.read(int(headers["content-length"])))
         return headers["request-id"]
 
+    def test_requests_go_on_when_the_share_of_probes_is_used_up(self):
+        host = HostFixture(self, instances=2, probe_rate=0.01)
+        started = time.monotonic()
+        for _ in range(12):
+            self.assertEqual(200, host.ask()[0])
+        self.assertTrue(time.monotonic() - started < 2.0)
+        self.assertTrue(sum(i.probes for i in host.instances) <= 4)
+
     def test_a_post_behind_a_read_waits_for_its_answer(self):
         host = HostFixture(self, instances=1)
         host.instances[0].work_s = 0.1
--- a/tests/test_waitinglines.py
+++ b/tests/test_waitinglines.py
@@ -86,6 +86,12 @@
         self.assertTrue(sent <= 60 * 34 * 32, sent)
         self.assertTrue(sent >= 0.5 * 60 * 34 * 32, sent)
 
+    def test_a_burst_may_use_what_calm_seconds_left(self):
+        hosts = HostCount(lambda: 100.0)
+        hosts.note(18)
+        share = ProbeShare(60.0, hosts, lambda: 100.0)
+        self.assertTrue(sum(share.take("desk", 34, 2) for _ in range(600)) > 650)
+
 
 class SpreadTest(RedwingspringTestCase):
     def test_a_long_response_stays_in_its_data_centre_for_longer(self):
