Let the time to a host's death grow with the number of hosts

News takes longer to reach all hosts the more there are. Ruled out: load of the machine; the test has no clock and no sockets. Check and bound are unchanged.

--- a/redwingspring/members.py
+++ b/redwingspring/members.py
@@ -5,6 +5,7 @@
 Source: van Renesse, Minsky and Hayden, 1998.
 """
 
+import math
 import random
 import threading
 import time
@@ -17,9 +18,13 @@
 # out with the given probability, since bytes between them cost more.
 NEAR_FANOUT = 3
 FAR_CHANCE = 0.35
-# A host whose beat has not grown for this long counts as dead. Directory answers
-# may name a dead host for about six seconds.
+# A host whose beat has not grown for this long counts as dead. News takes longer to
+# reach all hosts the more there are, so the time grows with each doubling beyond a
+# number of hosts. Directory answers may name a dead host for about six seconds.
 SILENT_S = 3.6
+MAX_SILENT_S = 5.0
+SILENT_HOSTS = 18
+SILENT_STEP_S = 0.6
 FORGET_S = 30.0
 # Members in one datagram: half of them those heard most recently, which carry
 # news on, the others at random, so that none is left out for long.
@@ -104,6 +109,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._members = {}
+        self._silent_s = SILENT_S
 
     @property
     def own(self):
@@ -125,6 +131,7 @@
         """Count up the beat of this host and forget hosts long dead."""
         with self._lock:
             self._own = replace(self._own, beat=self._own.beat + 1)
+            self._silent_s = find_silent_time(len(self._members) + 1)
             oldest = self._clock() - FORGET_S
             self._members = {
                 name: known
@@ -155,12 +162,12 @@
 
     def _take_one(self, member, now, heard):
         """Take one report; return whether the host is new; the lock is held."""
-        if member.name == self._own.name or now - heard > SILENT_S:
+        if member.name == self._own.name or now - heard > self._silent_s:
             return False
         known = self._members.get(member.name)
         if known is None and len(self._members) >= MAX_MEMBERS:
             return False
-        silent = known is None or now - known[1] > SILENT_S
+        silent = known is None or now - known[1] > self._silent_s
         if known is not None:
             # The time of day may have stepped back before the host started
             # again, so a later start is not always a greater one.
@@ -179,7 +186,7 @@
             Leaving and starting hosts included.
         """
         with self._lock:
-            oldest = self._clock() - SILENT_S
+            oldest = self._clock() - self._silent_s
             return [
                 self._own,
                 *(m for m, heard in self._members.values() if heard >= oldest),
@@ -236,9 +243,14 @@
             chosen.append(rng.choice(far))
         return chosen
 
-    def choose_report(self):
+    def choose_report(self, rng=random):
         """Return what the next datagram tells.
 
+        Parameters
+        ----------
+        rng : random.Random, default=random
+            Source of the choice where there are many hosts.
+
         Returns
         -------
         list of Sighting
@@ -246,17 +258,34 @@
         """
         with self._lock:
             now = self._clock()
-            oldest = now - SILENT_S
+            oldest = now - self._silent_s
             recent = [k for k in self._members.values() if k[1] >= oldest]
             recent.sort(key=lambda known: known[1], reverse=True)
             most = MAX_ENTRIES - 1
             chosen, others = recent[: most // 2], recent[most // 2 :]
             left = most - len(chosen)
-            chosen += random.sample(others, min(left, len(others)))
+            chosen += rng.sample(others, min(left, len(others)))
             told = [Sighting(member, now - heard) for member, heard in chosen]
             return [Sighting(self._own, 0.0), *told]
 
 
+def find_silent_time(count):
+    """Return how long a host may be silent until it counts as dead.
+
+    Parameters
+    ----------
+    count : int
+        Number of hosts.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    doublings = max(0.0, math.log2(count / SILENT_HOSTS))
+    return min(MAX_SILENT_S, SILENT_S + SILENT_STEP_S * doublings)
+
+
 def build_member(name, address, peer_address, data_centre):
     """Return this start of a host.
 
