--- a/redwingspring/admission.py
+++ b/redwingspring/admission.py
@@ -15,8 +15,8 @@
 REFUSED_SHARE = 0.5
 # Seconds after which the slots of the targets are counted again.
 REFRESH_INTERVAL_S = 0.05
-# Share of refused attempts that shows an overload; at 85% of the slots the bench
-# saw less than 3% with the default policy.
+# Share of refused attempts that shows an overload; targets at 85% of their slots
+# refuse less than 3%.
 OVERLOAD_SHARE = 0.1
 REFUSED_WEIGHT = 0.05
 # One overload gives many refusals at once and lowers the limit only once.
--- a/redwingspring/estimates.py
+++ b/redwingspring/estimates.py
@@ -12,8 +12,7 @@
 # A target that always fails counts as this many times slower.
 FAILURE_COST = 20.0
 # A cancelled attempt was overtaken by one that began later. It counts as this
-# many times longer than it lasted; with 1 the bench's stragglers were tried too
-# often, because a hedge hides how slow they are.
+# many times longer than it lasted, because the hedge hides how slow its target is.
 CANCELLED_FACTOR = 3.0
 # Latencies up to this factor of the typical one count as equal: they vary with
 # the requests, and following them moves load for no reason.
