Count posts as work when idle connections are closed at shutdown

Cause: is_idle counted only requests in threads of their own. Ruled out: the end of the grace time, and the target, whose run was cut after the close. Change: requests in the reading thread count while they run. Result: the new test fails without the change and passes with it; 32 tests of tests/test_routedpath.py pass.

--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -4,6 +4,7 @@
 responses are written in the order of the requests.
 """
 
+import contextlib
 import logging
 import socket
 import threading
@@ -75,7 +76,8 @@
             self.conn.run_beside(self._respond_beside)
         else:
             self.turn.wait()
-            super().respond()
+            with self.conn.mark_working():
+                super().respond()
 
     def _respond_beside(self):
         try:
@@ -174,6 +176,17 @@
         """
         return self._last is not turn and self._working > 1
 
+    @contextlib.contextmanager
+    def mark_working(self):
+        """Count a request that runs in the reading thread while it runs."""
+        with self._lock:
+            self._working += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._working -= 1
+
     def run_beside(self, work):
         """Run a request in a thread of its own.
 
--- a/tests/test_routedpath.py
+++ b/tests/test_routedpath.py
@@ -1,8 +1,10 @@
 """The path of a routed request through one host, with real sockets."""
 
 import socket
+import threading
 import time
 
+from redwingspring import routedentry
 from redwingspring.verdict import Reason
 
 from .base import RedwingspringTestCase
@@ -275,6 +277,15 @@
         self.assertEqual(503, self.ask_ready(host))
         wait_until(host.entry.stopping.is_set, 6)
 
+    def test_a_graceful_shutdown_answers_a_post_on_a_connection_it_closes(self):
+        host = HostFixture(self, instances=1, grace=6.0)
+        host.instances[0].work_s = 1.2
+        self.patch(routedentry, "ACCEPT_S", 0.2)
+        self.patch(routedentry, "CLOSE_IDLE_S", 0.4)
+        threading.Timer(0.2, host.entry.drain).start()
+        status, headers, _ = host.ask("POST", POSTS, body=b"x")
+        self.assertEqual((200, "close"), (status, headers["connection"]))
+
     def ask_ready(self, host):
         return host.fetch(host.entry.settings.ready_address, "/redwingspring/ready")[0]
 
