Load only what a process needs, and let one host ask the store for all

The package loaded both modes, CherryPy's bus (0.15 s) and all commands.

Ruled out: reading the store (0.02 s from start to the first table).

Change: names of the package and commands load their modules on first use; the parts of a host that follows a store are wired in routedassembly; its servers run without CherryPy's bus. One reader of all asks the store, the readers of the other data centres ask it and fall back to the store; an answer tells how many hosts passed it on, so that readers cannot confirm each other.

--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -11,32 +11,13 @@
 
 import typer
 
-from .audit import format_entry
-from .comparison import compare, describe_changes
-from .configuration import parse_configuration
-from .control import Entry
 from .errors import DocumentError, PageError, RedwingspringError
-from .explanation import explain as explain_values
-from .inspection import (
-    ExitCode,
-    NoAnswerError,
-    inspect_host,
-    inspect_request,
-    inspect_service,
-    read_audit,
-)
-from .load import LoadGenerator, LoadPlan, render_result
-from .logs import configure_logs, escape_controls
-from .routedentry import RoutedEntry
-from .routedsettings import is_routed, parse_routed_settings
-from .settings import parse_settings
-from .standinbehaviour import TargetBehaviour
-from .standinconfig import ConfigurationStandIn
-from .standintarget import TargetStandIn
-from .validation import check_file, document_kinds, list_problems
 from .version import __version__
 from .yamlsource import read_file
 
+# Each command loads what it needs when it runs: a restarted host answers nobody
+# until its process has loaded.
+
 logger = logging.getLogger(__name__)
 
 app = typer.Typer(
@@ -49,9 +30,7 @@
 EXIT_CHANGED = 1
 EXIT_INVALID = 2
 
-DocumentKind = StrEnum(
-    "DocumentKind", [(name, name) for name in document_kinds.names()]
-)
+DocumentKind = StrEnum("DocumentKind", ["configuration", "hosts", "settings"])
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
 
 
@@ -76,15 +55,24 @@
     settings: Annotated[Path, typer.Option(help="YAML file of this host's settings.")],
 ):
     """Run the entry process of this host until SIGTERM."""
+    from .routedsettings import is_routed
+
     try:
         text = read_file(settings)
-        if is_routed(text):
-            run_routed(settings)
-            return
-        parsed = parse_settings(text, str(settings))
+        run = run_routed if is_routed(text) else run_plain
+        run(text, settings)
     except RedwingspringError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(EXIT_INVALID) from error
+
+
+def run_plain(text, path):
+    """Run an entry process with the product's own configuration service."""
+    from .control import Entry
+    from .logs import configure_logs
+    from .settings import parse_settings
+
+    parsed = parse_settings(text, str(path))
     configure_logs(parsed.log_style, parsed.log_level)
     process = Entry(parsed)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -93,9 +81,13 @@
     process.wait()
 
 
-def run_routed(path):
+def run_routed(text, path):
     """Run an entry process that follows a store, until it stops."""
-    parsed = parse_routed_settings(read_file(path), str(path))
+    from .logs import configure_logs
+    from .routedentry import RoutedEntry
+    from .routedsettings import parse_routed_settings
+
+    parsed = parse_routed_settings(text, str(path))
     writer = configure_logs("json", parsed.log_level, sys.stdout)
     process = RoutedEntry(parsed)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -110,6 +102,8 @@
 
 def reload_settings(process, path):
     """Read the settings again; invalid ones change nothing."""
+    from .routedsettings import parse_routed_settings
+
     try:
         process.reload(parse_routed_settings(read_file(path), str(path)))
     except RedwingspringError as error:
@@ -134,6 +128,8 @@
     Prints every problem as FILE:LINE: KEY: MESSAGE. The exit code is 0 for a
     valid file and 2 for an invalid one.
     """
+    from .validation import check_file
+
     report = check_file(file, kind.value)
     _print(report.to_json() if as_json else report.to_text())
     if report.problems:
@@ -158,6 +154,8 @@
     exception, with its reason. The exit code is 2 when the file is invalid or
     the service, target or key does not exist.
     """
+    from .explanation import explain as explain_values
+
     configuration = _load_configuration(file, as_json)
     try:
         found = explain_values(configuration, service, target, key)
@@ -181,6 +179,8 @@
     not count. The exit code is 0 for no change, 1 for changes and 2 when a
     file is invalid.
     """
+    from .comparison import compare, describe_changes
+
     before = _load_configuration(old, as_json)
     changes = compare(before, _load_configuration(new, as_json))
     if as_json:
@@ -192,6 +192,8 @@
 
 
 def _load_configuration(path, as_json):
+    from .configuration import parse_configuration
+
     try:
         return parse_configuration(read_file(path), str(path))
     except DocumentError as error:
@@ -202,6 +204,8 @@
     if not as_json:
         typer.echo(str(error), err=True)
     elif isinstance(error, DocumentError):
+        from .validation import list_problems
+
         _print({"problems": list_problems(error.problems)})
     else:
         _print({"problems": [{"message": str(error)}]})
@@ -224,6 +228,9 @@
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
 ):
     """Ask an entry host; the exit code is the answer (docs/status-page.md)."""
+    from .inspection import ExitCode, inspect_host, inspect_request, inspect_service
+    from .logs import escape_controls
+
     if service is not None and request is not None:
         typer.echo("--service and --request exclude each other", err=True)
         raise typer.Exit(ExitCode.USAGE)
@@ -256,6 +263,9 @@
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON lines.")] = False,
 ):
     """Print the audit trail of an entry host."""
+    from .audit import format_entry
+    from .inspection import read_audit
+
     try:
         for part in read_audit(url, after, follow):
             if part.notice is not None:
@@ -270,6 +280,8 @@
 
 def _report_page_error(error):
     """Print an error; return the exit that stands for it."""
+    from .inspection import ExitCode, NoAnswerError
+
     typer.echo(str(error), err=True)
     missing = isinstance(error, NoAnswerError)
     return typer.Exit(ExitCode.NO_ANSWER if missing else ExitCode.NOT_UNDERSTOOD)
@@ -294,6 +306,8 @@
     ] = False,
 ):
     """Send open-loop load and print the percentiles of the latency."""
+    from .load import LoadGenerator, LoadPlan, render_result
+
     plan = LoadPlan(
         url, rate, duration, method, body_bytes, connections, warm_up, timeout, seed
     )
@@ -312,6 +326,8 @@
     hosts: Annotated[Path, typer.Option(help="YAML host list.")],
 ):
     """Run a stand-in for the configuration service."""
+    from .standinconfig import ConfigurationStandIn
+
     service = ConfigurationStandIn(listen)
     service.publish("configuration", configuration.read_text())
     service.publish("hosts", hosts.read_text())
@@ -337,6 +353,9 @@
     ] = "{}",
 ):
     """Run a stand-in for a target."""
+    from .standinbehaviour import TargetBehaviour
+    from .standintarget import TargetStandIn
+
     declared = TargetBehaviour(
         slots=slots,
         work_s=work_ms / 1000,
--- a/redwingspring/feed.capnp
+++ b/redwingspring/feed.capnp
@@ -16,4 +16,6 @@
   confirmedAgeMs @3 :UInt32;
   # Time since the store last answered the sender.
   changes @4 :List(Change);
+  hops @5 :UInt8;
+  # Hosts between the sender and the store; 0 when the sender asks the store.
 }
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -1,8 +1,9 @@
 """What a host knows of the store, told to the hosts that do not ask the store.
 
-Calls to the store are priced and limited, so only one host of each data centre
-asks it. The others wait for changes at that host, and turn to another one, or to
-the store itself, when it is silent or has lost the store.
+Calls to the store are priced and limited, so one host asks it for all. One host of
+each data centre waits for changes at that host, the others at the one of their data
+centre. Whoever finds its source silent, or without the store, turns to another one
+or to the store itself.
 """
 
 import threading
@@ -17,7 +18,7 @@
 from .clock import read_clock
 from .knowledge import HistoryLost, StoreChange, StoreError, StoreSnapshot
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 FEED_PATH = "/feed"
 MAX_HISTORY = 1000
 # A host that has not heard the store for this long tells nothing, so that the
@@ -27,11 +28,31 @@
 CONNECT_TIMEOUT_S = 0.15
 ANSWER_MARGIN_S = 0.25
 _MAX_AGE_MS = 0xFFFFFFFF
+_MAX_HOPS = 0xFF
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("feed.capnp")))
 
 
+@dataclass(frozen=True)
+class Confirmation:
+    """How fresh something that a source tells of the store is.
+
+    Attributes
+    ----------
+    age_s : float, default=0.0
+        Seconds since the store answered.
+    hops : int, default=0
+        Hosts that it was passed on by.
+    """
+
+    age_s: float = 0.0
+    hops: int = 0
+
+
+FROM_STORE = Confirmation()
+
+
 @dataclass(frozen=True)
 class FeedAnswer:
     """Part of what a host knows of the store.
@@ -44,14 +65,14 @@
         Revision of the store that they lead to.
     whole : bool
         Whether they are everything that the store holds.
-    confirmed_age_s : float
-        Seconds since the store last answered.
+    confirmation : Confirmation
+        When the store last answered.
     """
 
     changes: tuple
     revision: int
     whole: bool
-    confirmed_age_s: float
+    confirmation: Confirmation
 
 
 class StoreMirror:
@@ -71,6 +92,7 @@
         self._revision = 0
         self._oldest = 0
         self._confirmed_at = None
+        self._hops = 0
 
     @property
     def confirmed_age_s(self):
@@ -79,24 +101,24 @@
             return float("inf")
         return max(0.0, self._clock() - self._confirmed_at)
 
-    def take_snapshot(self, snapshot, age_s=0.0):
+    def take_snapshot(self, snapshot, confirmation=FROM_STORE):
         """Take everything that the store holds.
 
         Parameters
         ----------
         snapshot : StoreSnapshot
             A state of the store.
-        age_s : float, default=0.0
-            Seconds since the store was asked.
+        confirmation : Confirmation, default=FROM_STORE
+            How fresh it is.
         """
         with self._changed:
             if snapshot.revision >= self._revision:
                 self._entries = {change.key: change for change in snapshot.changes}
                 self._history.clear()
                 self._oldest = self._revision = snapshot.revision
-            self._confirm(age_s)
+            self._confirm(confirmation)
 
-    def take_changes(self, changes, revision, age_s=0.0):
+    def take_changes(self, changes, revision, confirmation=FROM_STORE):
         """Take changes in their order.
 
         Parameters
@@ -105,15 +127,15 @@
             The changes.
         revision : int
             Revision of the store that they lead to.
-        age_s : float, default=0.0
-            Seconds since the store was asked.
+        confirmation : Confirmation, default=FROM_STORE
+            How fresh they are.
         """
         with self._changed:
             for change in changes:
                 if change.revision > self._revision:
                     self._take(change)
             self._revision = max(self._revision, revision)
-            self._confirm(age_s)
+            self._confirm(confirmation)
 
     def _take(self, change):
         if change.value is None:
@@ -124,10 +146,11 @@
         while len(self._history) > MAX_HISTORY:
             self._oldest = self._history.popleft().revision
 
-    def _confirm(self, age_s):
-        confirmed_at = self._clock() - age_s
+    def _confirm(self, confirmation):
+        confirmed_at = self._clock() - confirmation.age_s
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
+            self._hops = confirmation.hops
         self._changed.notify_all()
 
     def read(self, after, wait_s):
@@ -162,7 +185,8 @@
         return None
 
     def _answer(self, changes, whole):
-        return FeedAnswer(changes, self._revision, whole, self.confirmed_age_s)
+        confirmation = Confirmation(self.confirmed_age_s, self._hops)
+        return FeedAnswer(changes, self._revision, whole, confirmation)
 
 
 class FeedPage:
@@ -237,8 +261,8 @@
 
         Returns
         -------
-        tuple of (StoreSnapshot, float)
-            The state, and the seconds since the store confirmed it.
+        tuple of (StoreSnapshot, Confirmation)
+            The state, and how fresh it is.
 
         Raises
         ------
@@ -248,7 +272,8 @@
         answer = self._ask({})
         if not answer.whole:
             raise StoreError("a host answered with a part")
-        return StoreSnapshot(answer.changes, answer.revision), answer.confirmed_age_s
+        snapshot = StoreSnapshot(answer.changes, answer.revision)
+        return snapshot, _pass_on(answer.confirmation)
 
     def watch(self, after):
         """Wait for changes.
@@ -260,9 +285,8 @@
 
         Returns
         -------
-        tuple of (tuple of StoreChange, int, float)
-            The changes, the revision to go on from, and the seconds since the
-            store confirmed them.
+        tuple of (tuple of StoreChange, int, Confirmation)
+            The changes, the revision to go on from, and how fresh they are.
 
         Raises
         ------
@@ -274,7 +298,7 @@
         answer = self._ask({"after": after})
         if answer.whole:
             raise HistoryLost("a host no longer knows the changes")
-        return answer.changes, answer.revision, answer.confirmed_age_s
+        return answer.changes, answer.revision, _pass_on(answer.confirmation)
 
     def _ask(self, fields):
         self._metrics.increment("feed.calls")
@@ -292,6 +316,11 @@
         return decode_answer(response.data)
 
 
+def _pass_on(confirmation):
+    """Return a confirmation as the host that asked has it."""
+    return Confirmation(confirmation.age_s, confirmation.hops + 1)
+
+
 def encode_answer(answer):
     """Return an answer as bytes.
 
@@ -309,7 +338,8 @@
         version=PROTOCOL_VERSION,
         revision=answer.revision,
         whole=answer.whole,
-        confirmedAgeMs=min(_MAX_AGE_MS, int(answer.confirmed_age_s * 1000)),
+        confirmedAgeMs=min(_MAX_AGE_MS, int(answer.confirmation.age_s * 1000)),
+        hops=min(_MAX_HOPS, answer.confirmation.hops),
     )
     entries = message.init("changes", len(answer.changes))
     for entry, change in zip(entries, answer.changes, strict=True):
@@ -348,7 +378,7 @@
             )
             for entry in message.changes
         )
-        age_s = message.confirmedAgeMs / 1000
-        return FeedAnswer(changes, message.revision, message.whole, age_s)
+        confirmation = Confirmation(message.confirmedAgeMs / 1000, message.hops)
+        return FeedAnswer(changes, message.revision, message.whole, confirmation)
     except (capnp.KjException, ValueError) as error:
         raise StoreError(f"a host's answer cannot be read: {error}") from error
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -56,14 +56,16 @@
     def _ask(self, source):
         """Take one answer of a source; tell whether to pause before the next."""
         if not self._has_snapshot:
-            snapshot, age_s = source.read_all()
-            self._mirror.take_snapshot(snapshot, age_s)
+            snapshot, confirmation = source.read_all()
+            self._sources.check_confirmation(source, confirmation)
+            self._mirror.take_snapshot(snapshot, confirmation)
             self._knowledge.apply_snapshot(snapshot)
             self._has_snapshot = True
             return False
         after = self._knowledge.revision
-        changes, revision, age_s = source.watch(after)
-        self._mirror.take_changes(changes, revision, age_s)
+        changes, revision, confirmation = source.watch(after)
+        self._sources.check_confirmation(source, confirmation)
+        self._mirror.take_changes(changes, revision, confirmation)
         self._knowledge.apply_changes(changes, revision)
         return bool(changes) and source.is_store
 
--- a/redwingspring/metrics.py
+++ b/redwingspring/metrics.py
@@ -6,8 +6,6 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass
 
-import statsd
-
 FLUSH_INTERVAL_S = 1.0
 # One second holds too few requests of a quiet host for a 99th percentile.
 TIMING_WINDOW_S = 10.0
@@ -254,6 +252,9 @@
     """
     if not address:
         return None
+    # Many hosts send nothing to statsd and need not load it.
+    import statsd
+
     host, port = address.rsplit(":", 1)
     prefix = _clean_name(prefix)
     return statsd.StatsClient(
--- /dev/null
+++ b/redwingspring/routedassembly.py
@@ -0,0 +1,125 @@
+"""Composition root: builds the parts of an entry process that follows a store."""
+
+from .decisions import DecisionLog
+from .exposition import Latencies, MetricsPage, build_registry
+from .feed import FeedClient, FeedPage, StoreMirror
+from .follower import StoreFollower
+from .gossip import GossipNetwork
+from .instances import InstanceDirectory
+from .knowledge import Knowledge
+from .members import Members, build_member
+from .metrics import Metrics, connect_statsd
+from .pipelining import RoutedServer
+from .platform import headers
+from .platform.documents import decode_change
+from .platform.pages import PlatformPages
+from .platform.store import StoreClient
+from .routedispatch import RouteDispatcher
+from .routeforwarder import RouteForwarder
+from .server import EntryServer, ServerBounds
+from .shares import ColdShare, HostCount, ProbeShare, RetryShare
+from .sources import WATCH_WAIT_S, SourceChoice, StoreSource
+
+
+def assemble_routed(entry, settings):
+    """Build all parts of an entry process that follows a store.
+
+    Parameters
+    ----------
+    entry : RoutedEntry
+        The facade; it offers the callbacks that the parts need.
+    settings : RoutedSettings
+        The host's own settings.
+    """
+    prefix = f"redwingspring.{settings.name.replace('.', '_')}"
+    entry.metrics = Metrics(connect_statsd(settings.statsd, prefix))
+    entry.decisions = DecisionLog(entry.metrics)
+    entry.directory = InstanceDirectory(settings.source)
+    entry.knowledge = Knowledge(
+        entry.directory, decode_change, entry.metrics, entry.decisions
+    )
+    entry.knowledge.on_table = entry.apply_table
+    assemble_membership(entry, settings)
+    entry.mirror = StoreMirror()
+    store = StoreSource(StoreClient(settings.store, entry.metrics), WATCH_WAIT_S)
+    entry.sources = SourceChoice(
+        entry.members, store, lambda address: FeedClient(address, entry.metrics)
+    )
+    entry.follower = StoreFollower(entry.sources, entry.knowledge, entry.mirror)
+    hosts = HostCount()
+    entry.gossip.on_count = hosts.note
+    entry.dispatcher = RouteDispatcher(
+        directory=entry.directory,
+        dialect=headers,
+        retries=RetryShare(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window, hosts
+        ),
+        probes=ProbeShare(settings.probe_rate, hosts),
+        cold=ColdShare(settings.name, entry.members.list_serving_names),
+        metrics=entry.metrics,
+        decisions=entry.decisions,
+        data_centre=settings.data_centre,
+        regions=settings.regions,
+    )
+    assemble_servers(entry, settings)
+
+
+def assemble_membership(entry, settings):
+    """Build what tells this host which others there are.
+
+    Parameters
+    ----------
+    entry : RoutedEntry
+        The facade.
+    settings : RoutedSettings
+        The host's own settings.
+    """
+    own = build_member(
+        settings.name, settings.address, settings.peer_address, settings.data_centre
+    )
+    entry.members = Members(own)
+    entry.gossip = GossipNetwork(
+        entry.members,
+        settings.peer_address,
+        settings.seed_peers,
+        entry.metrics,
+        entry.decisions,
+    )
+
+
+def assemble_servers(entry, settings):
+    """Build the HTTP servers of an entry process that follows a store.
+
+    Parameters
+    ----------
+    entry : RoutedEntry
+        The facade.
+    settings : RoutedSettings
+        The host's own settings.
+    """
+    registry = build_registry(entry.metrics)
+    forwarder = RouteForwarder(
+        entry.knowledge,
+        entry.dispatcher,
+        headers,
+        entry.metrics,
+        entry.decisions,
+        Latencies(registry),
+    )
+    bounds = ServerBounds(settings.max_connections)
+    entry.server = RoutedServer(settings.address, forwarder, bounds, entry.metrics)
+    pages = PlatformPages(lambda: entry.is_ready, entry.find_addresses)
+    applications = {
+        settings.ready_address: pages,
+        settings.directory_address: pages,
+        settings.peer_address: FeedPage(entry.mirror),
+    }
+    if settings.metrics_address is not None:
+        applications[settings.metrics_address] = MetricsPage(registry)
+    entry.servers = [
+        entry.server,
+        *(
+            EntryServer(address, application, bounds, entry.metrics)
+            for address, application in applications.items()
+        ),
+    ]
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -4,11 +4,9 @@
 import random
 import threading
 
-from cherrypy.process import servers, wspbus
-
-from .assembly import assemble_routed
 from .clock import read_clock
 from .members import MemberState
+from .routedassembly import assemble_routed
 from .threads import run_always, run_thread
 
 logger = logging.getLogger(__name__)
@@ -42,11 +40,7 @@
         self._stopped = threading.Event()
         self._draining = False
         self._lock = threading.Lock()
-        self.bus = wspbus.Bus()
         assemble_routed(self, settings)
-        for server in self.servers:
-            adapter = servers.ServerAdapter(self.bus, server, server.bind_addr)
-            adapter.subscribe()
 
     def start(self):
         """Start serving; return when the listeners are open."""
@@ -62,7 +56,11 @@
         self._run_always("follower", self.follower.run)
         self._run_always("sweep", self.follower.run_sweep)
         self._run_always("metrics", self.metrics.run_flusher)
-        self.bus.start()
+        # CherryPy's own bus takes 0.15 s to load, in which callers of a host that
+        # restarts are not served; its server needs no more than this.
+        for server in self.servers:
+            server.prepare()
+            run_thread("server", server.serve)
 
     @property
     def is_ready(self):
@@ -127,6 +125,12 @@
         self.stopping.set()
         self._stopped.set()
 
+    def close(self):
+        """Stop at once and close all listeners."""
+        self.stop()
+        for server in self.servers:
+            server.stop()
+
     def wait(self):
         """Wait until the process has stopped."""
         self._stopped.wait()
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -1,11 +1,15 @@
 """Choice of where a host hears of the store's changes."""
 
 from .clock import read_clock
+from .feed import FROM_STORE
+from .knowledge import StoreError
 from .rendezvous import rank_hosts
 
 # A watch of the store that answers nothing for this long is asked anew, because a
 # connection on which an answer was lost stays silent.
 WATCH_WAIT_S = 0.9
+# A reader's source asks the store itself; other hosts ask a reader.
+READER_HOPS = 1
 # A source that failed is left out for this long.
 FEED_FAILED_S = 1.0
 STORE_FAILED_S = 2.5
@@ -34,10 +38,10 @@
 
         Returns
         -------
-        tuple of (StoreSnapshot, float)
-            The state and its age, which is 0.
+        tuple of (StoreSnapshot, Confirmation)
+            The state, and that it comes from the store.
         """
-        return self._store.read_all(), 0.0
+        return self._store.read_all(), FROM_STORE
 
     def watch(self, after):
         """Wait for changes.
@@ -49,19 +53,21 @@
 
         Returns
         -------
-        tuple of (tuple of StoreChange, int, float)
-            The changes, the revision to go on from, and their age, which is 0.
+        tuple of (tuple of StoreChange, int, Confirmation)
+            The changes, the revision to go on from, and that they come from the
+            store.
         """
         changes, revision = self._store.watch(after, self._wait_s)
-        return changes, revision, 0.0
+        return changes, revision, FROM_STORE
 
 
 class SourceChoice:
     """Orders the sources of a host.
 
-    One host of each data centre, found by rendezvous hashing, asks the store; the
-    others ask that host. When it fails, the readers of the other data centres
-    come next, then the store.
+    One host of each data centre, found by rendezvous hashing, reads for it; the
+    others ask that host. One of the readers asks the store, and the other readers
+    ask it. When a source fails, a reader turns to the store, and another host to
+    the readers of the other data centres, then to the store.
 
     Parameters
     ----------
@@ -122,17 +128,48 @@
         """
         self._failed.pop(source.name, None)
 
+    def check_confirmation(self, source, confirmation):
+        """Refuse what hosts have passed on to each other too often.
+
+        Readers that took each other's word would all rest on a store that none of
+        them asks, and learn late that it is away or that nobody hears it.
+
+        Parameters
+        ----------
+        source : StoreSource or FeedClient
+            The source.
+        confirmation : Confirmation
+            How fresh its answer is.
+
+        Raises
+        ------
+        StoreError
+            If the source has it from another host of the same rank.
+        """
+        most = READER_HOPS if self._is_reader else READER_HOPS + 1
+        if confirmation.hops > most:
+            raise StoreError(f"{source.name} does not hear the store itself")
+
     def _list_sources(self):
         own = self._members.own
         readers = self._find_readers()
         reader = readers.pop(own.data_centre, own)
+        first = self._find_first([reader, *readers.values()])
         others = [readers[name] for name in sorted(readers)]
         self._forget_feeds([reader, *others])
         feeds = [self._find_feed(member) for member in others]
         self._is_reader = reader.name == own.name
-        if self._is_reader:
+        if not self._is_reader:
+            return [self._find_feed(reader), *feeds, self._store]
+        if first.name == own.name:
             return [self._store, *feeds]
-        return [self._find_feed(reader), *feeds, self._store]
+        nearest = self._find_feed(first)
+        return [nearest, self._store, *(f for f in feeds if f is not nearest)]
+
+    def _find_first(self, readers):
+        """Return the reader that asks the store for all."""
+        by_name = {reader.name: reader for reader in readers}
+        return by_name[rank_hosts(by_name, "store-reader")[0]]
 
     def _find_readers(self):
         """Return the host of each data centre that asks the store."""
