Place waiting requests by the load told in responses, late ones last

Cause: in bursts the share of probes was used up. Callers that had been rejected came back with little time, were late whatever was done, and stood first in line.

Ruled out: too few places.

Change: the load in each response is a free sample, less the request that ends; the first in line takes it without a probe. Without probes a host uses no more than its share of the slots. The usual time budget of a route tells how long a caller has waited already; late requests stand behind the others. A caller that was refused while nobody waits comes back at once.

--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -164,6 +164,7 @@
         outcome = exchange.read_answer(attempt)
         state = exchange.state
         state.end()
+        self._dispatcher.lines.find(self._call.service.name).note_load()
         if outcome.is_error():
             self._dispatcher.record_failure(state, outcome.error)
             return outcome
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -142,10 +142,16 @@
             return
         self.stage = Stage.CONNECTING
 
-    def begin_plain(self):
-        """Take a connection without asking for the load."""
+    def begin_plain(self, sample=None):
+        """Take a connection without asking for the load.
+
+        Parameters
+        ----------
+        sample : LoadSample or None, default=None
+            The load that the choice of the instance rests on.
+        """
         self.connection = self.state.pool.take_idle() or self.state.pool.open()
-        self.sample = self.state.sample
+        self.sample = sample
         self.stage = Stage.READY
 
     def advance(self):
@@ -200,6 +206,10 @@
         except _FAULTS as error:
             self._fail(explain_fault(self.connection, error))
             return Error(self.failure)
+        if terms.load is not None and terms.request_id == attempt.attempt_id:
+            # A target counts the request that it answers.
+            load = terms.load if terms.not_run else terms.load.end_one()
+            self.state.record_load(replace(load, time=self._clock()))
         failure = self._judge(response, terms, attempt)
         if failure is None:
             return self._read_body(response, attempt)
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -1,11 +1,14 @@
 """Instances of targets that discovery lists, and what this host knows of them."""
 
 import threading
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .clock import read_clock
 from .instancepool import InstancePool
 
+# Load that a target told within this time still holds: nobody else has sent to it.
+RECENT_LOAD_S = 0.01
+
 # An instance is left out for a while after failures of this weight in a row. Each
 # host sends a target about one request a second, so one lost answer must do.
 EJECT_WEIGHT = 1.0
@@ -77,6 +80,18 @@
     time: float = 0.0
     healthy: bool = True
 
+    def end_one(self):
+        """Return the load after one of the requests in progress has ended.
+
+        Returns
+        -------
+        LoadSample
+            The next request of the queue has taken the free slot.
+        """
+        if self.waiting:
+            return replace(self, waiting=self.waiting - 1)
+        return replace(self, running=max(0, self.running - 1))
+
 
 class InstanceState:
     """What this host knows of one instance.
@@ -159,10 +174,42 @@
         elif sample.time < self.cold_until:
             self.cold_until = sample.time
 
+    def record_load(self, sample):
+        """Note the load that the instance told in the response to a request.
+
+        Such a response says nothing of a cold start, unlike that to a probe.
+
+        Parameters
+        ----------
+        sample : LoadSample
+            The load.
+        """
+        cold_s = max(0.0, self.cold_until - sample.time)
+        self.sample = replace(sample, cold_s=cold_s)
+
+    def has_recent_load(self, now):
+        """Tell whether the instance told its load a moment ago.
+
+        Parameters
+        ----------
+        now : float
+            Present time.
+
+        Returns
+        -------
+        bool
+            True when a request can be placed without a probe.
+        """
+        sample = self.sample
+        return sample is not None and now - sample.time <= RECENT_LOAD_S
+
     def begin(self):
         """Count a request that is sent to the instance."""
         with self._lock:
             self.in_flight += 1
+            if self.sample is not None:
+                # The next request must not find the same slot free.
+                self.sample = replace(self.sample, running=self.sample.running + 1)
 
     def end(self):
         """Count the end of a request."""
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -313,6 +313,32 @@
     return (poor or state.is_silent, rng.random())
 
 
+@candidate_policies.register("recent-load")
+def pick_recent_load(states, query, rng=random):
+    """Return the instances that told their load a moment ago.
+
+    Load pattern: while all targets are full, the only news of a free place is the
+    response to a request that just ended there. Probes at that time mostly find
+    full targets and use up their share.
+
+    Parameters
+    ----------
+    states : sequence of InstanceState
+        Instances of the service.
+    query : CandidateQuery
+        What is wanted.
+    rng : random.Random, default=random
+        Not used.
+
+    Returns
+    -------
+    list of InstanceState
+        All of them, in no order.
+    """
+    pool = _find_pool(states, query)
+    return [state for state in pool if state.has_recent_load(query.now)]
+
+
 @candidate_policies.register("least-requests")
 def pick_least_requests(states, query, rng=random):
     """Return the instances with the fewest requests of this host.
--- a/redwingspring/placesearch.py
+++ b/redwingspring/placesearch.py
@@ -1,7 +1,5 @@
 """Search for a target that answers a call in time."""
 
-import time
-
 from expression import Error, Ok
 
 from .exchanges import Exchange, Stage, poll_exchanges
@@ -62,7 +60,9 @@
             if placed is not None:
                 return placed
         placed = None
-        ticket = line.enter(call.route.priority, call.received)
+        wait = self._dispatcher.describe_wait(call)
+        late_at = self._clock() + wait.in_time_s - wait.work_s
+        ticket = line.enter(call.route.priority, call.received, late_at)
         try:
             placed = self._wait_for_place(line, ticket)
             return placed
@@ -78,13 +78,24 @@
                 detail = f"no place in time, {ahead} requests are ahead"
                 return Error(refuse(Reason.NO_CAPACITY, detail))
             if ticket.first.wait(LOOK_AGAIN_S):
-                placed = self._try_place()
+                placed = self._try_place() or self._wait_for_load(line)
                 if placed is not None:
                     return placed
-                time.sleep(LOOK_AGAIN_S)
             if self._caller_left():
                 return Error(refuse(Reason.CALLER_GONE, "the caller hung up", 400))
 
+    def _wait_for_load(self, line):
+        """Take a place that a response shows before it is time to probe again."""
+        end = self._clock() + LOOK_AGAIN_S
+        while (left := end - self._clock()) > 0:
+            if line.wait_load(left):
+                states = self._dispatcher.find_instances(self._call)
+                wait = self._dispatcher.describe_wait(self._call)
+                exchange = self._take_recent(states, wait, self._accepts)
+                if exchange is not None:
+                    return Ok(exchange)
+        return None
+
     def _try_place(self):
         """Look once; return Ok with an Exchange, an Error, or None to wait."""
         wait = self._dispatcher.describe_wait(self._call)
@@ -124,25 +135,50 @@
         Exchange or None
             An exchange that is ready to send; None when no place was found.
         """
+        recent = self._take_recent(states, wait, accepts)
+        if recent is not None:
+            return recent
         service = self._call.service.name
+        tells_load = any(state.tells_load for state in states)
         probes = 0
-        if any(state.tells_load for state in states):
+        if tells_load:
             probes = self._dispatcher.probes.take(service, len(states), CANDIDATES)
-        query = CandidateQuery(
+        usable = self._without_foreign_cold(states)
+        query = self._build_query(wait, probes or CANDIDATES)
+        if probes:
+            chosen = candidate_policies.find("fresh-load")(usable, query)
+            return self._select(self._probe(chosen, accepts), accepts)
+        if tells_load and not self._dispatcher.may_send_blindly(states):
+            return None
+        return self._take_plain(
+            candidate_policies.find("least-requests")(usable, query)
+        )
+
+    def _build_query(self, wait, count):
+        """Return what a candidate policy needs to know of the call."""
+        return CandidateQuery(
             self._dispatcher.data_centre,
-            probes or CANDIDATES,
+            count,
             may_spread(wait, self._dispatcher.history.expect_size(self._call.route)),
             frozenset(self.tried),
             self._clock(),
             needs_ejected(wait),
         )
+
+    def _take_recent(self, states, wait, accepts):
+        """Return an exchange with an instance that told its load a moment ago."""
         usable = self._without_foreign_cold(states)
-        name = "fresh-load" if probes else "least-requests"
-        chosen = candidate_policies.find(name)(usable, query)
-        if not probes:
-            return self._take_plain(chosen)
-        answered = self._probe(chosen, accepts)
-        return self._select(answered, accepts)
+        query = self._build_query(wait, len(usable))
+        recent = candidate_policies.find("recent-load")(usable, query)
+        # The load that is judged here may change with the next response.
+        loads = [(state, state.sample) for state in recent]
+        fit = [(state, sample) for state, sample in loads if accepts(sample)]
+        while fit:
+            state, sample = fit.pop(choose_best([load for _, load in fit]))
+            if self._may_use_cold(state):
+                self._metrics.increment("placements.without_probe")
+                return self._open_plain(state, sample)
+        return None
 
     def _without_foreign_cold(self, states):
         """Leave out cold instances that belong to another host."""
@@ -160,11 +196,15 @@
             if state.tells_load and state.in_flight:
                 continue
             if self._may_use_cold(state):
-                exchange = Exchange(state, self._dispatcher.dialect)
-                exchange.begin_plain()
-                return exchange
+                return self._open_plain(state, None)
         return None
 
+    def _open_plain(self, state, sample):
+        """Return an exchange that is ready to send without a probe."""
+        exchange = Exchange(state, self._dispatcher.dialect)
+        exchange.begin_plain(sample)
+        return exchange
+
     def _probe(self, chosen, accepts):
         """Return the exchanges whose instances told their load in time."""
         pending, answered = [], []
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -56,6 +56,7 @@
         ),
         probes=ProbeShare(settings.probe_rate, hosts),
         cold=ColdShare(settings.name, entry.members.list_serving_names),
+        hosts=hosts,
         metrics=entry.metrics,
         decisions=entry.decisions,
         data_centre=settings.data_centre,
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -4,6 +4,7 @@
 
 from expression import Error
 
+from .budgets import CallerBudgets
 from .clock import read_clock
 from .deliveries import Delivery
 from .placement import ServiceHistory
@@ -14,6 +15,7 @@
 # A refusal may be a race for the last slot, and a slow answer a short spell.
 _WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
 # Failures that say nothing about the target.
+_NO_ROOM = frozenset((Reason.NO_CAPACITY, Reason.DEADLINE))
 _BLAMELESS = frozenset(
     (Reason.CALLER_GONE, Reason.DEADLINE, Reason.STALE_DECISION, Reason.MALFORMED)
 )
@@ -45,6 +47,8 @@
         When it must have been answered.
     socket : socket.socket or None
         The caller's connection.
+    earlier_s : float, default=0.0
+        Seconds that the caller had waited before this request arrived.
     """
 
     request_id: str
@@ -57,6 +61,7 @@
     received: float
     deadline: float
     socket: object
+    earlier_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -90,6 +95,8 @@
         Share of probes.
     cold : ColdShare
         Share of requests to cold targets.
+    hosts : HostCount
+        Number of hosts that share the targets.
     metrics : Metrics
         Counters.
     decisions : DecisionLog
@@ -110,6 +117,7 @@
         retries,
         probes,
         cold,
+        hosts,
         metrics,
         decisions,
         data_centre,
@@ -122,7 +130,9 @@
         self.probes = probes
         self.lines = WaitingLines()
         self.history = ServiceHistory()
+        self.budgets = CallerBudgets()
         self.cold = cold
+        self.hosts = hosts
         self.metrics = metrics
         self.decisions = decisions
         self.data_centre = data_centre
@@ -161,7 +171,11 @@
         failure = outcome.error
         retry_after = None
         if failure.proves_not_run:
-            retry_after = choose_return_time(self.describe_wait(call))
+            waiting = len(self.lines.find(call.service.name))
+            if failure.reason in _NO_ROOM:
+                # The request itself was the last in line.
+                waiting += 1
+            retry_after = choose_return_time(self.describe_wait(call), waiting)
         return Error(Rejection(failure, retry_after))
 
     def describe_wait(self, call):
@@ -185,6 +199,7 @@
             call.route.priority,
             self.top_priority,
             self.history.expect_work(call.route),
+            call.earlier_s,
         )
 
     def find_instances(self, call):
@@ -208,6 +223,27 @@
             s for s in states if self.regions.get(s.instance.data_centre) in allowed
         )
 
+    def may_send_blindly(self, states):
+        """Tell whether a request may be placed without fresh load of a target.
+
+        Load pattern: in a long burst the share of probes is used up. Hosts that
+        then sent wherever they had nothing in progress filled the queues of
+        targets, where requests waited past their use.
+
+        Parameters
+        ----------
+        states : sequence of InstanceState
+            Instances of the service.
+
+        Returns
+        -------
+        bool
+            True while this host uses less than its share of the slots.
+        """
+        slots = sum(state.instance.slots for state in states)
+        in_progress = sum(state.in_flight for state in states)
+        return in_progress < max(1.0, slots / self.hosts.value)
+
     def record_failure(self, state, failure):
         """Count a failure against an instance unless it has another cause.
 
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -148,6 +148,7 @@
                 received=received,
                 deadline=deadline,
                 socket=connection.socket if connection else None,
+                earlier_s=self.dispatcher.budgets.note(route, terms.time_left_s),
             )
         )
 
--- a/redwingspring/waiting.py
+++ b/redwingspring/waiting.py
@@ -39,6 +39,8 @@
 # Share of the caller's remaining time that may pass before it comes back.
 MAX_RETURN_SHARE = 0.3
 MIN_RETURN_S = 0.05
+# Longest time after which a caller comes back while targets have room.
+QUICK_RETURN_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -59,6 +61,8 @@
         The highest rank among all routes.
     work_s : float, default=0.0
         Expected seconds of work at an idle target.
+    earlier_s : float, default=0.0
+        Seconds that the caller had waited before this request arrived.
     """
 
     waited_s: float
@@ -67,6 +71,7 @@
     priority: int
     top_priority: int
     work_s: float = 0.0
+    earlier_s: float = 0.0
 
     @property
     def is_urgent(self):
@@ -76,7 +81,7 @@
     @property
     def in_time_s(self):
         """Return the seconds left within the target latency."""
-        return self.target_latency_s - self.waited_s
+        return self.target_latency_s - self.waited_s - self.earlier_s
 
     @property
     def is_late(self):
@@ -188,12 +193,16 @@
         return True
     if not ahead or not places_per_s:
         return False
-    return ahead / places_per_s + wait.work_s > wait.in_time_s
+    usable_s = wait.left_s if wait.is_late else wait.in_time_s
+    return ahead / places_per_s + wait.work_s > usable_s
 
 
-def choose_return_time(wait, rng=random):
+def choose_return_time(wait, waiting, rng=random):
     """Return after how many seconds a rejected caller should come back.
 
+    Load pattern: in a burst all places are taken for seconds, and callers that come
+    back early are rejected again. Where single targets refuse a part of their
+    requests, others have room, and each moment of waiting makes the caller late.
     The time is spread, so that the callers rejected in one moment do not all
     return in another.
 
@@ -201,6 +210,8 @@
     ----------
     wait : Wait
         The rejected request.
+    waiting : int
+        Requests of the service that wait for a place at this host.
     rng : random.Random, default=random
         Source of the spread.
 
@@ -209,5 +220,7 @@
     float
         Seconds, with fractions.
     """
+    if not waiting and not wait.is_late:
+        return round(rng.uniform(0.0, QUICK_RETURN_S), 3)
     most = max(MIN_RETURN_S, wait.left_s * MAX_RETURN_SHARE)
     return round(rng.uniform(0.4, 1.0) * most, 3)
--- a/redwingspring/waitinglines.py
+++ b/redwingspring/waitinglines.py
@@ -2,8 +2,9 @@
 
 Load pattern: in a burst many requests of one host wait at once. If each of them
 asked targets for their load, probes would grow with the square of the overload,
-and whoever asks at the right moment would win. Only the first in line asks; the
-most urgent requests stand first, among equals the oldest.
+and whoever asks at the right moment would win. Only the first in line asks.
+Requests that can be answered in time stand first, among them the most urgent, among
+equals the oldest.
 """
 
 import threading
@@ -17,7 +18,7 @@
 RATE_SAMPLES = 256
 
 
-@dataclass(order=True)
+@dataclass(frozen=True)
 class Ticket:
     """Place of one request in a line.
 
@@ -29,13 +30,33 @@
         When it arrived.
     number : int
         Tells equal ones apart.
+    late_at : float
+        When it can no longer be answered in time.
+    first : threading.Event
+        Set while it is the first in line.
     """
 
     priority: int
     received: float
     number: int
+    late_at: float = float("inf")
     first: threading.Event = field(default_factory=threading.Event, compare=False)
 
+    def rank(self, now):
+        """Return the sort key of the place; the smallest comes first.
+
+        Parameters
+        ----------
+        now : float
+            Present time.
+
+        Returns
+        -------
+        tuple
+            Late requests come after all others.
+        """
+        return (now >= self.late_at, self.priority, self.received, self.number)
+
 
 class WaitingLine:
     """Requests of one service that wait for a place.
@@ -52,6 +73,7 @@
         self._tickets = []
         self._number = 0
         self._placed = deque(maxlen=RATE_SAMPLES)
+        self._load_told = threading.Event()
 
     def __len__(self):
         return len(self._tickets)
@@ -78,9 +100,11 @@
             0 for the first in line.
         """
         with self._lock:
-            return sum(other < ticket for other in self._tickets)
+            now = self._clock()
+            own = ticket.rank(now)
+            return sum(other.rank(now) < own for other in self._tickets)
 
-    def enter(self, priority, received):
+    def enter(self, priority, received, late_at=float("inf")):
         """Join the line.
 
         Parameters
@@ -89,6 +113,8 @@
             Rank of the request; 0 is the highest.
         received : float
             When it arrived.
+        late_at : float, default=inf
+            When it can no longer be answered in time.
 
         Returns
         -------
@@ -97,7 +123,7 @@
         """
         with self._lock:
             self._number += 1
-            ticket = Ticket(priority, received, self._number)
+            ticket = Ticket(priority, received, self._number, late_at)
             self._tickets.append(ticket)
             self._mark_first()
             return ticket
@@ -118,9 +144,31 @@
                 self._placed.append(self._clock())
             self._mark_first()
 
+    def note_load(self):
+        """Let the first in line look at a load that a target has just told."""
+        self._load_told.set()
+
+    def wait_load(self, timeout_s):
+        """Wait until a target tells its load.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        bool
+            False when none did.
+        """
+        told = self._load_told.wait(timeout_s)
+        self._load_told.clear()
+        return told
+
     def _mark_first(self):
         """Let the first in line go on, and nobody else; the lock is held."""
-        first = min(self._tickets, default=None)
+        now = self._clock()
+        first = min(self._tickets, key=lambda t: t.rank(now), default=None)
         for ticket in self._tickets:
             if ticket is first:
                 ticket.first.set()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -80,6 +80,28 @@
             state.sample = slow
         self.assertEqual({"i-2", "i-3", "i-4"}, self.pick_ids(self.near))
 
+    def test_the_load_told_in_a_response_gives_a_place_without_a_probe(self):
+        """In a burst probes find full targets; responses tell of free slots."""
+        pick = candidate_policies.find("recent-load")
+        state = self.near[0]
+        state.record_load(LoadSample(3, 0, 3, time=9.995).end_one())
+        self.assertEqual([state], pick(self.near, query()))
+        self.assertEqual(2, state.sample.running)
+        state.begin()
+        self.assertEqual(3, state.sample.running)
+        self.assertEqual([], pick(self.near, query(now=10.1)))
+
+    def test_a_response_does_not_end_a_cold_start(self):
+        state = self.near[0]
+        state.record_sample(LoadSample(0, 0, 3, cold_s=2.0, time=10.0))
+        state.record_load(LoadSample(1, 0, 3, time=10.5))
+        self.assertTrue(state.is_cold(10.6))
+        self.assertTrue(state.sample.cold_s > 0)
+
+    def test_a_queue_at_a_target_keeps_its_slots_full_when_a_request_ends(self):
+        ended = LoadSample(3, 2, 3).end_one()
+        self.assertEqual((3, 1), (ended.running, ended.waiting))
+
     def test_slowness_of_long_ago_does_not_count(self):
         old = LoadSample(0, 0, 3, slowness=5.0, time=8.0)
         for state in self.near[1:]:
@@ -202,11 +224,24 @@
 
     def test_rejected_callers_do_not_all_return_at_once(self):
         source = random.Random(5)
-        times = [choose_return_time(self.wait(0.1), source) for _ in range(200)]
+        wait = self.wait(0.1)
+        times = [choose_return_time(wait, 1, source) for _ in range(200)]
         self.assertTrue(max(times) - min(times) > 0.08)
         # A caller honours at most a third of the time that it has left.
         self.assertTrue(max(times) <= 0.7 / 3)
 
+    def test_a_caller_comes_back_at_once_while_targets_have_room(self):
+        """Targets that refuse a part of their requests make it late otherwise."""
+        self.assertTrue(choose_return_time(self.wait(0.02), 0) < 0.03)
+        late = Wait(0.02, 0.4, 0.25, 2, 1, 0.09, earlier_s=0.4)
+        self.assertTrue(choose_return_time(late, 0) > 0.04)
+
+    def test_a_late_request_waits_as_long_as_it_can_still_be_answered(self):
+        late = Wait(0.02, 0.5, 0.25, 2, 1, 0.09, earlier_s=0.3)
+        self.assertTrue(late.is_late)
+        self.assertFalse(should_reject(late, 20, 100.0))
+        self.assertTrue(should_reject(late, 50, 100.0))
+
     def test_a_leaving_target_is_no_place(self):
         sample = LoadSample(0, 0, 3, healthy=False)
         self.assertFalse(accepts_place(sample, self.wait(0), 1.7))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -2,9 +2,11 @@
 
 import random
 
+from redwingspring.routedispatch import RouteDispatcher
 from redwingspring.shares import ColdShare, HostCount, RetryShare
 
 from .base import RedwingspringTestCase
+from .test_placement import build_state
 
 HOSTS = 18
 RATIO = 0.2
@@ -113,3 +115,24 @@
         names = [f"host-{n}" for n in range(HOSTS)]
         sent = self.play([names[:9]] * 9 + [names[9:]] * 9)
         self.assertTrue(count_windows(sent, 1.0) <= COLD_BOUND)
+
+
+class BlindShareTest(RedwingspringTestCase):
+    def test_hosts_without_probes_together_do_not_fill_the_queues_of_targets(self):
+        hosts = HostCount()
+        hosts.note(18)
+        sent = 0
+        for _ in range(18):
+            dispatcher = build_dispatcher(hosts)
+            states = [build_state(number) for number in range(14)]
+            while dispatcher.may_send_blindly(states):
+                min(states, key=lambda state: state.in_flight).begin()
+                sent += 1
+        slots = 14 * 3
+        self.assertTrue(slots <= sent <= slots + 18, sent)
+
+
+def build_dispatcher(hosts):
+    names = ("directory", "dialect", "retries", "probes", "cold", "metrics")
+    others = dict.fromkeys((*names, "decisions", "data_centre", "regions"))
+    return RouteDispatcher(hosts=hosts, **others)
--- a/tests/test_waitinglines.py
+++ b/tests/test_waitinglines.py
@@ -34,6 +34,22 @@
         line.enter(1, 2.0)
         self.assertFalse(first.first.is_set())
 
+    def test_a_request_that_is_late_lets_those_in_time_go_first(self):
+        now = [10.0]
+        line = WaitingLine(lambda: now[0])
+        urgent = line.enter(1, 1.0, late_at=10.5)
+        self.assertTrue(urgent.first.is_set())
+        now[0] = 11.0
+        other = line.enter(2, 2.0, late_at=12.0)
+        self.assertTrue(other.first.is_set())
+        self.assertEqual((1, 0), (line.count_ahead(urgent), line.count_ahead(other)))
+
+    def test_a_told_load_wakes_the_first_in_line_once(self):
+        line = WaitingLine()
+        line.note_load()
+        self.assertTrue(line.wait_load(1.0))
+        self.assertFalse(line.wait_load(0.001))
+
     def test_nobody_is_left_behind_when_many_come_and_go(self):
         line = WaitingLine()
         served = []
@@ -73,6 +89,36 @@
         self.assertTrue(self.play(in_line=True) < self.play(in_line=False) / 3)
 
 
+class ReturningCallersReplayTest(RedwingspringTestCase):
+    """Rejected callers come back with little time during a burst."""
+
+    def play(self, knows_late):
+        """Return how many requests of a burst find a place in time."""
+        now = [0.0]
+        line = WaitingLine(lambda: now[0])
+        source = random.Random(8)
+        tickets, in_time = {}, 0
+        for step in range(1500):
+            now[0] = step * 0.01
+            if source.random() < 0.9:
+                returns = source.random() < 0.5
+                late_at = now[0] + (-0.05 if returns else 0.15)
+                known = late_at if knows_late else float("inf")
+                tickets[line.enter(2, now[0], known)] = late_at
+            # Only half of those that arrive find a place.
+            if step % 2 and tickets:
+                [first] = [t for t in tickets if t.first.is_set()]
+                in_time += tickets.pop(first) >= now[0]
+                line.leave(first, placed=True)
+            for ticket in [t for t in tickets if now[0] - t.received > 0.3]:
+                del tickets[ticket]
+                line.leave(ticket)
+        return in_time
+
+    def test_more_is_in_time_when_late_requests_stand_behind(self):
+        self.assertTrue(self.play(True) > 1.5 * self.play(False))
+
+
 class ProbeShareTest(RedwingspringTestCase):
     def test_the_sum_over_hosts_stays_within_the_rate(self):
         now = [100.0]
