Check documents with msgspec, spare last slots, and name reachable data centres

Causes: 0.1 s of a start was pydantic and its models. The slowdown of nearly full targets was learned from requests whose neighbours ended soon after the send, so that the last slots looked harmless in bursts.

Change: settings and documents are checked by msgspec; the slowdown is learned only from targets that stayed nearly full; the last slots are used where they add a tenth to the throughput, else after a wait, also by urgent requests; the directory names the other data centres' hosts while one is evacuated; requests that are not first in line look again every 30 ms.

--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -185,7 +185,12 @@
         seconds = self._clock() - exchange.sent_at
         self._dispatcher.history.record(
             Outcome(
-                call.route, call.service.name, exchange.sample, seconds, answer.length
+                call.route,
+                call.service.name,
+                exchange.sample,
+                seconds,
+                answer.length,
+                exchange.end_sample,
             )
         )
 
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -96,6 +96,7 @@
     def __init__(self, state, dialect, clock=read_clock):
         self.state = state
         self.sample = None
+        self.end_sample = None
         self.failure = None
         self.started_at = clock()
         self.sent_at = None
@@ -207,6 +208,7 @@
             self._fail(explain_fault(self.connection, error))
             return Error(self.failure)
         if terms.load is not None and terms.request_id == attempt.attempt_id:
+            self.end_sample = terms.load
             # A target counts the request that it answers.
             load = terms.load if terms.not_run else terms.load.end_one()
             self.state.record_load(replace(load, time=self._clock()))
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -81,6 +81,8 @@
         Time from the send to the end of the response.
     size : int or None
         Bytes of the body; None when it is not known.
+    end_sample : LoadSample or None, default=None
+        Load that the response told; the request itself is counted in it.
     """
 
     route: object
@@ -88,6 +90,15 @@
     sample: object
     seconds: float
     size: int | None
+    end_sample: object = None
+
+    @property
+    def is_mixed(self):
+        """Tell whether the target was nearly full for only a part of the work."""
+        end = self.end_sample
+        if self.sample is None or end is None:
+            return False
+        return is_nearly_full(self.sample) != is_nearly_full(end.end_one())
 
 
 class ServiceHistory:
@@ -115,7 +126,7 @@
         sample = outcome.sample
         if sample is None or sample.waiting or sample.cold_s > 0:
             return
-        if sample.slowness > USUAL_SLOWNESS:
+        if sample.slowness > USUAL_SLOWNESS or outcome.is_mixed:
             return
         seconds = outcome.seconds / sample.slowness
         prefix = outcome.route.prefix
@@ -215,6 +226,22 @@
     return (sample.running + 1) / max(1, sample.slots) > NEARLY_FULL
 
 
+def count_usual_slots(slots):
+    """Return how many slots of a target can be in use before it is nearly full.
+
+    Parameters
+    ----------
+    slots : int
+        All its slots.
+
+    Returns
+    -------
+    int
+        At least 1.
+    """
+    return max(1, int(NEARLY_FULL * slots))
+
+
 def predict_factor(sample, last_slots_factor=NEARLY_FULL_FACTOR):
     """Return the predicted time of one more request, relative to the usual time.
 
--- a/redwingspring/placesearch.py
+++ b/redwingspring/placesearch.py
@@ -17,6 +17,8 @@
 # before it joins the line.
 CANDIDATES = 2
 FIRST_LOOKS = 2
+# How often a request that is not the first in line considers giving up.
+REVIEW_S = 0.03
 # Longest wait for the answers to probes.
 PROBE_WAIT_S = 0.025
 # Wait for further answers after the first acceptable one.
@@ -77,7 +79,7 @@
             if should_reject(wait, ahead, line.places_per_s):
                 detail = f"no place in time, {ahead} requests are ahead"
                 return Error(refuse(Reason.NO_CAPACITY, detail))
-            if ticket.first.wait(LOOK_AGAIN_S):
+            if ticket.first.wait(REVIEW_S):
                 placed = self._try_place() or self._wait_for_load(line)
                 if placed is not None:
                     return placed
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -1,9 +1,8 @@
 """Documents in the platform's store, decoded into types of the product."""
 
-import json
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from msgspec import Meta, MsgspecError, Struct, json
 
 from ..errors import DocumentError
 from ..instances import Instance
@@ -20,67 +19,60 @@
 EVACUATION_PREFIX = "op/evacuate/"
 INSTANCE_PREFIX = "servers/"
 
-_Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
-_NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
-_Text = Annotated[str, Field(min_length=1, max_length=1024)]
+_Positive = Annotated[float, Meta(gt=0, le=1e9)]
+_NotNegative = Annotated[float, Meta(ge=0, le=1e9)]
+_Text = Annotated[str, Meta(min_length=1, max_length=1024)]
 
 
-class _Document(BaseModel):
-    model_config = ConfigDict(extra="ignore", strict=True)
-
-
-class _Share(_Document):
+class _Share(Struct, frozen=True):
     service: _Text
     weight: _NotNegative
 
 
-class _Route(_Document):
+class _Route(Struct, frozen=True):
     name: _Text
     prefix: _Text
     type: Literal["idempotent", "non_idempotent", "download"]
     timeout_s: _Positive
     target_latency_s: _Positive
-    max_attempts: Annotated[int, Field(ge=1)] = 1
+    max_attempts: Annotated[int, Meta(ge=1)] = 1
     priority: int = 0
     service: _Text | None = None
-    traffic_split: list[_Share] = []
-    allowed_regions: list[_Text] = []
+    traffic_split: tuple[_Share, ...] = ()
+    allowed_regions: tuple[_Text, ...] = ()
 
-    @model_validator(mode="after")
-    def _check_services(self):
+    def __post_init__(self):
         if self.service is None and not any(s.weight for s in self.traffic_split):
             raise ValueError("names no service with a weight")
-        return self
 
 
-class _Host(_Document):
+class _Host(Struct, frozen=True):
     host: _Text
     paths: list[_Route]
 
 
-class _Service(_Document):
+class _Service(Struct, frozen=True):
     name: _Text
     health_path: _Text = "/health"
-    max_conns: Annotated[int, Field(ge=1)] = 1
+    max_conns: Annotated[int, Meta(ge=1)] = 1
     warmup_s: _NotNegative = 0.0
     warmup_per_s: _NotNegative = 0.0
 
 
-class _Limits(_Document):
-    max_header_bytes: Annotated[int, Field(gt=0)] = CallerLimits.header_bytes
-    max_body_bytes: Annotated[int, Field(ge=0)] = CallerLimits.body_bytes
+class _Limits(Struct, frozen=True):
+    max_header_bytes: Annotated[int, Meta(gt=0)] = CallerLimits.header_bytes
+    max_body_bytes: Annotated[int, Meta(ge=0)] = CallerLimits.body_bytes
     header_timeout_s: _Positive = CallerLimits.header_timeout_s
     idle_timeout_s: _Positive = CallerLimits.idle_timeout_s
 
 
-class _Configuration(_Document):
+class _Configuration(Struct, frozen=True):
     config_version: int
     services: list[_Service]
     virtual_hosts: list[_Host]
     limits: _Limits = _Limits()
 
-    @model_validator(mode="after")
-    def _check_references(self):
+    def __post_init__(self):
         known = {service.name for service in self.services}
         for host in self.virtual_hosts:
             for route in host.paths:
@@ -88,21 +80,20 @@
                 named |= {route.service} - {None}
                 if unknown := named - known:
                     raise ValueError(f"route {route.name} names {sorted(unknown)}")
-        return self
 
 
-class _InstanceInfo(_Document):
+class _InstanceInfo(Struct, frozen=True):
     service: _Text
     zone: _Text
-    max_concurrency: Annotated[int, Field(ge=1)] = 1
+    max_concurrency: Annotated[int, Meta(ge=1)] = 1
 
 
-class _InstanceStatus(_Document):
+class _InstanceStatus(Struct, frozen=True):
     state: Literal["ready", "draining"]
     warmup_left_s: _NotNegative = 0.0
 
 
-class _InstanceEntry(_Document):
+class _InstanceEntry(Struct, frozen=True):
     address: _Text
     info: _InstanceInfo
     status: _InstanceStatus
@@ -238,15 +229,6 @@
 def _read(model, value, key):
     """Return a checked document."""
     try:
-        return model.model_validate_json(value)
-    except ValidationError as error:
-        faults = error.errors(include_url=False, include_input=False)
-        raise DocumentError(
-            [
-                f"{key}: {'.'.join(map(str, fault['loc'])) or 'document'}: "
-                f"{fault['msg']}"
-                for fault in faults[:5]
-            ]
-        ) from error
-    except (UnicodeDecodeError, json.JSONDecodeError, RecursionError) as error:
-        raise DocumentError([f"{key}: cannot be read: {error}"]) from error
+        return json.decode(value, type=model)
+    except (MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise DocumentError([f"{key}: {error}"]) from error
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -76,7 +76,6 @@
             The table.
         """
         self.server.apply_limits(table.limits)
-        self.dispatcher.apply_table(table)
         if self.members.own.state is MemberState.STARTING and not self._draining:
             self.gossip.announce(MemberState.SERVING)
 
@@ -94,7 +93,11 @@
             Addresses of hosts, and the seconds to keep them.
         """
         serving = self.members.list_serving()
+        evacuated = self.directory.view.evacuated
         near = [m for m in serving if m.data_centre == data_centre]
+        if data_centre in evacuated:
+            # Requests that enter there all go on to another data centre.
+            near = [m for m in serving if m.data_centre not in evacuated]
         chosen = near if len(near) >= MIN_NEAR_HOSTS else serving
         addresses = [member.address for member in chosen]
         if len(addresses) > MAX_ADDRESSES:
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -138,18 +138,6 @@
         self.data_centre = data_centre
         self.regions = regions
         self.clock = clock
-        self.top_priority = 0
-
-    def apply_table(self, table):
-        """Take a newer routing table.
-
-        Parameters
-        ----------
-        table : RoutingTable
-            The table.
-        """
-        priorities = [r.priority for routes in table.hosts.values() for r in routes]
-        self.top_priority = min(priorities, default=0)
 
     def send(self, call):
         """Make attempts until one is answered or none is allowed.
@@ -196,8 +184,6 @@
             now - call.received,
             call.deadline - now,
             call.route.target_latency_s,
-            call.route.priority,
-            self.top_priority,
             self.history.expect_work(call.route),
             call.earlier_s,
         )
--- a/redwingspring/routedsettings.py
+++ b/redwingspring/routedsettings.py
@@ -1,15 +1,15 @@
 """Settings of an entry process that follows a store, read from a YAML file."""
 
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import Annotated, Literal
 
-from pydantic import ConfigDict, Field, TypeAdapter
+import msgspec
 
-from .settings import Address, Count, Name, Seconds, Text, check_settings
+from .settings import Address, Name, Seconds, check_settings
 from .yamlsource import YamlSource
 
-_Factor = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+_Factor = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
 @dataclass(frozen=True)
@@ -59,11 +59,9 @@
         Probes a second that each target may get, over all hosts.
     """
 
-    __pydantic_config__ = ConfigDict(extra="forbid")
-
     name: Name
     data_centre: Name
-    data_centres: dict[Text, Text] = field(repr=False)
+    data_centres: dict[str, str] = field(repr=False)
     address: Address
     ready_address: Address
     directory_address: Address
@@ -73,13 +71,13 @@
     metrics_address: Address | None = None
     statsd: Address | None = None
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"] = "INFO"
-    max_connections: Annotated[Count, Field(ge=1, le=100_000)] = 1024
+    max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1024
     grace: Seconds = 6.0
     address_keep: Seconds = 2.0
     retry_ratio: _Factor = 0.2
     retry_slack: _Factor = 0.0
     retry_window: Seconds = 10.0
-    probe_rate: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 20.0
+    probe_rate: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 20.0
 
     @property
     def source(self):
@@ -98,10 +96,6 @@
         return MappingProxyType(self.data_centres)
 
 
-_ADAPTER = TypeAdapter(RoutedSettings)
-_NAMES = tuple(item.name for item in fields(RoutedSettings))
-
-
 def is_routed(text):
     """Tell whether a settings file is one of an entry process with a store.
 
@@ -139,7 +133,7 @@
         With one message for each fault.
     """
     source = YamlSource(text, name)
-    settings, entries = check_settings(source, _ADAPTER, _NAMES)
+    settings, entries = check_settings(source, RoutedSettings)
     if settings is not None and settings.data_centre not in settings.data_centres:
         source.report(entries["data_centre"], "is none of data_centres")
     source.raise_problems()
--- a/redwingspring/settings.py
+++ b/redwingspring/settings.py
@@ -1,18 +1,11 @@
 """A host's own settings, read from a YAML file."""
 
-from dataclasses import dataclass, field, fields
-from typing import Annotated, Literal
+import re
+from dataclasses import MISSING, dataclass, field, fields
+from typing import Annotated, Literal, get_args, get_type_hints
 from urllib.parse import urlsplit
 
-from pydantic import (
-    AfterValidator,
-    BeforeValidator,
-    ConfigDict,
-    Field,
-    Strict,
-    TypeAdapter,
-    ValidationError,
-)
+import msgspec
 
 from .units import check_address, check_name, parse_quantity
 from .yamlsource import YamlSource, describe, describe_text_fault
@@ -34,25 +27,73 @@
     return text
 
 
-def _read_size(value):
-    return parse_quantity("size", value) if isinstance(value, str) else value
+class Address(str):
+    """An ``ip:port``."""
 
 
-def _read_duration(value):
-    return parse_quantity("duration", value) if isinstance(value, str) else value
+class Name(str):
+    """A name that appears in the names of metrics."""
 
 
-Text = Annotated[str, Strict()]
-Count = Annotated[int, Strict()]
-Address = Annotated[Text, AfterValidator(check_address)]
-Name = Annotated[Text, AfterValidator(check_name)]
-Size = Annotated[Count, BeforeValidator(_read_size)]
-Seconds = Annotated[
-    float,
-    Strict(),
-    BeforeValidator(_read_duration),
-    Field(gt=0, le=3600, allow_inf_nan=False),
-]
+class Url(str):
+    """The base URL of a service."""
+
+
+class Size(int):
+    """A number of bytes between two bounds."""
+
+    least, most = 0, 1 << 62
+
+
+class HeaderSize(Size):
+    """A size of 1 KiB to 1 MiB."""
+
+    least, most = 1 << 10, 1 << 20
+
+
+class BodySize(Size):
+    """A size of up to 1 TiB."""
+
+    least, most = 0, 1 << 40
+
+
+class Seconds(float):
+    """A time above 0 and up to an hour."""
+
+    least, most = 0, 3600
+
+
+_TEXTS = {Address: check_address, Name: check_name, Url: _check_url}
+_QUANTITIES = {HeaderSize: "size", BodySize: "size", Seconds: "duration"}
+_PLACE = re.compile(r" - at `[^`]*\$([^`]*)`$")
+_EXPECTED = re.compile(r"Expected (.+?)(?:, got .+)?$")
+_TYPE_NAMES = {
+    "`int`": "a whole number",
+    "`float`": "a number",
+    "`str`": "text",
+    "`array`": "a list",
+    "`object`": "a mapping",
+}
+
+
+def _read_value(kind, value):
+    """Return a value of one of the types above; a hook of msgspec."""
+    if kind in _TEXTS:
+        if not isinstance(value, str):
+            raise ValueError(describe_text_fault(value))
+        return kind(_TEXTS[kind](value))
+    if isinstance(value, str):
+        value = parse_quantity(_QUANTITIES[kind], value)
+    accepted = int if issubclass(kind, Size) else int | float
+    if isinstance(value, bool) or not isinstance(value, accepted):
+        raise ValueError(f"must be a {_QUANTITIES[kind]}, not {describe(value)}")
+    # A comparison with a value that is no number is never true.
+    if kind is Seconds and not value > kind.least:
+        raise ValueError(f"must be greater than {kind.least}, not {describe(value)}")
+    if not kind.least <= value <= kind.most:
+        limits = f"from {kind.least} to {kind.most}"
+        raise ValueError(f"must be {limits}, not {describe(value)}")
+    return kind(value)
 
 
 @dataclass(frozen=True)
@@ -96,31 +137,27 @@
         Seconds that an unused caller connection is kept.
     """
 
-    __pydantic_config__ = ConfigDict(extra="forbid")
-
     name: Name
     data_centre: Name
     address: Address
     peer_address: Address
-    configuration_service: Annotated[Text, AfterValidator(_check_url)]
+    configuration_service: Url
     # A short key could be found by trying all keys against a recorded frame.
-    peer_key: Annotated[Text, Field(min_length=16, max_length=1024)] = field(repr=False)
+    peer_key: Annotated[str, msgspec.Meta(min_length=16, max_length=1024)] = field(
+        repr=False
+    )
     seeds: tuple[Address, ...] = ()
     peer_listen: Address | None = None
     statsd: Address | None = None
     log_style: Literal["text", "json"] = "text"
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"] = "INFO"
-    max_connections: Annotated[Count, Field(ge=1, le=100_000)] = 1024
-    max_header_bytes: Annotated[Size, Field(ge=1 << 10, le=1 << 20)] = 32 << 10
-    max_body_bytes: Annotated[Size, Field(ge=0, le=1 << 40)] = 1 << 30
+    max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1024
+    max_header_bytes: HeaderSize = 32 << 10
+    max_body_bytes: BodySize = 1 << 30
     caller_timeout: Seconds = 30.0
     keep_alive: Seconds = 30.0
 
 
-_ADAPTER = TypeAdapter(Settings)
-_NAMES = tuple(item.name for item in fields(Settings))
-
-
 def parse_settings(text, name="settings"):
     """Return the settings that a YAML document declares.
 
@@ -142,7 +179,7 @@
         With one message for each fault.
     """
     source = YamlSource(text, name)
-    settings, entries = check_settings(source, _ADAPTER, _NAMES)
+    settings, entries = check_settings(source, Settings)
     if settings is not None and settings.address == settings.peer_address:
         message = "must differ from address, which serves callers"
         source.report(entries["peer_address"], message)
@@ -150,58 +187,70 @@
     return settings
 
 
-def check_settings(source, adapter, names):
+def check_settings(source, model):
     """Return the settings of a document, checked against their types.
 
     Parameters
     ----------
     source : YamlSource
         The document; faults are reported to it.
-    adapter : pydantic.TypeAdapter
-        Types of the settings.
-    names : sequence of str
-        All keys.
+    model : type
+        Data class of the settings.
 
     Returns
     -------
     tuple of (object or None, dict)
         The settings, None when there are faults, and the entries by key.
     """
-    entries = source.read_mapping(source.root, (), names)
+    hints = get_type_hints(model, include_extras=True)
+    entries = source.read_mapping(source.root, (), tuple(hints))
     if not entries:
         # The text may be no mapping at all; missing keys would only distract.
         source.raise_problems()
-    settings = None
-    try:
-        settings = adapter.validate_python(
-            {key: entry.strip_places() for key, entry in entries.items()}
-        )
-    except ValidationError as error:
-        for fault in error.errors():
-            _report_fault(source, entries, fault)
-    return settings, entries
-
-
-def _report_fault(source, entries, fault):
-    """Add one fault that pydantic found, at the place of its entry."""
-    key, *path = fault["loc"]
-    if fault["type"] == "missing":
-        source.report_missing(source.root, key)
-        return
-    entry = entries[key]
-    for part in path:
-        of_list = isinstance(part, int) and isinstance(entry.value, tuple)
-        of_mapping = isinstance(entry.value, dict) and part in entry.value
-        if of_list or of_mapping:
-            entry = entry.value[part]
+    values = {}
+    for item in fields(model):
+        entry = entries.get(item.name)
+        if entry is None:
+            if item.default is MISSING:
+                source.report_missing(source.root, item.name)
+            continue
+        try:
+            values[item.name] = msgspec.convert(
+                entry.strip_places(), hints[item.name], dec_hook=_read_value
+            )
+        except msgspec.ValidationError as error:
+            _report_fault(source, item.name, entry, hints[item.name], str(error))
+    required = {item.name for item in fields(model) if item.default is MISSING}
+    complete = required <= values.keys() and entries.keys() <= values.keys()
+    return (model(**values) if complete else None), entries
+
+
+def _report_fault(source, key, entry, hint, fault):
+    """Add one fault that msgspec found, at the place of its entry."""
     if key == "peer_key":
         # The value is a secret and stays out of messages.
-        message = "must be text of 16 to 1024 characters"
-    elif fault["type"] == "value_error":
-        message = str(fault["ctx"]["error"])
-    elif fault["type"] == "string_type":
-        message = describe_text_fault(entry.value)
-    else:
-        message = fault["msg"].replace("Input should be", "must be", 1)
-        message += f", not {describe(entry.value)}"
-    source.report(entry, message)
+        source.report(entry, "must be text of 16 to 1024 characters")
+        return
+    place = _PLACE.search(fault)
+    if place:
+        fault = fault[: place.start()]
+        index = re.fullmatch(r"\[(\d+)\]", place[1])
+        if index and isinstance(entry.value, tuple):
+            entry = entry.value[int(index[1])]
+    source.report(entry, _phrase_fault(fault, hint, entry.value))
+
+
+def _phrase_fault(fault, hint, value):
+    """Return a fault as users read it."""
+    if fault.startswith("Invalid enum value"):
+        options = " or ".join(map(repr, get_args(hint)))
+        return f"must be {options}, not {describe(value)}"
+    expected = _EXPECTED.fullmatch(fault)
+    if not expected:
+        return fault
+    wanted = expected[1]
+    if wanted == "`str`":
+        return describe_text_fault(value)
+    for name, words in _TYPE_NAMES.items():
+        wanted = wanted.replace(name, words)
+    return f"must be {wanted}, not {describe(value)}"
--- a/redwingspring/waiting.py
+++ b/redwingspring/waiting.py
@@ -10,20 +10,21 @@
 import random
 from dataclasses import dataclass
 
-from .placement import is_nearly_full, predict_factor
+from .placement import count_usual_slots, is_nearly_full, predict_factor
 
 # Predicted factors that are accepted until a share of the target latency has
 # passed. Later every place that is in time is accepted.
 ACCEPTED_FACTORS = ((0.06, 1.6), (0.16, 2.7))
 # A late request takes only places that nobody else would miss.
 LATE_FACTOR = 1.6
-# The last slots of a target that slows down when it is nearly full are used by
-# urgent requests, and by others after this share of the target latency.
+# Slots that lower what a target gets done are used after this share of the target
+# latency.
 LAST_SLOTS_SHARE = 0.45
-# Up to this slowdown the last slots of a target add to what it gets done.
-LAST_SLOTS_FACTOR = 1.35
 # Part of the time that is left within which the work is expected to end.
 WORK_MARGIN = 1.0
+# What the last slots must add to a target's throughput, as they also delay the
+# requests that run there.
+LEAST_GAIN = 1.1
 # Pause between two looks at the load of targets.
 LOOK_AGAIN_S = 0.012
 # Shares of the target latency after which a request without a place is rejected:
@@ -55,10 +56,6 @@
         Seconds that the caller has left.
     target_latency_s : float
         Seconds within which a response has its full use.
-    priority : int
-        Rank; 0 is the highest.
-    top_priority : int
-        The highest rank among all routes.
     work_s : float, default=0.0
         Expected seconds of work at an idle target.
     earlier_s : float, default=0.0
@@ -68,16 +65,9 @@
     waited_s: float
     left_s: float
     target_latency_s: float
-    priority: int
-    top_priority: int
     work_s: float = 0.0
     earlier_s: float = 0.0
 
-    @property
-    def is_urgent(self):
-        """Tell whether no other request goes first."""
-        return self.priority <= self.top_priority
-
     @property
     def in_time_s(self):
         """Return the seconds left within the target latency."""
@@ -118,14 +108,36 @@
         return factor <= LATE_FACTOR
     if factor * wait.work_s > wait.in_time_s * WORK_MARGIN:
         return False
-    if is_nearly_full(sample) and last_slots_factor > LAST_SLOTS_FACTOR:
-        return wait.is_urgent or wait.share >= LAST_SLOTS_SHARE
+    if is_nearly_full(sample) and not adds_throughput(sample, last_slots_factor):
+        return wait.share >= LAST_SLOTS_SHARE
     return all(
         wait.share >= limit or factor <= accepted
         for limit, accepted in ACCEPTED_FACTORS
     )
 
 
+def adds_throughput(sample, last_slots_factor):
+    """Tell whether a target gets more done with all its slots in use.
+
+    Load pattern: in a burst each place is wanted, but a target whose requests all
+    slow down with the last slot answers fewer in a second than without it.
+
+    Parameters
+    ----------
+    sample : LoadSample
+        Load of the target.
+    last_slots_factor : float
+        Slowdown of the service's targets when they are nearly full.
+
+    Returns
+    -------
+    bool
+        True when its last slots are worth using.
+    """
+    usual = count_usual_slots(sample.slots)
+    return sample.slots / last_slots_factor > LEAST_GAIN * usual
+
+
 def may_spread(wait, response_bytes):
     """Tell whether a request looks for a place in other data centres too.
 
--- a/tests/test_routedpath.py
+++ b/tests/test_routedpath.py
@@ -3,8 +3,10 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 from redwingspring import routedentry
+from redwingspring.members import Sighting
 from redwingspring.verdict import Reason
 
 from .base import RedwingspringTestCase
@@ -17,6 +19,7 @@
     render_request,
     wait_until,
 )
+from .test_gossip import build_member
 
 
 class RoutedRequestTest(RedwingspringTestCase):
@@ -299,6 +302,21 @@
         self.assertIn(host.entry.settings.address.encode(), body)
         self.assertIn(b'"ttl_s":', body)
 
+    def test_callers_of_an_evacuated_data_centre_are_sent_to_others(self):
+        """Their requests and long responses would cross between data centres."""
+        entry = HostFixture(self).entry
+        data_centres = ("akl-a", "ham-b", "ham-b", "wlg-c", "wlg-c")
+        entry.members.take(
+            Sighting(replace(build_member(number), data_centre=name), 0.0)
+            for number, name in enumerate(data_centres)
+        )
+        self.assertEqual(2, len(entry.find_addresses("akl-a")[0]))
+        entry.directory.set_evacuated(frozenset({"akl-a"}))
+        self.assertEqual(4, len(entry.find_addresses("akl-a")[0]))
+        self.assertEqual(2, len(entry.find_addresses("ham-b")[0]))
+        entry.directory.set_evacuated(frozenset({"akl-a", "ham-b", "wlg-c"}))
+        self.assertEqual(6, len(entry.find_addresses("akl-a")[0]))
+
     def test_the_metrics_page_lists_counters_and_histograms(self):
         host = HostFixture(self)
         host.ask()
