Probe a target before its responses alone give it requests

Cause: a target may turn cold at any moment, and only the response to a probe says so.

Change: the load in a response counts only if a probe asked the target within the last 0.5 s. The test fails without it.

--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -8,6 +8,9 @@
 
 # Load that a target told within this time still holds: nobody else has sent to it.
 RECENT_LOAD_S = 0.01
+# Responses to requests do not tell that a target turned cold, so a probe must have
+# asked it within this time.
+PROBE_VALID_S = 0.5
 
 # An instance is left out for a while after failures of this weight in a row. Each
 # host sends a target about one request a second, so one lost answer must do.
@@ -114,6 +117,7 @@
         self.tells_load = True
         self.listed_at = now
         self.cold_until = now + instance.cold_s
+        self.probed_at = float("-inf")
         self.ejected_until = 0.0
         self.failures = 0.0
         self._unanswered = []
@@ -169,6 +173,7 @@
             The load.
         """
         self.sample = sample
+        self.probed_at = sample.time
         if sample.cold_s > 0:
             self.cold_until = max(self.cold_until, sample.time + sample.cold_s)
         elif sample.time < self.cold_until:
@@ -200,8 +205,9 @@
         bool
             True when a request can be placed without a probe.
         """
-        sample = self.sample
-        return sample is not None and now - sample.time <= RECENT_LOAD_S
+        if now - self.probed_at > PROBE_VALID_S:
+            return False
+        return now - self.sample.time <= RECENT_LOAD_S
 
     def begin(self):
         """Count a request that is sent to the instance."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -84,6 +84,7 @@
         """In a burst probes find full targets; responses tell of free slots."""
         pick = candidate_policies.find("recent-load")
         state = self.near[0]
+        state.record_sample(LoadSample(3, 0, 3, time=9.7))
         state.record_load(LoadSample(3, 0, 3, time=9.995).end_one())
         self.assertEqual([state], pick(self.near, query()))
         self.assertEqual(2, state.sample.running)
@@ -91,6 +92,16 @@
         self.assertEqual(3, state.sample.running)
         self.assertEqual([], pick(self.near, query(now=10.1)))
 
+    def test_a_target_that_may_have_turned_cold_is_probed_first(self):
+        """Responses to requests go on as usual while a target is cold again."""
+        pick = candidate_policies.find("recent-load")
+        state = self.near[0]
+        state.record_load(LoadSample(2, 0, 3, time=9.995))
+        self.assertEqual([], pick(self.near, query()))
+        state.record_sample(LoadSample(2, 0, 3, time=9.4))
+        state.record_load(LoadSample(2, 0, 3, time=9.995))
+        self.assertEqual([], pick(self.near, query()))
+
     def test_a_response_does_not_end_a_cold_start(self):
         state = self.near[0]
         state.record_sample(LoadSample(0, 0, 3, cold_s=2.0, time=10.0))
