Give small pages one way to answer, split two modules, check all settings

Change: responses holds the page class, loadsamples the load of instances, polling the wait for exchanges. The check command takes both kinds of settings. Behaviour on the request path is the same.

--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -2,9 +2,9 @@
 
 from expression import Error
 
-from .exchanges import poll_exchanges
 from .placement import Outcome, is_nearly_full, predict_factor
 from .placesearch import PlaceSearch
+from .polling import poll_exchanges
 from .upstream import Attempt
 from .verdict import Reason, doubt, refuse
 
--- a/redwingspring/exposition.py
+++ b/redwingspring/exposition.py
@@ -5,6 +5,8 @@
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from .responses import PageResponse, ResponsePage
+
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "redwingspring_"
 # Upper bounds in seconds.
@@ -78,7 +80,7 @@
     return PREFIX + _UNSAFE.sub("_", name)
 
 
-class MetricsPage:
+class MetricsPage(ResponsePage):
     """WSGI application that serves the metrics.
 
     Parameters
@@ -90,25 +92,20 @@
     def __init__(self, registry):
         self._registry = registry
 
-    def __call__(self, environ, start_response):
-        """Serve one request.
+    def respond(self, environ):
+        """Return the metrics.
 
         Parameters
         ----------
         environ : dict
             WSGI environment.
-        start_response : callable
-            WSGI callable.
 
         Returns
         -------
-        list of bytes
-            The page.
+        PageResponse
+            The response.
         """
-        body = generate_latest(self._registry)
-        headers = [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))]
-        start_response("200 OK", headers)
-        return [body]
+        return PageResponse("200 OK", generate_latest(self._registry), CONTENT_TYPE)
 
 
 def build_registry(metrics):
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -17,9 +17,11 @@
 
 from .clock import read_clock
 from .knowledge import HistoryLost, StoreChange, StoreError, StoreSnapshot
+from .responses import PageResponse, ResponsePage
 
 PROTOCOL_VERSION = 2
 FEED_PATH = "/feed"
+CONTENT_TYPE = "application/octet-stream"
 MAX_HISTORY = 1000
 # A host that has not heard the store for this long tells nothing, so that the
 # others turn elsewhere while the bound on leaving targets still holds.
@@ -189,7 +191,7 @@
         return FeedAnswer(changes, self._revision, whole, confirmation)
 
 
-class FeedPage:
+class FeedPage(ResponsePage):
     """WSGI application that tells other hosts what this one knows of the store.
 
     Parameters
@@ -201,35 +203,26 @@
     def __init__(self, mirror):
         self._mirror = mirror
 
-    def __call__(self, environ, start_response):
-        """Serve one request.
+    def respond(self, environ):
+        """Return what changed, as a packed capnp message.
 
         Parameters
         ----------
         environ : dict
             WSGI environment.
-        start_response : callable
-            WSGI callable.
 
         Returns
         -------
-        list of bytes
-            A packed capnp message.
+        PageResponse
+            The response.
         """
         query = parse_qs(environ.get("QUERY_STRING", ""))
         after = query.get("after", [""])[0]
         known = int(after) if after.isascii() and after.isdigit() else None
         answer = self._mirror.read(known, FEED_WAIT_S)
         if answer is None:
-            start_response("503 Service Unavailable", [("Content-Length", "0")])
-            return []
-        body = encode_answer(answer)
-        headers = [
-            ("Content-Type", "application/octet-stream"),
-            ("Content-Length", str(len(body))),
-        ]
-        start_response("200 OK", headers)
-        return [body]
+            return PageResponse("503 Service Unavailable")
+        return PageResponse("200 OK", encode_answer(answer), CONTENT_TYPE)
 
 
 class FeedClient:
--- a/redwingspring/placesearch.py
+++ b/redwingspring/placesearch.py
@@ -2,8 +2,9 @@
 
 from expression import Error, Ok
 
-from .exchanges import Exchange, Stage, poll_exchanges
+from .exchanges import Exchange, Stage
 from .placement import CandidateQuery, candidate_policies, choose_best
+from .polling import poll_exchanges
 from .verdict import Reason, refuse
 from .waiting import (
     LOOK_AGAIN_S,
--- a/redwingspring/platform/headers.py
+++ b/redwingspring/platform/headers.py
@@ -1,6 +1,6 @@
 """Headers of requests and responses on the platform."""
 
-from ..instances import LoadSample
+from ..loadsamples import LoadSample
 from ..terms import RequestTerms, ResponseTerms
 
 REQUEST_ID = "Request-Id"
--- a/redwingspring/platform/pages.py
+++ b/redwingspring/platform/pages.py
@@ -3,12 +3,13 @@
 import json
 from urllib.parse import parse_qs
 
+from ..responses import PageResponse, ResponsePage
+
 READY_PATH = "/redwingspring/ready"
 RESOLVE_PATH = "/redwingspring/resolve"
-_JSON = [("Content-Type", "application/json")]
 
 
-class PlatformPages:
+class PlatformPages(ResponsePage):
     """WSGI application for the ready and the directory address.
 
     Parameters
@@ -24,43 +25,40 @@
         self._is_ready = is_ready
         self._find_addresses = find_addresses
 
-    def __call__(self, environ, start_response):
-        """Serve one call.
+    def respond(self, environ):
+        """Return whether this host is ready, or addresses to use.
 
         Parameters
         ----------
         environ : dict
             WSGI environment.
-        start_response : callable
-            WSGI callable.
 
         Returns
         -------
-        list of bytes
-            The response body.
+        PageResponse
+            The response.
         """
         path = environ["PATH_INFO"]
         if path == READY_PATH:
             ready = self._is_ready()
             status = "200 OK" if ready else "503 Service Unavailable"
-            return _answer(start_response, status, {"ready": ready})
+            return _build_response(status, {"ready": ready})
         if path == RESOLVE_PATH:
-            return self._resolve(environ, start_response)
-        return _answer(start_response, "404 Not Found", {"error": "no such page"})
+            return self._resolve(environ)
+        return _build_response("404 Not Found", {"error": "no such page"})
 
-    def _resolve(self, environ, start_response):
+    def _resolve(self, environ):
         query = parse_qs(environ.get("QUERY_STRING", ""))
         # What the platform calls a zone is a data centre here.
         data_centre = query.get("zone", [None])[0]
         addresses, keep_s = self._find_addresses(data_centre)
         if not addresses:
             body = {"error": "no host takes requests"}
-            return _answer(start_response, "503 Service Unavailable", body)
+            return _build_response("503 Service Unavailable", body)
         body = {"addresses": addresses, "ttl_s": keep_s}
-        return _answer(start_response, "200 OK", body)
+        return _build_response("200 OK", body)
 
 
-def _answer(start_response, status, document):
+def _build_response(status, document):
     body = json.dumps(document, separators=(",", ":")).encode()
-    start_response(status, [*_JSON, ("Content-Length", str(len(body)))])
-    return [body]
+    return PageResponse(status, body, "application/json")
--- a/redwingspring/validation.py
+++ b/redwingspring/validation.py
@@ -6,6 +6,7 @@
 from .errors import DocumentError
 from .hostlist import parse_host_list
 from .registry import Registry
+from .routedsettings import is_routed, parse_routed_settings
 from .settings import parse_settings
 from .yamlsource import read_file
 
@@ -124,7 +125,8 @@
 
 @document_kinds.register("settings")
 def _summarize_settings(text, name):
-    settings = parse_settings(text, name)
+    parse = parse_routed_settings if is_routed(text) else parse_settings
+    settings = parse(text, name)
     return f"host {settings.name} in data centre {settings.data_centre}"
 
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,12 +1,14 @@
 """What the platform builds and starts: deploy/ and the settings template."""
 
 import re
+import tempfile
 import tomllib
 from importlib.metadata import requires
 from pathlib import Path
 
 from redwingspring.errors import DocumentError
 from redwingspring.routedsettings import is_routed, parse_routed_settings
+from redwingspring.validation import check_file
 
 from .base import RedwingspringTestCase
 
@@ -83,6 +85,16 @@
             )
             self.assertRegex(str(error), r"s\.yaml:\d+: \w+: ")
 
+    def test_the_check_command_knows_these_settings(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "entry.yaml"
+            path.write_text(render(self.template))
+            report = check_file(path, "settings")
+            self.assertEqual(((), "host edge-akl-a-1 in data centre akl-a"),
+                             (report.problems, report.summary))  # fmt: skip
+            path.write_text(render(self.template).replace("grace: 6", "grace: soon"))
+            self.assertIn("grace", str(check_file(path, "settings").problems[0]))
+
     def test_the_kind_of_the_settings_is_found(self):
         self.assertTrue(is_routed(self.template))
         for name in ("tuhono", "malabon"):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,7 +3,8 @@
 import random
 import threading
 
-from redwingspring.instances import Instance, InstanceState, LoadSample
+from redwingspring.instances import Instance, InstanceState
+from redwingspring.loadsamples import LoadSample
 from redwingspring.placement import (
     CandidateQuery,
     Outcome,
--- a/tests/test_waitinglines.py
+++ b/tests/test_waitinglines.py
@@ -1,7 +1,7 @@
 import random
 import threading
 
-from redwingspring.instances import LoadSample
+from redwingspring.loadsamples import LoadSample
 from redwingspring.placement import choose_best
 from redwingspring.shares import HostCount, ProbeShare
 from redwingspring.waiting import Wait, may_spread
