Count requests beyond the slots as queued, and never ask to return after 0 s

Change: a send beyond the slots counts as one that waits there; the shortest return time is 1 ms. Both have a test that fails without the change.

--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -172,7 +172,7 @@
             self.in_flight += 1
             if self.sample is not None:
                 # The next request must not find the same slot free.
-                self.sample = replace(self.sample, running=self.sample.running + 1)
+                self.sample = self.sample.begin_one()
 
     def end(self):
         """Count the end of a request."""
--- a/redwingspring/loadsamples.py
+++ b/redwingspring/loadsamples.py
@@ -33,6 +33,18 @@
     time: float = 0.0
     healthy: bool = True
 
+    def begin_one(self):
+        """Return the load after one more request was sent to the instance.
+
+        Returns
+        -------
+        LoadSample
+            A request that finds no free slot waits in the queue.
+        """
+        if self.running >= self.slots:
+            return replace(self, waiting=self.waiting + 1)
+        return replace(self, running=self.running + 1)
+
     def end_one(self):
         """Return the load after one of the requests in progress has ended.
 
--- a/redwingspring/waiting.py
+++ b/redwingspring/waiting.py
@@ -40,8 +40,9 @@
 # Share of the caller's remaining time that may pass before it comes back.
 MAX_RETURN_SHARE = 0.3
 MIN_RETURN_S = 0.05
-# Longest time after which a caller comes back while targets have room.
-QUICK_RETURN_S = 0.01
+# Times after which a caller comes back while targets have room. Some callers take
+# a time of 0 for none.
+QUICK_RETURN_S = (0.001, 0.01)
 
 
 @dataclass(frozen=True)
@@ -233,6 +234,6 @@
         Seconds, with fractions.
     """
     if not waiting and not wait.is_late:
-        return round(rng.uniform(0.0, QUICK_RETURN_S), 3)
+        return round(rng.uniform(*QUICK_RETURN_S), 3)
     most = max(MIN_RETURN_S, wait.left_s * MAX_RETURN_SHARE)
     return round(rng.uniform(0.4, 1.0) * most, 3)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -110,6 +110,19 @@
         self.assertTrue(state.is_cold(10.6))
         self.assertTrue(state.sample.cold_s > 0)
 
+    def test_requests_of_this_host_fill_the_slots_and_then_the_queue(self):
+        """A burst sent up to three requests beyond the slots by one response."""
+        state = self.near[0]
+        state.record_sample(LoadSample(2, 0, 3, time=9.99))
+        wait = Wait(0.02, 0.7, 0.25, 0.09)
+        accepted = 0
+        while accepts_place(state.sample, wait, 1.0):
+            state.begin()
+            accepted += 1
+        self.assertEqual(
+            (2, 3, 1), (accepted, state.sample.running, state.sample.waiting)
+        )
+
     def test_a_queue_at_a_target_keeps_its_slots_full_when_a_request_ends(self):
         ended = LoadSample(3, 2, 3).end_one()
         self.assertEqual((3, 1), (ended.running, ended.waiting))
@@ -252,7 +265,11 @@
 
     def test_a_caller_comes_back_at_once_while_targets_have_room(self):
         """Targets that refuse a part of their requests make it late otherwise."""
-        self.assertTrue(choose_return_time(self.wait(0.02), 0) < 0.03)
+        source = random.Random(5)
+        for _ in range(500):
+            # The time is written with three decimals.
+            returned = choose_return_time(self.wait(0.02), 0, source)
+            self.assertTrue(0.0005 < returned < 0.03)
         late = Wait(0.02, 0.4, 0.25, 0.09, earlier_s=0.4)
         self.assertTrue(choose_return_time(late, 0) > 0.04)
 
