--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 .DEFAULT_GOAL := help
 .PHONY: help demo test scenarios prove-red bench bench-path capacity distribution \
-	format lint docstrings check clean
+	format lint docstrings deploy-check check clean
 
 help:  ## List the tasks.
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 14
@@ -55,7 +55,12 @@
 docstrings: $(STAMP)  ## Check docstrings against the NumPy form.
 	$(BIN)/numpydoc lint redwingspring/*.py redwingspring/platform/*.py
 
-check: lint docstrings test  ## Everything that CI runs.
+deploy-check: $(STAMP)  ## Install what deploy/ lists and start the process with it.
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --upgrade \
+	  --target build/deploy -r deploy/requirements.txt
+	$(BIN)/python scripts/check_deploy.py build/deploy
+
+check: lint docstrings deploy-check test  ## Everything that CI runs.
 
 requirements-ci.txt: pyproject.toml
 	$(BIN)/pip-compile --quiet --strip-extras --extra test --no-emit-index-url \
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -34,7 +34,7 @@
 }
 
 
-def render(template, sections=SECTIONS):
+def render(template, sections=SECTIONS, fields=FIELDS):
     """Fill in the template as the platform's pages describe it."""
 
     def fill_section(match):
@@ -50,7 +50,7 @@
         )
 
     text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", fill_section, template, flags=re.S)
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: FIELDS[match[1]], text)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: fields[match[1]], text)
 
 
 class TemplateTest(RedwingspringTestCase):
