Call the time that callers give a timeout in names and comments

The users' pages have their own word for it, which the new module had taken over. A docstring of configuration names a target by the house's word. Behaviour is the same.

--- a/redwingspring/budgets.py
+++ b/redwingspring/callertimeouts.py
@@ -1,4 +1,4 @@
-"""Time that callers give their requests, and how much of it is used already.
+"""Timeouts of callers, and how long a returning caller has waited already.
 
 Load pattern: in a burst, callers that were rejected come back with less time than
 they began with. Their answers are late whatever is done, and would take the places
@@ -8,21 +8,21 @@
 import threading
 from collections import deque
 
-# Requests of a route from which its usual time budget is taken.
-BUDGET_SAMPLES = 200
+# Requests of a route from which its usual timeout is taken.
+TIMEOUT_SAMPLES = 200
 # Part of them that may have more time, so that a few patient callers do not make
 # all others look late.
 PATIENT_PART = 0.03
-# Requests after which the usual budget is computed again.
+# Requests after which the usual timeout is computed again.
 REFRESH_EVERY = 20
 MAX_ROUTES = 5000
 
 
-class RouteBudget:
-    """Usual time budget of the requests of one route."""
+class RouteTimeout:
+    """Usual timeout of the callers of one route."""
 
     def __init__(self):
-        self._recent = deque(maxlen=BUDGET_SAMPLES)
+        self._recent = deque(maxlen=TIMEOUT_SAMPLES)
         self._until_refresh = 0
         self._usual_s = 0.0
 
@@ -48,8 +48,8 @@
         return max(0.0, self._usual_s - left_s)
 
 
-class CallerBudgets:
-    """Usual time budgets of all routes."""
+class CallerTimeouts:
+    """Usual timeouts of the callers of all routes."""
 
     def __init__(self):
         self._lock = threading.Lock()
@@ -74,9 +74,9 @@
         if left_s is None:
             return 0.0
         with self._lock:
-            budget = self._routes.get(route.prefix)
-            if budget is None:
-                budget = self._routes[route.prefix] = RouteBudget()
+            timeout = self._routes.get(route.prefix)
+            if timeout is None:
+                timeout = self._routes[route.prefix] = RouteTimeout()
                 while len(self._routes) > MAX_ROUTES:
                     del self._routes[next(iter(self._routes))]
-            return budget.note(left_s)
+            return timeout.note(left_s)
--- a/redwingspring/configuration.py
+++ b/redwingspring/configuration.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True)
 class Target:
-    """A back end of a service.
+    """A target of a service.
 
     Attributes
     ----------
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -4,7 +4,7 @@
 
 from expression import Error
 
-from .budgets import CallerBudgets
+from .callertimeouts import CallerTimeouts
 from .clock import read_clock
 from .deliveries import Delivery
 from .placement import ServiceHistory
@@ -130,7 +130,7 @@
         self.probes = probes
         self.lines = WaitingLines()
         self.history = ServiceHistory()
-        self.budgets = CallerBudgets()
+        self.caller_timeouts = CallerTimeouts()
         self.cold = cold
         self.hosts = hosts
         self.metrics = metrics
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -148,7 +148,9 @@
                 received=received,
                 deadline=deadline,
                 socket=connection.socket if connection else None,
-                earlier_s=self.dispatcher.budgets.note(route, terms.time_left_s),
+                earlier_s=self.dispatcher.caller_timeouts.note(
+                    route, terms.time_left_s
+                ),
             )
         )
 
