Bound what targets that return get, not how often they are candidates

Cause: make scenarios failed once in four runs of data-centre-out-and-back with 33 requests in the first second where 30.7 were allowed. The ramp decided for each target whether it is a candidate; the policy then preferred it, because it was idle. Counted in a run that passed, requests to the returned data centre by second: 25, 69, 83, 89, 87 of 180, where a ramp of 4 s to a third means about 7, 22, 37, 52, 60.

Ruled out: load of the machine. The counts are the same in kind in runs that pass; the bound of the check lies one standard deviation above the mean.

Change: the policy chooses among all; a chosen target that returned takes the request with the share of its ramp, else the policy chooses among the others. A test without a fleet fails before and passes after.

--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -330,7 +330,7 @@
 
     def _find_candidates(self, call, tried, now):
         """Return the cold targets and the warm ones with a free slot."""
-        cold, warm, returning = [], [], []
+        cold, warm = [], []
         states = self.directory.table.services.get(call.service, ())
         if states and (ejected := states[0].health.review(now)):
             self.metrics.increment("targets.ejected", ejected)
@@ -340,19 +340,24 @@
             if not state.is_ready(now):
                 if state.is_cold and state.accepts_work(now):
                     cold.append(state)
-            elif (
-                state.returned_at is not None
-                and random.random() >= state.read_return_share(now)
-            ):
-                returning.append(state)
             else:
                 warm.append(state)
-        # A return ramp protects the target less than a refusal hurts callers.
-        return cold, warm or returning
+        return cold, warm
 
     def _apply_policy(self, call, candidates, now):
-        name = self._service_value("balance.policy", call.service)
-        return self.policies.find(name)(candidates, Choice(self.data_centre, now))
+        """Return the target that the policy chooses, within the return ramps."""
+        policy = self.policies.find(self._service_value("balance.policy", call.service))
+        choice = Choice(self.data_centre, now)
+        chosen = policy(candidates, choice)
+        # The ramp counts what the policy would send. As a target that returned is
+        # idle, a ramp on the candidates alone would let it have far more.
+        if chosen.returned_at is None or random.random() < chosen.read_return_share(
+            now
+        ):
+            return chosen
+        others = [state for state in candidates if state.returned_at is None]
+        # A return ramp protects the target less than a refusal hurts callers.
+        return policy(others, choice) if others else chosen
 
     def _choose_cold(self, call, cold, has_warm):
         """Return a decision for a leased target in cold start, or None."""
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,62 @@
+"""Choice of a target while some of them return to service."""
+
+import random
+import time
+from types import SimpleNamespace
+
+from redwingspring.dispatch import Dispatcher
+
+from .base import RedwingspringTestCase
+
+RAMP_SHARE = 0.125
+
+
+class State:
+    """A warm target; one that returned is idle and has a ramp."""
+
+    is_cold = False
+    health = SimpleNamespace(review=lambda now: 0)
+
+    def __init__(self, returned, load):
+        self.returned_at = time.monotonic() if returned else None
+        self.load = load
+
+    def is_ready(self, now):
+        return True
+
+    def read_return_share(self, now):
+        return 1.0 if self.returned_at is None else RAMP_SHARE
+
+
+def choose_least_loaded(candidates, choice):
+    """Return the less loaded of two, as the policies by load do."""
+    drawn = random.sample(candidates, min(2, len(candidates)))
+    return min(drawn, key=lambda state: state.load)
+
+
+class ReturnRampTest(RedwingspringTestCase):
+    def count_returned(self, states):
+        """Return how many of 2,000 requests go to targets that returned."""
+        configuration = SimpleNamespace(service_value=lambda key, service: "")
+        table = SimpleNamespace(services={"desk": states}, configuration=configuration)
+        dispatcher = Dispatcher(
+            directory=SimpleNamespace(table=table),
+            policies=SimpleNamespace(find=lambda name: choose_least_loaded),
+            **dict.fromkeys(
+                ("pools", "gates", "leases", "membership", "metrics", "outcomes")
+            ),
+            data_centre="akl-a",
+        )
+        call = SimpleNamespace(service="desk")
+        chosen = [dispatcher._choose(call, set()).ok.state for _ in range(2000)]
+        return sum(state.returned_at is not None for state in chosen)
+
+    def test_idle_targets_that_return_get_only_the_share_of_the_ramp(self):
+        # In the scenario data-centre-out-and-back they got 14% to 18% of all
+        # requests in the first second, and 12.5% of a third is their share.
+        states = [State(True, 0) for _ in range(4)] + [State(False, 1)] * 8
+        # Of the pairs that the policy draws, 58% hold an idle target.
+        self.assertTrue(self.count_returned(states) < 2000 * 0.58 * RAMP_SHARE * 1.25)
+
+    def test_targets_that_return_take_all_requests_where_there_are_no_others(self):
+        self.assertEqual(2000, self.count_returned([State(True, 0)] * 4))
