Take ports for listeners in tests from below the range of the kernel

The fixture asked the kernel for a free port and gave it back, and the stand-ins of the other test workers take ports from the same range.

Change: ports are drawn from 10000 to 32000, each once in a process.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,6 +4,7 @@
 import contextlib
 import http.client
 import json
+import random
 import socket
 import threading
 import time
@@ -13,6 +14,10 @@
 from redwingspring.routedentry import RoutedEntry
 from redwingspring.routedsettings import RoutedSettings
 
+# Below the range out of which the kernel chooses ports.
+LISTEN_PORTS = (10_000, 32_000)
+found_ports = set()
+
 SERVICE = "desk"
 READS = "/read/"
 POSTS = "/post/"
@@ -332,9 +337,18 @@
 
 
 def find_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    # A port that the kernel chooses may be chosen again, for a stand-in of another
+    # test worker, before the process under test listens there.
+    while True:
+        port = random.SystemRandom().randrange(*LISTEN_PORTS)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found_ports:
+            found_ports.add(port)
+            return port
 
 
 class HostFixture:
