--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -123,6 +123,14 @@
             (2, 3, 1), (accepted, state.sample.running, state.sample.waiting)
         )
 
+    def test_a_response_does_not_make_an_unhealthy_target_healthy(self):
+        """A target that is leaving answers what it runs, and must get no more."""
+        state = self.near[0]
+        state.record_sample(LoadSample(2, 0, 3, time=9.99, healthy=False))
+        state.record_load(LoadSample(1, 0, 3, time=9.995))
+        wait = Wait(0.02, 0.7, 0.25, 0.09)
+        self.assertFalse(accepts_place(state.sample, wait, 1.0))
+
     def test_a_queue_at_a_target_keeps_its_slots_full_when_a_request_ends(self):
         ended = LoadSample(3, 2, 3).end_one()
         self.assertEqual((3, 1), (ended.running, ended.waiting))
