Keep what the last probe said of a target's health

Cause: record_load replaced the known sample by the one of a response, whose head does not tell whether the target takes new requests, so a target whose health page refuses counted as healthy for up to 10 ms after each response. Ruled out: leaving the load of such responses out; the next request would then be placed by an older figure of running requests. Change: the sample keeps the health of the one before, as it keeps the cold time. Before: tests/test_placement.py -k unhealthy_target fails (known red).

--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -139,7 +139,8 @@
     def record_load(self, sample):
         """Note the load that the instance told in the response to a request.
 
-        Such a response says nothing of a cold start, unlike that to a probe.
+        Unlike the response to a probe it says nothing of a cold start, or of
+        whether the instance takes new requests.
 
         Parameters
         ----------
@@ -147,7 +148,8 @@
             The load.
         """
         cold_s = max(0.0, self.cold_until - sample.time)
-        self.sample = replace(sample, cold_s=cold_s)
+        healthy = self.sample is None or self.sample.healthy
+        self.sample = replace(sample, cold_s=cold_s, healthy=healthy)
 
     def has_recent_load(self, now):
         """Tell whether the instance told its load a moment ago.
