Record a conflict when a peer delivers the winner before the service answers

Cause: a read of the service whose value is settled raises StaleAnswerError before the value is offered, and only an older revision was reported. With two values under one revision, a reader that has the winner from a peer before its own answer, the loser, arrives recorded nothing; when this holds for all readers that are served the loser, no host has a configuration-conflict entry. Change: the stamp of a settled answer is noted like that of a peer.

--- a/redwingspring/publication.py
+++ b/redwingspring/publication.py
@@ -145,6 +145,8 @@
         try:
             value = self._reader.read(key, self._values.highest_revision(key), wait)
             if value is not None and self._values.is_settled(key, value.stamp):
+                # A peer may have delivered another value of this revision first.
+                self._values.note_stamp(key, value.stamp, "read from the service")
                 # Without this pause a service that ignores ``after`` would be
                 # asked in a loop.
                 raise StaleAnswerError(value.stamp.revision)
--- a/redwingspring/values.py
+++ b/redwingspring/values.py
@@ -162,16 +162,16 @@
             )
 
     def note_stamp(self, key, stamp, source):
-        """Record a conflict that the stamp of a peer shows.
+        """Record a conflict that the stamp of another value shows.
 
         Parameters
         ----------
         key : str
             One of ``KEYS``.
         stamp : Stamp
-            Stamp of the value in force at the peer.
+            Stamp of a value that a peer or the service has.
         source : str
-            The peer.
+            The peer, or how the value came.
         """
         self._report_conflict(key, self.stamp(key), stamp, source)
 
