End with one clear error when an address cannot be listened on

Cause: RoutedEntry opened its listeners one after the other and let OSError through, so a start with an address in use ended with a traceback, after the line that says that the process started. Ruled out: waiting for the port as CherryPy's bus did; the platform starts a process again itself, and a wait hides what holds the address. Change: all listeners are opened first; a failure is a StartError that names the address, and the start is logged after it. Before: the new test of tests/test_routedprocess.py fails (exit code 1, traceback). After: it passes, exit code 2.

--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -5,6 +5,7 @@
 import threading
 
 from .clock import read_clock
+from .errors import StartError
 from .members import MemberState
 from .routedassembly import assemble_routed
 from .threads import run_always, run_thread
@@ -43,14 +44,20 @@
         assemble_routed(self, settings)
 
     def start(self):
-        """Start serving; return when the listeners are open."""
+        """Start serving; return when the listeners are open.
+
+        Raises
+        ------
+        StartError
+            If an address cannot be listened on.
+        """
+        self._open_listeners()
         self.decisions.record(
             "process started",
             host=self.settings.name,
             data_centre=self.settings.data_centre,
             address=self.settings.address,
         )
-        self.gossip.open()
         self._run_always("gossip-receiver", self.gossip.run_receiver)
         self._run_always("gossip-sender", self.gossip.run_sender)
         self._run_always("follower", self.follower.run)
@@ -59,9 +66,19 @@
         # CherryPy's own bus takes 0.15 s to load, in which callers of a host that
         # restarts are not served; its server needs no more than this.
         for server in self.servers:
-            server.prepare()
             run_thread("server", server.serve)
 
+    def _open_listeners(self):
+        """Open all listeners, or none is served."""
+        address = self.settings.peer_address
+        try:
+            self.gossip.open()
+            for server in self.servers:
+                address = "{}:{}".format(*server.bind_addr)
+                server.prepare()
+        except OSError as error:
+            raise StartError(f"cannot listen on {address}: {error}") from error
+
     @property
     def is_ready(self):
         """Tell whether this host takes new connections."""
--- a/tests/test_routedprocess.py
+++ b/tests/test_routedprocess.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -107,3 +108,14 @@
         text = self.output.read_text()
         self.assertIn(f"{self.path}:11: grace: must be a duration", text)
         self.assertEqual(1, len(text.splitlines()))
+
+    def test_an_address_in_use_ends_with_one_error_that_names_it(self):
+        """The platform shows the last line of a process that does not start."""
+        holder = socket.create_server(("127.0.0.1", self.values["directory"]))
+        self.addCleanup(holder.close)
+        process = self.start()
+        self.assertEqual(2, process.wait(20))
+        last = self.output.read_text().splitlines()[-1]
+        directory = f"127.0.0.1:{self.values['directory']}"
+        self.assertTrue(last.startswith(f"cannot listen on {directory}: "), last)
+        self.assertNotIn("Traceback", self.output.read_text())
