Count own requests at a target, and send where every health page says ill

Ruled out: ejection by time without an answer (the first answer of a hanging target is missing for as long as its timeout); ignoring health altogether, which sends work to leaving targets. Change: a told load counts at least the requests of this host that are not answered; health does not decide where all of a service's targets said ill last. The stand-in target grew an ill health page, answers that are no response and early rejection.

--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -273,8 +273,9 @@
         if load is None:
             self.state.tells_load = False
             load = LoadSample(0, 0, self.state.instance.slots)
-        self.sample = replace(load, cold_s=terms.cold_s, time=now, healthy=healthy)
-        self.state.record_sample(self.sample)
+        sample = replace(load, cold_s=terms.cold_s, time=now, healthy=healthy)
+        self.state.record_sample(sample)
+        self.sample = self.state.sample
         if failed:
             # The load is known, but the connection is of no more use.
             self.connection = self.state.pool.open()
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -129,7 +129,9 @@
         sample : LoadSample
             The load.
         """
-        self.sample = sample
+        # An instance that hangs says that it is idle, and requests on the way to it
+        # are not in its count yet.
+        self.sample = sample.count_at_least(self.in_flight)
         self.probed_at = sample.time
         if sample.cold_s > 0:
             self.cold_until = max(self.cold_until, sample.time + sample.cold_s)
@@ -149,7 +151,9 @@
         """
         cold_s = max(0.0, self.cold_until - sample.time)
         healthy = self.sample is None or self.sample.healthy
-        self.sample = replace(sample, cold_s=cold_s, healthy=healthy)
+        sample = replace(sample, cold_s=cold_s, healthy=healthy)
+        # The request that was answered here still counts as in flight.
+        self.sample = sample.count_at_least(self.in_flight - 1)
 
     def has_recent_load(self, now):
         """Tell whether the instance told its load a moment ago.
--- a/redwingspring/loadsamples.py
+++ b/redwingspring/loadsamples.py
@@ -45,6 +45,26 @@
             return replace(self, waiting=self.waiting + 1)
         return replace(self, running=self.running + 1)
 
+    def count_at_least(self, requests):
+        """Return the load with no fewer requests than are known to be there.
+
+        Parameters
+        ----------
+        requests : int
+            Requests that this host has sent and that are not answered yet.
+
+        Returns
+        -------
+        LoadSample
+            Requests that the instance did not tell of take free slots first.
+        """
+        missing = requests - self.running - self.waiting
+        if missing <= 0:
+            return self
+        running = max(self.running, min(self.slots, self.running + missing))
+        waiting = self.waiting + missing - (running - self.running)
+        return replace(self, running=running, waiting=waiting)
+
     def end_one(self):
         """Return the load after one of the requests in progress has ended.
 
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -340,6 +340,26 @@
     return (poor or state.is_silent, rng.random())
 
 
+def is_health_useless(states):
+    """Tell whether health says nothing of which instance to choose.
+
+    Load pattern: the health page itself fails, or all instances of a small service
+    say ill at once, while requests go well. Without any that says well, to send
+    is better than certain failure; an instance that is ill refuses or is ejected.
+
+    Parameters
+    ----------
+    states : sequence of InstanceState
+        Instances of the service.
+
+    Returns
+    -------
+    bool
+        True when every one of them said ill last.
+    """
+    return all(s.sample is not None and not s.sample.healthy for s in states)
+
+
 @candidate_policies.register("recent-load")
 def pick_recent_load(states, query, rng=random):
     """Return the instances that told their load a moment ago.
--- a/redwingspring/placesearch.py
+++ b/redwingspring/placesearch.py
@@ -1,9 +1,16 @@
 """Search for a target that answers a call in time."""
 
+from dataclasses import replace
+
 from expression import Error, Ok
 
 from .exchanges import Exchange, Stage
-from .placement import CandidateQuery, candidate_policies, choose_best
+from .placement import (
+    CandidateQuery,
+    candidate_policies,
+    choose_best,
+    is_health_useless,
+)
 from .polling import poll_exchanges
 from .verdict import Reason, refuse
 from .waiting import (
@@ -116,6 +123,9 @@
 
     def _accepts(self, sample):
         """Tell whether the call goes to a target with this load now."""
+        if not sample.healthy:
+            states = self._dispatcher.find_instances(self._call)
+            sample = replace(sample, healthy=is_health_useless(states))
         service = self._call.service.name
         slowdown = self._dispatcher.history.expect_slowdown(service)
         wait = self._dispatcher.describe_wait(self._call)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -152,6 +152,7 @@
         self.id = instance_id
         self.load = "0,0,3,100"
         self.warmup_ms = None
+        self.healthy = True
         self.work_s = 0.0
         self.mode = "sound"
         self.body = b"whole body"
@@ -196,15 +197,24 @@
         if handler.path == "/health":
             self.serve_probe(handler)
             return
+        if self.mode == "early":
+            self.reject_early(handler)
+            return
         length = int(handler.headers.get("Content-Length", 0))
         body = handler.rfile.read(length)
         self.serve_request(handler, body)
 
+    def reject_early(self, handler):
+        """Refuse a request of which only the head was read."""
+        self.arrivals.append(handler.headers["Request-Id"])
+        self.refuse(handler, 503)
+        handler.close_connection = True
+
     def serve_probe(self, handler):
         self.probes += 1
         if self.mode == "mute":
             time.sleep(30)
-        handler.send_response(200)
+        handler.send_response(200 if self.healthy else 503)
         handler.send_header("Instance-Id", self.id)
         if self.load is not None:
             handler.send_header("Server-Load", self.load)
@@ -282,6 +292,11 @@
         time.sleep(0.02)
         self.answer_sound(handler, request_id)
 
+    def answer_garbage(self, handler, request_id):
+        """Send bytes that are no response."""
+        handler.wfile.write(b"\x16\x03\x01\x02\x00\x01\x00" * 9)
+        self.end(handler)
+
     def answer_hang(self, handler, request_id):
         """Hold the answer until the host closes the connection."""
         handler.connection.settimeout(5)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,6 +11,7 @@
     ServiceHistory,
     candidate_policies,
     choose_best,
+    is_health_useless,
     predict_factor,
 )
 from redwingspring.routes import Route
@@ -131,6 +132,26 @@
         wait = Wait(0.02, 0.7, 0.25, 0.09)
         self.assertFalse(accepts_place(state.sample, wait, 1.0))
 
+    def test_requests_of_this_host_count_though_a_target_does_not_tell_of_them(self):
+        """A hanging target says that it is idle and would draw all work."""
+        state = self.near[0]
+        for _ in range(4):
+            state.begin()
+        state.record_sample(LoadSample(0, 0, 3, time=9.99))
+        self.assertEqual((3, 1), (state.sample.running, state.sample.waiting))
+        state.record_sample(LoadSample(2, 3, 3, time=9.99))
+        self.assertEqual((2, 3), (state.sample.running, state.sample.waiting))
+        state.record_load(LoadSample(0, 0, 3, time=9.995))
+        self.assertEqual((3, 0), (state.sample.running, state.sample.waiting))
+
+    def test_health_is_of_use_while_one_target_may_be_well(self):
+        for state in self.near:
+            state.record_sample(LoadSample(0, 0, 3, time=9.99, healthy=False))
+        self.assertTrue(is_health_useless(self.near))
+        self.assertFalse(is_health_useless([*self.near, build_state(9)]))
+        self.near[0].record_sample(LoadSample(0, 0, 3, time=9.99))
+        self.assertFalse(is_health_useless(self.near))
+
     def test_a_queue_at_a_target_keeps_its_slots_full_when_a_request_ends(self):
         ended = LoadSample(3, 2, 3).end_one()
         self.assertEqual((3, 1), (ended.running, ended.waiting))
