--- a/harness/links.py
+++ b/harness/links.py
@@ -1,8 +1,8 @@
-"""Network links between the processes of a fleet, which can be cut or delayed.
+"""Network links between the processes of a fleet: cut, delayed or reset.
 
 Each relay listens on an address of its own and passes bytes on to a real
 listener. The source address of a connection tells which process opened it. A
-cut link holds bytes back as a lost route does; nothing is reset.
+cut link holds bytes back as a lost route does, and resets nothing.
 """
 
 import argparse
@@ -21,6 +21,7 @@
     forward: bool = True
     backward: bool = True
     delay: float = 0.0
+    reset: bool = False
 
 
 @dataclass
@@ -107,6 +108,8 @@
     async def _pass_link(self, source, direction):
         """Wait as long as the link holds bytes back."""
         link = self._table.find(source, self._host)
+        if link.reset:
+            raise ConnectionResetError("the link resets its connections")
         if link.delay:
             await asyncio.sleep(link.delay)
         while not getattr(link, direction):
@@ -136,6 +139,7 @@
             forward=command.get("forward", True),
             backward=command.get("backward", True),
             delay=command.get("delay", 0.0),
+            reset=command.get("reset", False),
         )
         self._table.set(command["source"], command["destination"], link)
 
--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -183,5 +183,12 @@
     TemperatureNews.take = lambda self, sender, news: None
 
 
+@mutations.register("clock-steps")
+def step_clock():
+    """Let the time of day jump by two seconds, forth and back."""
+    read_time = time.time
+    time.time = lambda: read_time() + 2.0 * (int(time.monotonic() / 3) % 2)
+
+
 if __name__ == "__main__":
     run([name for name in sys.argv[1].split(",") if name], sys.argv[2:])
