Take the rate of a waiting line from the time since it formed

Cause: the rate at which requests find places was the count of the last 0.4 s over 0.4 s, also when the line had been empty for most of it. One place found 0.35 s ago looked like 2.5 places a second, so the second request in a line that had just formed was rejected at once as hopeless. Ruled out: targets that stayed ejected (the refusals name the line, and other requests of the same host were placed in the same second). Change: places count since the line formed, at most for 0.4 s; under 30 ms a single place says little. Before: test_a_line_that_has_just_formed fails. After: it passes, and a line that lasts gives the same rate as before.

--- a/redwingspring/waitinglines.py
+++ b/redwingspring/waitinglines.py
@@ -13,8 +13,10 @@
 
 from .clock import read_clock
 
-# Span over which the rate of found places is taken, and its most samples.
+# Span over which the rate of found places is taken, and its most samples. In less
+# than the least span a single place says little.
 RATE_S = 0.4
+LEAST_RATE_S = 0.03
 RATE_SAMPLES = 256
 
 
@@ -73,6 +75,7 @@
         self._tickets = []
         self._number = 0
         self._placed = deque(maxlen=RATE_SAMPLES)
+        self._formed_at = clock()
         self._load_told = threading.Event()
 
     def __len__(self):
@@ -80,11 +83,16 @@
 
     @property
     def places_per_s(self):
-        """Return the rate at which requests found places lately, 0 if unknown."""
+        """Return the rate at which requests found places lately, 0 if unknown.
+
+        Load pattern: at the start of a burst the line has just formed. The time
+        before, in which nobody waited, says nothing of how fast it moves.
+        """
         with self._lock:
             now = self._clock()
-            recent = [moment for moment in self._placed if now - moment < RATE_S]
-            return len(recent) / RATE_S
+            since = max(self._formed_at, now - RATE_S)
+            recent = [moment for moment in self._placed if moment >= since]
+            return len(recent) / max(LEAST_RATE_S, now - since)
 
     def count_ahead(self, ticket):
         """Return how many requests stand before one.
@@ -122,6 +130,8 @@
             To be given to ``leave``.
         """
         with self._lock:
+            if not self._tickets:
+                self._formed_at = self._clock()
             self._number += 1
             ticket = Ticket(priority, received, self._number, late_at)
             self._tickets.append(ticket)
--- a/tests/test_waitinglines.py
+++ b/tests/test_waitinglines.py
@@ -1,10 +1,12 @@
+"""Lines of waiting requests against the load patterns that they answer."""
+
 import random
 import threading
 
 from redwingspring.loadsamples import LoadSample
 from redwingspring.placement import choose_best
 from redwingspring.shares import HostCount, ProbeShare
-from redwingspring.waiting import Wait, may_spread
+from redwingspring.waiting import Wait, may_spread, should_reject
 from redwingspring.waitinglines import WaitingLine
 
 from .base import RedwingspringTestCase
@@ -44,6 +46,31 @@
         self.assertTrue(other.first.is_set())
         self.assertEqual((1, 0), (line.count_ahead(urgent), line.count_ahead(other)))
 
+    def test_a_line_that_has_just_formed_is_not_taken_for_a_slow_one(self):
+        """A place found long ago would look like 2.5 a second in an empty line."""
+        now = [10.0]
+        line = WaitingLine(lambda: now[0])
+        line.leave(line.enter(1, 10.0), placed=True)
+        now[0] = 10.35
+        for _ in range(3):
+            line.enter(1, now[0])
+        self.assertEqual(0, line.places_per_s)
+        now[0] = 10.37
+        line.leave(line.enter(0, now[0]), placed=True)
+        wait = Wait(0.02, 1.5, 0.3, 0.09)
+        self.assertFalse(should_reject(wait, 2, line.places_per_s))
+
+    def test_the_rate_of_a_line_that_lasts_is_taken_over_a_while(self):
+        now = [10.0]
+        line = WaitingLine(lambda: now[0])
+        line.enter(1, 10.0)
+        for _ in range(100):
+            now[0] += 0.01
+            line.leave(line.enter(0, now[0]), placed=True)
+        self.assertTrue(95 < line.places_per_s < 105, line.places_per_s)
+        now[0] += 0.3
+        self.assertTrue(20 < line.places_per_s < 30, line.places_per_s)
+
     def test_a_told_load_wakes_the_first_in_line_once(self):
         line = WaitingLine()
         line.note_load()
