Let strong hosts read the store for weak ones, and compress what they tell

Its 44 followers ask at once after each change; over a slow link their answers are late, so hosts turned to the other readers and then to the store. Ruled out: gossip (at most 64 members a datagram, flat in the number of hosts). Change: a member tells what it bears, from its cores and its link; readers are chosen among those with at least half of the most. Answers are compressed. With equal hosts the choice is as before. Settings cores, core_share, link_mbit.

--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -7,6 +7,7 @@
 """
 
 import threading
+import zlib
 from collections import deque
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,7 +20,7 @@
 from .knowledge import HistoryLost, StoreChange, StoreError, StoreSnapshot
 from .responses import PageResponse, ResponsePage
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 FEED_PATH = "/feed"
 CONTENT_TYPE = "application/octet-stream"
 MAX_HISTORY = 1000
@@ -29,6 +30,9 @@
 FEED_WAIT_S = 0.4
 CONNECT_TIMEOUT_S = 0.15
 ANSWER_MARGIN_S = 0.25
+# A reader tells a change to all hosts of its data centre at once, perhaps over a
+# slow link; the fastest level already leaves a sixth of a list of targets.
+COMPRESSION_LEVEL = 1
 _MAX_AGE_MS = 0xFFFFFFFF
 _MAX_HOPS = 0xFF
 
@@ -204,7 +208,7 @@
         self._mirror = mirror
 
     def respond(self, environ):
-        """Return what changed, as a packed capnp message.
+        """Return what changed, as a compressed capnp message.
 
         Parameters
         ----------
@@ -325,7 +329,7 @@
     Returns
     -------
     bytes
-        Packed capnp message.
+        Compressed packed capnp message.
     """
     message = _schema.Feed.new_message(
         version=PROTOCOL_VERSION,
@@ -340,7 +344,7 @@
         entry.deleted = change.value is None
         entry.value = change.value or b""
         entry.revision = change.revision
-    return message.to_bytes_packed()
+    return zlib.compress(message.to_bytes_packed(), COMPRESSION_LEVEL)
 
 
 def decode_answer(data):
@@ -349,7 +353,7 @@
     Parameters
     ----------
     data : bytes
-        Packed capnp message.
+        Compressed packed capnp message.
 
     Returns
     -------
@@ -362,7 +366,7 @@
         If the bytes are no answer.
     """
     try:
-        message = _schema.Feed.from_bytes_packed(data)
+        message = _schema.Feed.from_bytes_packed(zlib.decompress(data))
         if message.version != PROTOCOL_VERSION:
             raise StoreError("a host speaks another version")
         changes = tuple(
@@ -373,5 +377,5 @@
         )
         confirmation = Confirmation(message.confirmedAgeMs / 1000, message.hops)
         return FeedAnswer(changes, message.revision, message.whole, confirmation)
-    except (capnp.KjException, ValueError) as error:
+    except (capnp.KjException, zlib.error, ValueError) as error:
         raise StoreError(f"a host's answer cannot be read: {error}") from error
--- a/redwingspring/gossip.capnp
+++ b/redwingspring/gossip.capnp
@@ -20,6 +20,8 @@
   state @7 :State;
   ageMs @8 :UInt16;
   # Time since the sender's knowledge of the beat was fresh.
+  capacity @9 :UInt16 = 100;
+  # What the host bears, in hundredths of a core.
 }
 
 struct Gossip {
--- a/redwingspring/gossip.py
+++ b/redwingspring/gossip.py
@@ -201,6 +201,7 @@
         entry.startedAt = member.started_at
         entry.beat = member.beat
         entry.state = member.state.value
+        entry.capacity = member.capacity
     return message.to_bytes_packed()
 
 
@@ -214,6 +215,7 @@
         entry.startedAt,
         entry.beat,
         MemberState(str(entry.state)),
+        entry.capacity,
     )
     return Sighting(member, entry.ageMs / 1000)
 
--- a/redwingspring/members.py
+++ b/redwingspring/members.py
@@ -30,6 +30,9 @@
 # news on, the others at random, so that none is left out for long.
 MAX_ENTRIES = 64
 MAX_MEMBERS = 4096
+# A link this fast goes with one core: it carries what a core answers.
+LINK_MBIT_PER_CORE = 100.0
+MAX_CAPACITY = 0xFFFF
 
 
 class MemberState(StrEnum):
@@ -60,6 +63,8 @@
         Counted up by the host.
     state : MemberState
         Whether it takes requests.
+    capacity : int, default=100
+        What the host bears, in hundredths of a core.
     """
 
     name: str
@@ -69,6 +74,7 @@
     started_at: int
     beat: int
     state: MemberState
+    capacity: int = 100
 
     @property
     def age_key(self):
@@ -286,7 +292,26 @@
     return min(MAX_SILENT_S, SILENT_S + SILENT_STEP_S * doublings)
 
 
-def build_member(name, address, peer_address, data_centre):
+def find_capacity(cores, link_mbit):
+    """Return what a host bears.
+
+    Parameters
+    ----------
+    cores : float
+        Processor cores that the process may use.
+    link_mbit : float
+        Speed of its link in Mbit/s.
+
+    Returns
+    -------
+    int
+        Hundredths of a core; a slow link counts like a slow processor.
+    """
+    bears = min(cores, link_mbit / LINK_MBIT_PER_CORE)
+    return min(MAX_CAPACITY, max(1, round(bears * 100)))
+
+
+def build_member(name, address, peer_address, data_centre, capacity=100):
     """Return this start of a host.
 
     Parameters
@@ -299,6 +324,8 @@
         ``ip:port`` for other hosts.
     data_centre : str
         Where it is.
+    capacity : int, default=100
+        What it bears, in hundredths of a core.
 
     Returns
     -------
@@ -307,4 +334,6 @@
     """
     started_at = int(time.time() * 1000)
     state = MemberState.STARTING
-    return Member(name, address, peer_address, data_centre, started_at, 1, state)
+    return Member(
+        name, address, peer_address, data_centre, started_at, 1, state, capacity
+    )
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -7,7 +7,7 @@
 from .gossip import GossipNetwork
 from .instances import InstanceDirectory
 from .knowledge import Knowledge
-from .members import Members, build_member
+from .members import Members, build_member, find_capacity
 from .metrics import Metrics, connect_statsd
 from .pipelining import RoutedServer
 from .platform import headers
@@ -76,7 +76,11 @@
         The host's own settings.
     """
     own = build_member(
-        settings.name, settings.address, settings.peer_address, settings.data_centre
+        settings.name,
+        settings.address,
+        settings.peer_address,
+        settings.data_centre,
+        find_capacity(settings.cores * settings.core_share, settings.link_mbit),
     )
     entry.members = Members(own)
     entry.gossip = GossipNetwork(
--- a/redwingspring/routedsettings.py
+++ b/redwingspring/routedsettings.py
@@ -10,6 +10,7 @@
 from .yamlsource import YamlSource
 
 _Factor = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Amount = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 
 
 @dataclass(frozen=True)
@@ -57,6 +58,12 @@
         Length of that window in seconds.
     probe_rate : float, default=20.0
         Probes a second that each target may get, over all hosts.
+    cores : float, default=1.0
+        Processor cores of the host.
+    core_share : float, default=1.0
+        Part of each core that the process may use.
+    link_mbit : float, default=1000.0
+        Speed of the host's link in Mbit/s.
     """
 
     name: Name
@@ -77,7 +84,10 @@
     retry_ratio: _Factor = 0.2
     retry_slack: _Factor = 0.0
     retry_window: Seconds = 10.0
-    probe_rate: Annotated[float, msgspec.Meta(gt=0, le=1e9)] = 20.0
+    probe_rate: _Amount = 20.0
+    cores: _Amount = 1.0
+    core_share: _Amount = 1.0
+    link_mbit: _Amount = 1000.0
 
     @property
     def source(self):
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -13,6 +13,9 @@
 # A source that failed is left out for this long.
 FEED_FAILED_S = 1.0
 STORE_FAILED_S = 2.5
+# Readers are hosts that bear at least this part of what the strongest host bears:
+# all others of a data centre ask them, and a change goes out to all at once.
+STRONG_PART = 0.5
 
 
 class StoreSource:
@@ -64,7 +67,7 @@
 class SourceChoice:
     """Orders the sources of a host.
 
-    One host of each data centre, found by rendezvous hashing, reads for it; the
+    One strong host of each data centre, found by rendezvous hashing, reads for it; the
     others ask that host. One of the readers asks the store, and the other readers
     ask it. When a source fails, a reader turns to the store, and another host to
     the readers of the other data centres, then to the store.
@@ -168,18 +171,14 @@
 
     def _find_first(self, readers):
         """Return the reader that asks the store for all."""
-        by_name = {reader.name: reader for reader in readers}
-        return by_name[rank_hosts(by_name, "store-reader")[0]]
+        return _choose_reader(readers)
 
     def _find_readers(self):
         """Return the host of each data centre that asks the store."""
         groups = {}
         for member in self._members.list_steady():
-            groups.setdefault(member.data_centre, {})[member.name] = member
-        return {
-            name: group[rank_hosts(group, "store-reader")[0]]
-            for name, group in groups.items()
-        }
+            groups.setdefault(member.data_centre, []).append(member)
+        return {name: _choose_reader(group) for name, group in groups.items()}
 
     def _find_feed(self, member):
         address = member.peer_address
@@ -192,3 +191,10 @@
         wanted = {member.peer_address for member in members}
         for address in self._feeds.keys() - wanted:
             self._feeds.pop(address).close()
+
+
+def _choose_reader(members):
+    """Return the host that reads for others, by rendezvous hash among the strong."""
+    least = STRONG_PART * max(member.capacity for member in members)
+    strong = {m.name: m for m in members if m.capacity >= least}
+    return strong[rank_hosts(strong, "store-reader")[0]]
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -27,6 +27,9 @@
     "bounds.retry_budget_slack": "64",
     "bounds.budget_window_s": "10",
     "bounds.probes_per_s": "60",
+    "limits.cpu_cores": "3",
+    "limits.cpu_share": "0.717",
+    "limits.link_mbps": "100.0",
 }
 SECTIONS = {
     "zones": [("akl-a", "aotearoa-north"), ("ham-b", "aotearoa-north")],
@@ -64,6 +67,8 @@
         self.assertEqual(("10.1.0.10:7720", "10.2.0.40:7720"), settings.seed_peers)
         self.assertEqual("aotearoa-north", settings.regions["ham-b"])
         self.assertEqual((6.0, 64.0), (settings.grace, settings.retry_slack))
+        self.assertEqual((3, 0.717), (settings.cores, settings.core_share))
+        self.assertEqual(100.0, settings.link_mbit)
 
     def test_a_deployment_without_seeds_starts(self):
         settings = parse_routed_settings(
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,5 +1,7 @@
 """How hosts hear of the store, from the store and from each other."""
 
+from dataclasses import replace
+
 from redwingspring import feed
 from redwingspring.feed import (
     FROM_STORE,
@@ -89,6 +91,22 @@
         for data in (b"", b"\xff" * 60, encode_answer(answer)[:20]):
             self.assertRaises(StoreError, decode_answer, data)
 
+    def test_a_list_of_targets_is_small_enough_for_a_slow_link(self):
+        """It goes out to 44 hosts at once when their reader changes."""
+        entries = tuple(
+            StoreChange(
+                f"servers/i-{n:08x}",
+                b'{"address":"10.1.%d.%d:8161","info":{"service":"desk",'
+                b'"config_version":"v1","zone":"akl-a","max_concurrency":3},'
+                b'"status":{"state":"ready","sequence":%d,"warmup_left_s":0},'
+                b'"born":%d}' % (n // 200, n % 200, n % 7, 1_700_000_000_000 + n * 77),
+                n,
+            )
+            for n in range(250)
+        )
+        data = encode_answer(FeedAnswer(entries, 250, True, Confirmation()))
+        self.assertLess(len(data), 12_000)
+
 
 class Source:
     """A source whose answers a test sets."""
@@ -129,6 +147,24 @@
         chosen = [self.build(number).choose() for number in range(12)]
         self.assertEqual(1, chosen.count(self.store))
 
+    def test_the_strong_hosts_read_for_the_weak_ones(self):
+        """A change to 44 hosts over a link of 5 Mbit/s is late at most of them."""
+        weak = [replace(build_member(n), capacity=5) for n in range(12)]
+        strong = [replace(build_member(n), capacity=200) for n in (12, 13)]
+        members = Members(weak[0], self.clock)
+        members.take(Sighting(member, 0.0) for member in (*weak, *strong))
+        choice = SourceChoice(members, self.store, Source, self.clock)
+        self.assertEqual(strong[0].peer_address, choice.choose().name)
+
+    def test_weak_hosts_read_where_no_strong_one_is_left(self):
+        weak = [replace(build_member(n), capacity=5) for n in range(12)]
+        choices = []
+        for own in weak:
+            members = Members(own, self.clock)
+            members.take(Sighting(member, 0.0) for member in weak)
+            choices.append(SourceChoice(members, self.store, Source, self.clock))
+        self.assertEqual(1, [c.choose() for c in choices].count(self.store))
+
     def test_a_reader_whose_source_fails_asks_the_store_next(self):
         choices = [self.build(number) for number in range(12)]
         seconds = 0
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,4 +1,5 @@
 import random
+from dataclasses import replace
 
 from redwingspring.gossip import MAX_DATAGRAM, decode_gossip, encode_gossip
 from redwingspring.members import (
@@ -8,6 +9,7 @@
     Members,
     MemberState,
     Sighting,
+    find_capacity,
 )
 
 from .base import RedwingspringTestCase
@@ -27,6 +29,13 @@
     )
 
 
+class CapacityTest(RedwingspringTestCase):
+    def test_a_slow_link_counts_like_a_slow_processor(self):
+        self.assertEqual(86, find_capacity(0.86, 1000.0))
+        self.assertEqual(5, find_capacity(0.43, 5.0))
+        self.assertEqual(1, find_capacity(0.01, 0.1))
+
+
 class MembersTest(RedwingspringTestCase):
     def setUp(self):
         super().setUp()
@@ -82,7 +91,10 @@
 
 class DatagramTest(RedwingspringTestCase):
     def test_a_report_survives_the_encoding(self):
-        report = [Sighting(build_member(n), n / 10) for n in range(MAX_ENTRIES)]
+        report = [
+            Sighting(replace(build_member(n), capacity=n + 1), n / 10)
+            for n in range(MAX_ENTRIES)
+        ]
         data = encode_gossip(report, True)
         self.assertTrue(len(data) < MAX_DATAGRAM)
         self.assertEqual((report, True), decode_gossip(data))
