Count only requests without a response as load that a target does not tell

Cause: in_flight also counts a response that is still being read, whose slot at the target may be free again; a service of long downloads then looks fuller than it is. Change: an exchange counts as unanswered from its send until the head of its response, or its end.

--- a/harness/soak.py
+++ b/harness/soak.py
@@ -224,6 +224,7 @@
             "store": self.links[0],
             "seeds": [f"{self.host_ips[0]}:{self.ports[0]}"],
             "retry_slack": 64.0,
+            "probe_rate": 60.0,
             "grace": 4.0,
         }
         path = self.folder / f"entry-{number}.yaml"
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -105,6 +105,7 @@
         self._dialect = dialect
         self._clock = clock
         self._probe = None
+        self._is_unanswered = False
 
     def fileno(self):
         """Return the descriptor of the connection."""
@@ -180,6 +181,8 @@
             None when the response is to be waited for.
         """
         self.connection.prepare(attempt)
+        self._is_unanswered = True
+        self.state.count_unanswered(1)
         try:
             send_request(self.connection, attempt)
         except _FAULTS as error:
@@ -207,6 +210,7 @@
         except _FAULTS as error:
             self._fail(explain_fault(self.connection, error))
             return Error(self.failure)
+        self._note_answered()
         if terms.load is not None and terms.request_id == attempt.attempt_id:
             self.end_sample = terms.load
             # A target counts the request that it answers.
@@ -233,10 +237,17 @@
 
     def abort(self):
         """Close the connection, which cancels the work at the target."""
+        self._note_answered()
         if self.connection is not None:
             self.connection.close()
         self.stage = Stage.CLOSED
 
+    def _note_answered(self):
+        """Count a request as answered, or as ended without an answer, once."""
+        if self._is_unanswered:
+            self._is_unanswered = False
+            self.state.count_unanswered(-1)
+
     def _fail(self, failure):
         self.failure = failure
         self.abort()
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -70,6 +70,7 @@
         self.instance = instance
         self.pool = pool
         self.in_flight = 0
+        self.unanswered = 0
         self.sample = None
         self.tells_load = True
         self.listed_at = now
@@ -131,7 +132,7 @@
         """
         # An instance that hangs says that it is idle, and requests on the way to it
         # are not in its count yet.
-        self.sample = sample.count_at_least(self.in_flight)
+        self.sample = sample.count_at_least(self.unanswered)
         self.probed_at = sample.time
         if sample.cold_s > 0:
             self.cold_until = max(self.cold_until, sample.time + sample.cold_s)
@@ -152,8 +153,7 @@
         cold_s = max(0.0, self.cold_until - sample.time)
         healthy = self.sample is None or self.sample.healthy
         sample = replace(sample, cold_s=cold_s, healthy=healthy)
-        # The request that was answered here still counts as in flight.
-        self.sample = sample.count_at_least(self.in_flight - 1)
+        self.sample = sample.count_at_least(self.unanswered)
 
     def has_recent_load(self, now):
         """Tell whether the instance told its load a moment ago.
@@ -180,6 +180,17 @@
                 # The next request must not find the same slot free.
                 self.sample = self.sample.begin_one()
 
+    def count_unanswered(self, change):
+        """Count requests whose response has not begun.
+
+        Parameters
+        ----------
+        change : int
+            1 before a request is sent, -1 once its response begins or it ends.
+        """
+        with self._lock:
+            self.unanswered += change
+
     def end(self):
         """Count the end of a request."""
         with self._lock:
