--- a/harness/soak.py
+++ b/harness/soak.py
@@ -7,39 +7,20 @@
 """
 
 import argparse
-import contextlib
 import http.client
-import json
 import random
-import re
 import shutil
-import signal
-import socket
-import subprocess
 import sys
 import threading
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
-import yaml
+from tests.standins import HOST, POSTS, READS
 
-from redwingspring.registry import Registry
-from tests.standins import (
-    HOST,
-    POSTS,
-    READS,
-    InstanceStandIn,
-    StoreStandIn,
-    describe_configuration,
-    find_port,
-    wait_until,
-)
+from .soakfleet import HOSTS, SoakFleet, make_body
+from .soaktroubles import troubles
 
-from .fleet import Process
-
-HOSTS = 3
-TARGETS = 4
 CALLERS = 8
 CALL_PAUSE_S = 0.02
 CALL_TIMEOUT_S = 2.0
@@ -51,8 +32,6 @@
 # After the last trouble ended, everything is served again within this time.
 RECOVERY_S = 8.0
 CALM_S = 2.0
-# Longer than the grace of a host.
-DRAIN_S = 5.0
 # Connections that a host broke are noticed within this time.
 NOTICE_S = 1.0
 MAX_ATTEMPTS = 2
@@ -60,8 +39,6 @@
 RESULTS = Path("results")
 TRUE_NOT_RUN = (408, 421, 429, 503)
 
-troubles = Registry("trouble")
-
 
 @dataclass(frozen=True)
 class Call:
@@ -95,152 +72,6 @@
     told: str = ""
 
 
-class SoakTarget(InstanceStandIn):
-    """A target whose answers name the request that they belong to."""
-
-    def answer_sound(self, handler, request_id):
-        """Answer with a body of this request only."""
-        body = make_body(request_id)
-        self.send_head(handler, request_id, len(body))
-        handler.wfile.write(body)
-
-
-def make_body(request_id):
-    """Return the body that belongs to a request."""
-    # Parallel requests cannot share a beginning or a length by chance.
-    return f"{request_id};".encode() * (1 + sum(request_id.encode()) % 400)
-
-
-class SoakFleet:
-    """Entry processes, links, targets and the store of one run.
-
-    Parameters
-    ----------
-    folder : pathlib.Path
-        Where settings and logs go.
-    """
-
-    def __init__(self, folder):
-        self._exits = contextlib.ExitStack()
-        self.folder = folder
-        net = random.SystemRandom().randrange(1, 250)
-        self.host_ips = [f"127.{net}.1.{n + 1}" for n in range(HOSTS)]
-        self.link_ips = [f"127.{net}.2.{n + 1}" for n in range(TARGETS + 1)]
-        # The relays know a way by the real IP number at its end.
-        self.real_ips = [f"127.{net}.3.{n + 1}" for n in range(TARGETS + 1)]
-        self.store = StoreStandIn(self.real_ips[0])
-        self.targets = [
-            SoakTarget(f"i-{n}", ip) for n, ip in enumerate(self.real_ips[1:])
-        ]
-        self.version = 1
-        self.host_locks = [threading.Lock() for _ in range(HOSTS)]
-        port = find_port()
-        self.links = [f"{ip}:{port}" for ip in self.link_ips]
-        self.ports = [find_port() for _ in range(5)]
-        self.addresses = [f"{ip}:{self.ports[0]}" for ip in self.host_ips]
-        self.processes = [None] * HOSTS
-        # Times in which a host could not answer: from, until.
-        self.outages = [[] for _ in range(HOSTS)]
-        self._lock = threading.Lock()
-
-    def start(self):
-        """Start everything and wait until all hosts serve."""
-        self._exits.callback(self.store.close)
-        for target, address in zip(self.targets, self.links[1:], strict=True):
-            self._exits.callback(target.close)
-            self.list_target(target, address)
-        self.publish()
-        real = [self.store.address, *(target.address for target in self.targets)]
-        self._control = f"{self.link_ips[0]}:{self.ports[4]}"
-        command = [sys.executable, "-m", "harness.links", "--control", self._control]
-        for pair in zip(self.links, real, strict=True):
-            command += ["--pair", "=".join(pair)]
-        self._spawn("links", command)
-        wait_until(lambda: self.set_link("heal"))
-        for number in range(HOSTS):
-            self.start_host(number)
-        for number in range(HOSTS):
-            wait_until(lambda n=number: self.is_ready(n), 20)
-
-    def close(self):
-        """End all processes and stand-ins."""
-        self._exits.close()
-
-    def list_target(self, target, address, **changes):
-        """Write a target's entry to the store."""
-        entry = target.entry(**changes)
-        self.store.put(f"servers/{target.id}", {**entry, "address": address})
-
-    def publish(self):
-        """Write the next version of the configuration."""
-        self.store.put("op/config", describe_configuration(self.version))
-        self.version += 1
-
-    def start_host(self, number):
-        """Start an entry process; the last one has a clock that steps."""
-        settings = self._write_settings(number)
-        mutation = "clock-steps" if number == HOSTS - 1 else ""
-        command = [sys.executable, "-m", "harness.mutant", mutation, "entry"]
-        name = f"entry-{number}"
-        process = self._spawn(name, [*command, "--settings", str(settings)])
-        self.processes[number] = process
-
-    def set_link(self, do, destination=None, **state):
-        """Change the way to a destination; return False if nobody listens."""
-        host, port = self._control.rsplit(":", 1)
-        command = {"do": do, "source": "*", "destination": destination, **state}
-        try:
-            with socket.create_connection((host, int(port)), 1) as connection:
-                connection.sendall(json.dumps(command).encode() + b"\n")
-                return bool(connection.recv(16))
-        except OSError:
-            return False
-
-    def is_ready(self, number):
-        """Tell whether a host takes new connections."""
-        ip = self.host_ips[number]
-        connection = http.client.HTTPConnection(ip, self.ports[1], timeout=1)
-        try:
-            connection.request("GET", "/redwingspring/ready")
-            return connection.getresponse().status == 200
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            connection.close()
-
-    def note_outage(self, number, since):
-        """Note that a host could not answer from a time until now."""
-        with self._lock:
-            self.outages[number].append((since, time.monotonic()))
-
-    def _write_settings(self, number):
-        ip = self.host_ips[number]
-        names = ("address", "ready_address", "directory_address", "peer_address")
-        values = {
-            "name": f"edge-{number}",
-            "data_centre": "akl-a",
-            "data_centres": {"akl-a": "aotearoa-north"},
-            **{n: f"{ip}:{p}" for n, p in zip(names, self.ports, strict=False)},
-            "store": self.links[0],
-            "seeds": [f"{self.host_ips[0]}:{self.ports[0]}"],
-            "retry_slack": 64.0,
-            "probe_rate": 60.0,
-            "grace": 4.0,
-        }
-        path = self.folder / f"entry-{number}.yaml"
-        path.write_text(yaml.safe_dump(values))
-        return path
-
-    def _spawn(self, name, command):
-        log = self.folder / f"{name}.log"
-        with log.open("ab") as stream:
-            popen = subprocess.Popen(command, stdout=stream, stderr=stream)
-        process = Process(name, "", popen, log)
-        self._exits.callback(process.kill)
-        self._exits.callback(process.resume)
-        return process
-
-
 class SoakCaller:
     """A caller that keeps its connection until the host or the way is gone."""
 
@@ -299,125 +130,6 @@
             self._connection = None
 
 
-def stop_and_start(fleet, number, seconds, end):
-    """End a host in some way and start it again after a while."""
-    if not fleet.host_locks[number].acquire(blocking=False):
-        return
-    try:
-        since = time.monotonic()
-        end(fleet.processes[number])
-        time.sleep(seconds)
-        fleet.processes[number].kill()
-        fleet.start_host(number)
-        with contextlib.suppress(AssertionError):
-            wait_until(lambda: fleet.is_ready(number), 15)
-        fleet.note_outage(number, since)
-    finally:
-        fleet.host_locks[number].release()
-
-
-def handles_signal(process, number):
-    """Tell whether a process has a handler for a signal."""
-    try:
-        status = Path(f"/proc/{process.popen.pid}/status").read_text()
-    except OSError:
-        return False
-    caught = re.search(r"SigCgt:\s*(\w+)", status)
-    return bool(caught and int(caught[1], 16) >> (number - 1) & 1)
-
-
-@troubles.register("kill")
-def kill_host(fleet, rng, seconds):
-    """Kill a host; its connections are reset."""
-    stop_and_start(fleet, rng.randrange(HOSTS), seconds, Process.kill)
-
-
-@troubles.register("drain")
-def drain_host(fleet, rng, seconds):
-    """Shut a host down gracefully, then start it again."""
-    stop_and_start(fleet, rng.randrange(HOSTS), DRAIN_S, Process.terminate)
-
-
-@troubles.register("pause")
-def pause_host(fleet, rng, seconds):
-    """Stop a host for a while without a sign."""
-    number = rng.randrange(HOSTS)
-    since, process = time.monotonic(), fleet.processes[number]
-    process.freeze()
-    time.sleep(seconds)
-    process.resume()
-    fleet.note_outage(number, since)
-
-
-@troubles.register("reload")
-def reload_hosts(fleet, rng, seconds):
-    """Let all hosts read their settings again."""
-    for process in fleet.processes:
-        # The interpreter itself does not hold signals while it loads.
-        if handles_signal(process, signal.SIGHUP):
-            process.send(signal.SIGHUP)
-
-
-@troubles.register("link")
-def break_link(fleet, rng, seconds):
-    """Cut, delay or reset the way to a target or the store."""
-    destination = rng.choice(fleet.real_ips)
-    state = rng.choice(
-        ({"forward": False}, {"backward": False}, {"delay": 0.05}, {"reset": True})
-    )
-    fleet.set_link("set", destination, **state)
-    time.sleep(seconds)
-    fleet.set_link("set", destination)
-
-
-@troubles.register("store")
-def break_store(fleet, rng, seconds):
-    """Let the store fail or lose its history."""
-    if rng.random() < 0.3:
-        fleet.store.forget_history()
-        return
-    fleet.store.status = rng.choice((503, 429))
-    time.sleep(seconds)
-    fleet.store.status = 200
-
-
-@troubles.register("publish")
-def publish_often(fleet, rng, seconds):
-    """Write configurations in quick succession."""
-    for _ in range(5):
-        fleet.publish()
-        time.sleep(seconds / 10)
-
-
-@troubles.register("target")
-def mislead(fleet, rng, seconds):
-    """Let a target fail in one of its ways."""
-    target = rng.choice(fleet.targets)
-    modes = ("shed", "error", "cut", "reset", "garbage", "hang", "stray", "unsigned")
-    target.mode = rng.choice(modes)
-    time.sleep(seconds)
-    target.mode = "sound"
-
-
-@troubles.register("reuse")
-def reuse_address(fleet, rng, seconds):
-    """Give a target's address to another instance for a while."""
-    target = rng.choice(fleet.targets)
-    known = target.id
-    target.id = f"{known}-other"
-    time.sleep(seconds)
-    target.id = known
-
-
-@troubles.register("ill")
-def say_ill(fleet, rng, seconds):
-    """Let a target's health page refuse while its requests go well."""
-    target = rng.choice(fleet.targets)
-    target.healthy = False
-    time.sleep(seconds)
-    target.healthy = True
-
-
 class Soak:
     """One run: callers, troubles and the checks of what they saw.
 
--- /dev/null
+++ b/harness/soakfleet.py
@@ -0,0 +1,172 @@
+"""Processes, links and stand-ins of a fault soak."""
+
+import contextlib
+import http.client
+import json
+import random
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import yaml
+
+from tests.standins import (
+    InstanceStandIn,
+    StoreStandIn,
+    describe_configuration,
+    find_port,
+    wait_until,
+)
+
+from .fleet import Process
+
+HOSTS = 3
+TARGETS = 4
+
+
+class SoakTarget(InstanceStandIn):
+    """A target whose answers name the request that they belong to."""
+
+    def answer_sound(self, handler, request_id):
+        """Answer with a body of this request only."""
+        body = make_body(request_id)
+        self.send_head(handler, request_id, len(body))
+        handler.wfile.write(body)
+
+
+def make_body(request_id):
+    """Return the body that belongs to a request."""
+    # Parallel requests cannot share a beginning or a length by chance.
+    return f"{request_id};".encode() * (1 + sum(request_id.encode()) % 400)
+
+
+class SoakFleet:
+    """Entry processes, links, targets and the store of one run.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where settings and logs go.
+    """
+
+    def __init__(self, folder):
+        self._exits = contextlib.ExitStack()
+        self.folder = folder
+        net = random.SystemRandom().randrange(1, 250)
+        self.host_ips = [f"127.{net}.1.{n + 1}" for n in range(HOSTS)]
+        self.link_ips = [f"127.{net}.2.{n + 1}" for n in range(TARGETS + 1)]
+        # The relays know a way by the real IP number at its end.
+        self.real_ips = [f"127.{net}.3.{n + 1}" for n in range(TARGETS + 1)]
+        self.store = StoreStandIn(self.real_ips[0])
+        self.targets = [
+            SoakTarget(f"i-{n}", ip) for n, ip in enumerate(self.real_ips[1:])
+        ]
+        self.version = 1
+        self.host_locks = [threading.Lock() for _ in range(HOSTS)]
+        port = find_port()
+        self.links = [f"{ip}:{port}" for ip in self.link_ips]
+        self.ports = [find_port() for _ in range(5)]
+        self.addresses = [f"{ip}:{self.ports[0]}" for ip in self.host_ips]
+        self.processes = [None] * HOSTS
+        # Times in which a host could not answer: from, until.
+        self.outages = [[] for _ in range(HOSTS)]
+        self._lock = threading.Lock()
+
+    def start(self):
+        """Start everything and wait until all hosts serve."""
+        self._exits.callback(self.store.close)
+        for target, address in zip(self.targets, self.links[1:], strict=True):
+            self._exits.callback(target.close)
+            self.list_target(target, address)
+        self.publish()
+        real = [self.store.address, *(target.address for target in self.targets)]
+        self._control = f"{self.link_ips[0]}:{self.ports[4]}"
+        command = [sys.executable, "-m", "harness.links", "--control", self._control]
+        for pair in zip(self.links, real, strict=True):
+            command += ["--pair", "=".join(pair)]
+        self._spawn("links", command)
+        wait_until(lambda: self.set_link("heal"))
+        for number in range(HOSTS):
+            self.start_host(number)
+        for number in range(HOSTS):
+            wait_until(lambda n=number: self.is_ready(n), 20)
+
+    def close(self):
+        """End all processes and stand-ins."""
+        self._exits.close()
+
+    def list_target(self, target, address, **changes):
+        """Write a target's entry to the store."""
+        entry = target.entry(**changes)
+        self.store.put(f"servers/{target.id}", {**entry, "address": address})
+
+    def publish(self):
+        """Write the next version of the configuration."""
+        self.store.put("op/config", describe_configuration(self.version))
+        self.version += 1
+
+    def start_host(self, number):
+        """Start an entry process; the last one has a clock that steps."""
+        settings = self._write_settings(number)
+        mutation = "clock-steps" if number == HOSTS - 1 else ""
+        command = [sys.executable, "-m", "harness.mutant", mutation, "entry"]
+        name = f"entry-{number}"
+        process = self._spawn(name, [*command, "--settings", str(settings)])
+        self.processes[number] = process
+
+    def set_link(self, do, destination=None, **state):
+        """Change the way to a destination; return False if nobody listens."""
+        host, port = self._control.rsplit(":", 1)
+        command = {"do": do, "source": "*", "destination": destination, **state}
+        try:
+            with socket.create_connection((host, int(port)), 1) as connection:
+                connection.sendall(json.dumps(command).encode() + b"\n")
+                return bool(connection.recv(16))
+        except OSError:
+            return False
+
+    def is_ready(self, number):
+        """Tell whether a host takes new connections."""
+        ip = self.host_ips[number]
+        connection = http.client.HTTPConnection(ip, self.ports[1], timeout=1)
+        try:
+            connection.request("GET", "/redwingspring/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def note_outage(self, number, since):
+        """Note that a host could not answer from a time until now."""
+        with self._lock:
+            self.outages[number].append((since, time.monotonic()))
+
+    def _write_settings(self, number):
+        ip = self.host_ips[number]
+        names = ("address", "ready_address", "directory_address", "peer_address")
+        values = {
+            "name": f"edge-{number}",
+            "data_centre": "akl-a",
+            "data_centres": {"akl-a": "aotearoa-north"},
+            **{n: f"{ip}:{p}" for n, p in zip(names, self.ports, strict=False)},
+            "store": self.links[0],
+            "seeds": [f"{self.host_ips[0]}:{self.ports[0]}"],
+            "retry_slack": 64.0,
+            "probe_rate": 60.0,
+            "grace": 4.0,
+        }
+        path = self.folder / f"entry-{number}.yaml"
+        path.write_text(yaml.safe_dump(values))
+        return path
+
+    def _spawn(self, name, command):
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as stream:
+            popen = subprocess.Popen(command, stdout=stream, stderr=stream)
+        process = Process(name, "", popen, log)
+        self._exits.callback(process.kill)
+        self._exits.callback(process.resume)
+        return process
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,8 @@
 import tempfile
 from pathlib import Path
 
-from harness.soak import Call, Soak, make_body
+from harness.soak import Call, Soak
+from harness.soakfleet import make_body
 
 from .base import RedwingspringTestCase
 
