Use the fleet's network, module start and link commands in the soak

The soak wrote again what harness/fleet.py has. Its random network could also meet that of a fleet that runs at the same time; allocate_network avoids that.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -15,6 +15,8 @@
 import urllib3
 import yaml
 
+from .links import send_command
+
 START_TIMEOUT_S = 20.0
 PORT = 7000
 PEER_PORT = 7001
@@ -131,6 +133,38 @@
         return self.popen.wait(timeout)
 
 
+def start_module(folder, name, address, module, *args):
+    """Start a Python module as a process.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where its log goes.
+    name : str
+        Name of the process.
+    address : str
+        ``ip:port`` where it will listen.
+    module : str
+        Name of the module.
+    *args : str
+        Its arguments.
+
+    Returns
+    -------
+    Process
+        The process.
+    """
+    log = folder / f"{name}.log"
+    with log.open("ab") as stream:
+        popen = subprocess.Popen(
+            [sys.executable, "-m", module, *args],
+            stdout=stream,
+            stderr=stream,
+            stdin=subprocess.DEVNULL,
+        )
+    return Process(name, address, popen, log)
+
+
 @dataclass(frozen=True)
 class TargetSpec:
     """A stand-in target to start.
@@ -253,15 +287,7 @@
         Process
             The process.
         """
-        log = self.path / f"{name}.log"
-        with log.open("ab") as stream:
-            popen = subprocess.Popen(
-                [sys.executable, "-m", module, *args],
-                stdout=stream,
-                stderr=stream,
-                stdin=subprocess.DEVNULL,
-            )
-        process = Process(name, address, popen, log)
+        process = start_module(self.path, name, address, module, *args)
         self.processes[name] = process
         return process
 
@@ -347,11 +373,8 @@
         **command : object
             Fields of the command, see ``harness.links``.
         """
-        host, port = self.links_address.rsplit(":", 1)
-        with socket.create_connection((host, int(port)), timeout=5.0) as sock:
-            sock.sendall(json.dumps(command).encode() + b"\n")
-            if sock.recv(16) != b"ok\n":
-                raise FleetError("the relays refused a command")
+        if not send_command(self.links_address, command):
+            raise FleetError("the relays refused a command")
 
     @property
     def links_address(self):
--- a/harness/links.py
+++ b/harness/links.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import json
+import socket
 from dataclasses import dataclass, field
 
 READ_SIZE = 64 << 10
@@ -144,6 +145,27 @@
         self._table.set(command["source"], command["destination"], link)
 
 
+def send_command(control, command):
+    """Send one command to relays.
+
+    Parameters
+    ----------
+    control : str
+        ``ip:port`` where they take commands.
+    command : dict
+        Its fields.
+
+    Returns
+    -------
+    bool
+        Whether they carried it out.
+    """
+    host, port = control.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=5.0) as connection:
+        connection.sendall(json.dumps(command).encode() + b"\n")
+        return connection.recv(16) == b"ok\n"
+
+
 async def serve(pairs, control):
     """Run relays for pairs of listening and real address."""
     table = LinkTable()
--- a/harness/soakfleet.py
+++ b/harness/soakfleet.py
@@ -2,11 +2,6 @@
 
 import contextlib
 import http.client
-import json
-import random
-import socket
-import subprocess
-import sys
 import threading
 import time
 
@@ -20,7 +15,8 @@
     wait_until,
 )
 
-from .fleet import Process
+from .fleet import allocate_network, find_relay, start_module
+from .links import ANY, send_command
 
 HOSTS = 3
 TARGETS = 4
@@ -54,11 +50,10 @@
     def __init__(self, folder):
         self._exits = contextlib.ExitStack()
         self.folder = folder
-        net = random.SystemRandom().randrange(1, 250)
-        self.host_ips = [f"127.{net}.1.{n + 1}" for n in range(HOSTS)]
-        self.link_ips = [f"127.{net}.2.{n + 1}" for n in range(TARGETS + 1)]
+        network = allocate_network()
+        self.host_ips = [f"{network}.{10 + n}" for n in range(HOSTS)]
         # The relays know a way by the real IP number at its end.
-        self.real_ips = [f"127.{net}.3.{n + 1}" for n in range(TARGETS + 1)]
+        self.real_ips = [f"{network}.{50 + n}" for n in range(TARGETS + 1)]
         self.store = StoreStandIn(self.real_ips[0])
         self.targets = [
             SoakTarget(f"i-{n}", ip) for n, ip in enumerate(self.real_ips[1:])
@@ -66,8 +61,9 @@
         self.version = 1
         self.host_locks = [threading.Lock() for _ in range(HOSTS)]
         port = find_port()
-        self.links = [f"{ip}:{port}" for ip in self.link_ips]
-        self.ports = [find_port() for _ in range(5)]
+        self.links = [find_relay(f"{ip}:{port}") for ip in self.real_ips]
+        self._control = f"{network}.3:{port}"
+        self.ports = [find_port() for _ in range(4)]
         self.addresses = [f"{ip}:{self.ports[0]}" for ip in self.host_ips]
         self.processes = [None] * HOSTS
         # Times in which a host could not answer: from, until.
@@ -82,11 +78,10 @@
             self.list_target(target, address)
         self.publish()
         real = [self.store.address, *(target.address for target in self.targets)]
-        self._control = f"{self.link_ips[0]}:{self.ports[4]}"
-        command = [sys.executable, "-m", "harness.links", "--control", self._control]
+        arguments = ["--control", self._control]
         for pair in zip(self.links, real, strict=True):
-            command += ["--pair", "=".join(pair)]
-        self._spawn("links", command)
+            arguments += ["--pair", "=".join(pair)]
+        self._spawn("links", self._control, "harness.links", *arguments)
         wait_until(lambda: self.set_link("heal"))
         for number in range(HOSTS):
             self.start_host(number)
@@ -111,19 +106,16 @@
         """Start an entry process; the last one has a clock that steps."""
         settings = self._write_settings(number)
         mutation = "clock-steps" if number == HOSTS - 1 else ""
-        command = [sys.executable, "-m", "harness.mutant", mutation, "entry"]
-        name = f"entry-{number}"
-        process = self._spawn(name, [*command, "--settings", str(settings)])
-        self.processes[number] = process
+        arguments = (mutation, "entry", "--settings", str(settings))
+        self.processes[number] = self._spawn(
+            f"entry-{number}", self.addresses[number], "harness.mutant", *arguments
+        )
 
     def set_link(self, do, destination=None, **state):
         """Change the way to a destination; return False if nobody listens."""
-        host, port = self._control.rsplit(":", 1)
-        command = {"do": do, "source": "*", "destination": destination, **state}
+        command = {"do": do, "source": ANY, "destination": destination, **state}
         try:
-            with socket.create_connection((host, int(port)), 1) as connection:
-                connection.sendall(json.dumps(command).encode() + b"\n")
-                return bool(connection.recv(16))
+            return send_command(self._control, command)
         except OSError:
             return False
 
@@ -148,7 +140,7 @@
         ip = self.host_ips[number]
         names = ("address", "ready_address", "directory_address", "peer_address")
         values = {
-            "name": f"edge-{number}",
+            "name": f"entry-{number}",
             "data_centre": "akl-a",
             "data_centres": {"akl-a": "aotearoa-north"},
             **{n: f"{ip}:{p}" for n, p in zip(names, self.ports, strict=False)},
@@ -162,11 +154,8 @@
         path.write_text(yaml.safe_dump(values))
         return path
 
-    def _spawn(self, name, command):
-        log = self.folder / f"{name}.log"
-        with log.open("ab") as stream:
-            popen = subprocess.Popen(command, stdout=stream, stderr=stream)
-        process = Process(name, "", popen, log)
+    def _spawn(self, *arguments):
+        process = start_module(self.folder, *arguments)
         self._exits.callback(process.kill)
         self._exits.callback(process.resume)
         return process
