--- a/redwingspring/callertimeouts.py
+++ b/redwingspring/callertimeouts.py
@@ -8,6 +8,9 @@
 import threading
 from collections import deque
 
+from .mappings import drop_oldest
+from .routes import MAX_ROUTES
+
 # Requests of a route from which its usual timeout is taken.
 TIMEOUT_SAMPLES = 200
 # Part of them that may have more time, so that a few patient callers do not make
@@ -15,7 +18,6 @@
 PATIENT_PART = 0.03
 # Requests after which the usual timeout is computed again.
 REFRESH_EVERY = 20
-MAX_ROUTES = 5000
 
 
 class RouteTimeout:
@@ -77,6 +79,5 @@
             timeout = self._routes.get(route.prefix)
             if timeout is None:
                 timeout = self._routes[route.prefix] = RouteTimeout()
-                while len(self._routes) > MAX_ROUTES:
-                    del self._routes[next(iter(self._routes))]
+                drop_oldest(self._routes, MAX_ROUTES)
             return timeout.note(left_s)
--- a/redwingspring/knowledge.py
+++ b/redwingspring/knowledge.py
@@ -7,6 +7,7 @@
 from .clock import read_clock
 from .errors import DocumentError, RedwingspringError
 from .instances import Instance
+from .mappings import drop_oldest
 from .routes import RoutingTable
 
 # Entries that lapse while the store is away are written again within about two
@@ -283,8 +284,7 @@
 
     def _add_tombstone(self, change):
         self._tombstones[change.key] = change.revision
-        while len(self._tombstones) > MAX_TOMBSTONES:
-            del self._tombstones[next(iter(self._tombstones))]
+        drop_oldest(self._tombstones, MAX_TOMBSTONES)
 
     def _apply_table(self, change, revision):
         table = change.table
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -9,7 +9,9 @@
 import random
 from dataclasses import dataclass
 
+from .mappings import drop_oldest
 from .registry import Registry
+from .routes import MAX_ROUTES
 
 # Share of its slots above which some targets slow down, and the slowdown that is
 # assumed before requests have shown it.
@@ -25,7 +27,6 @@
 
 # Weight of the latest response in what is expected.
 NEW_WEIGHT = 0.08
-MAX_ROUTES = 5000
 # Quantile that is taken for the usual work, and its relative step.
 WORK_QUANTILE = 0.4
 STEP = 0.08
@@ -190,7 +191,7 @@
     """Move the mean of a key towards a value."""
     mean = means.get(key, value)
     means[key] = mean + NEW_WEIGHT * (value - mean)
-    _forget_oldest(means)
+    drop_oldest(means, MAX_ROUTES)
 
 
 def _track_quantile(values, key, value, first=None):
@@ -202,12 +203,7 @@
     known = values.get(key, value if first is None else first)
     step = STEP * (WORK_QUANTILE if value > known else WORK_QUANTILE - 1)
     values[key] = known * (1 + step)
-    _forget_oldest(values)
-
-
-def _forget_oldest(values):
-    while len(values) > MAX_ROUTES:
-        del values[next(iter(values))]
+    drop_oldest(values, MAX_ROUTES)
 
 
 def is_nearly_full(sample):
--- a/redwingspring/routes.py
+++ b/redwingspring/routes.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
+# Routes of which requests are remembered, those of earlier configurations included.
+MAX_ROUTES = 5000
+
 
 @dataclass(frozen=True)
 class ServiceShare:
