--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -48,3 +48,12 @@
             " configuration-taken revision 2",
         ):
             self.assertIn(expected, result.stdout, result.stderr)
+
+
+class DesignTest(RedwingspringTestCase):
+    def test_the_design_page_lists_every_module(self):
+        """Modules that were added later stood in no table."""
+        page = (ROOT / "docs" / "design.md").read_text()
+        listed = set(re.findall(r"^\| `(\w+)` \|", page, re.M))
+        modules = {path.stem for path in (ROOT / "redwingspring").glob("*.py")}
+        self.assertEqual(set(), modules - listed - {"__init__", "__main__"})
