Rename two modules after the usual terms

`knowledge` holds the published state that was read from the store, and `judgement` reports whether a host and its services accept requests. Both names said little to a newcomer.

knowledge -> storestate judgement -> readiness tests/test_knowledge -> tests/test_storestate

Only names, imports and the order of import lines change.

--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -17,8 +17,8 @@
 import urllib3
 
 from .clock import read_clock
-from .knowledge import HistoryLost, StoreChange, StoreError, StoreSnapshot
 from .responses import PageResponse, ResponsePage
+from .storestate import HistoryLost, StoreChange, StoreError, StoreSnapshot
 
 PROTOCOL_VERSION = 3
 FEED_PATH = "/feed"
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -1,6 +1,6 @@
 """Follows the store: a snapshot first, then changes, and again after a gap."""
 
-from .knowledge import HistoryLost, StoreError
+from .storestate import HistoryLost, StoreError
 
 # Changes that come in quick succession are read from the store together.
 GATHER_S = 0.15
--- a/redwingspring/pages.py
+++ b/redwingspring/pages.py
@@ -6,7 +6,7 @@
 
 from .addresses import VERSION_LINE as ADDRESS_VERSION_LINE
 from .calls import is_request_id
-from .judgement import judge_service
+from .readiness import judge_service
 from .status import (
     format_fact,
     format_word,
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -6,13 +6,13 @@
 
 from ..errors import DocumentError
 from ..instances import Instance
-from ..knowledge import (
+from ..routes import CallerLimits, Route, RoutedService, ServiceShare, build_table
+from ..storestate import (
     EvacuationChange,
     InstanceChange,
     InstanceGone,
     TableChange,
 )
-from ..routes import CallerLimits, Route, RoutedService, ServiceShare, build_table
 from ..units import check_address
 
 CONFIGURATION_KEY = "op/config"
--- a/redwingspring/platform/store.py
+++ b/redwingspring/platform/store.py
@@ -8,7 +8,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from ..knowledge import HistoryLost, StoreBusy, StoreChange, StoreError, StoreSnapshot
+from ..storestate import HistoryLost, StoreBusy, StoreChange, StoreError, StoreSnapshot
 
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 1.0
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -6,7 +6,6 @@
 from .follower import StoreFollower
 from .gossip import GossipNetwork
 from .instances import InstanceDirectory
-from .knowledge import Knowledge
 from .members import Members, build_member, find_capacity
 from .metrics import Metrics, connect_statsd
 from .pipelining import RoutedServer
@@ -19,6 +18,7 @@
 from .server import EntryServer, ServerBounds
 from .shares import ColdShare, HostCount, ProbeShare, RetryShare
 from .sources import WATCH_WAIT_S, SourceChoice, StoreSource
+from .storestate import Knowledge
 
 
 def assemble_routed(entry, settings):
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -2,8 +2,8 @@
 
 from .clock import read_clock
 from .feed import FROM_STORE
-from .knowledge import StoreError
 from .rendezvous import rank_hosts
+from .storestate import StoreError
 
 # A watch of the store that answers nothing for this long is asked anew, because a
 # connection on which an answer was lost stays silent.
--- a/redwingspring/status.py
+++ b/redwingspring/status.py
@@ -7,8 +7,8 @@
 
 from .addresses import find_alternatives
 from .errors import PageError
-from .judgement import judge_host, judge_service
 from .logs import count_dropped
+from .readiness import judge_host, judge_service
 from .requestlog import RequestState
 from .version import __version__
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -13,14 +13,14 @@
     encode_answer,
 )
 from redwingspring.follower import StoreFollower
-from redwingspring.knowledge import (
+from redwingspring.members import Members, Sighting
+from redwingspring.sources import SourceChoice
+from redwingspring.storestate import (
     HistoryLost,
     StoreChange,
     StoreError,
     StoreSnapshot,
 )
-from redwingspring.members import Members, Sighting
-from redwingspring.sources import SourceChoice
 
 from .base import RedwingspringTestCase
 from .standins import HostFixture, describe_configuration, wait_until
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,7 +3,10 @@
 import json
 
 from redwingspring.errors import DocumentError
-from redwingspring.knowledge import (
+from redwingspring.metrics import Metrics
+from redwingspring.platform import headers, store
+from redwingspring.platform.documents import decode_change
+from redwingspring.storestate import (
     EvacuationChange,
     HistoryLost,
     InstanceChange,
@@ -13,9 +16,6 @@
     StoreError,
     TableChange,
 )
-from redwingspring.metrics import Metrics
-from redwingspring.platform import headers, store
-from redwingspring.platform.documents import decode_change
 
 from .base import RedwingspringTestCase
 from .standins import StoreStandIn, describe_configuration, describe_route
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-from redwingspring import judgement, status
+from redwingspring import readiness, status
 from redwingspring.admission import GateDirectory
 from redwingspring.configuration import parse_configuration
 from redwingspring.errors import PageError
@@ -110,10 +110,10 @@
         # The modules read the clocks of ages and ejections through `time`.
         clock = SimpleNamespace(time=lambda: NOW.unix, monotonic=lambda: NOW.monotonic)
         self.patch(status, "time", clock)
-        self.patch(judgement, "time", clock)
+        self.patch(readiness, "time", clock)
 
     def judge(self, service="fault-desk"):
-        found = judgement.judge_service(self.entry, service)
+        found = readiness.judge_service(self.entry, service)
         return found.taken, found.reason
 
     def test_a_changed_line_would_break_scripts(self):
--- a/tests/test_knowledge.py
+++ b/tests/test_storestate.py
@@ -1,7 +1,9 @@
 from redwingspring.decisions import DecisionLog
 from redwingspring.errors import DocumentError
 from redwingspring.instances import Instance, InstanceDirectory
-from redwingspring.knowledge import (
+from redwingspring.metrics import Metrics
+from redwingspring.routes import CallerLimits, build_table
+from redwingspring.storestate import (
     LAPSE_S,
     InstanceChange,
     InstanceGone,
@@ -11,8 +13,6 @@
     StoreSnapshot,
     TableChange,
 )
-from redwingspring.metrics import Metrics
-from redwingspring.routes import CallerLimits, build_table
 
 from .base import RedwingspringTestCase
 
