Name gossip, feed and store state after the usual terms

The names of membership, the store feed and the published state were figurative (sighting, lapse, judge) or vague (take, note, knowledge). Bare names, one a line; `Members.take`, the attribute `knowledge` and `StoreState.age` are replaced only where they mean these definitions.

The tests of status, pages, storestate, feed, gossip, platform, readme, outernames, routedpath, membership and publication pass.

--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -29,7 +29,7 @@
 MAX_CONFIRMED_AGE_S = 1.5
 FEED_WAIT_S = 0.4
 CONNECT_TIMEOUT_S = 0.15
-ANSWER_MARGIN_S = 0.25
+READ_MARGIN_S = 0.25
 # A reader tells a change to all hosts of its data centre at once, perhaps over a
 # slow link; the fastest level already leaves a sixth of a list of targets.
 COMPRESSION_LEVEL = 1
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True)
-class FeedAnswer:
+class FeedUpdate:
     """Part of what a host knows of the store.
 
     Attributes
@@ -107,7 +107,7 @@
             return float("inf")
         return max(0.0, self._clock() - self._confirmed_at)
 
-    def take_snapshot(self, snapshot, confirmation=FROM_STORE):
+    def apply_snapshot(self, snapshot, confirmation=FROM_STORE):
         """Take everything that the store holds.
 
         Parameters
@@ -124,7 +124,7 @@
                 self._oldest = self._revision = snapshot.revision
             self._confirm(confirmation)
 
-    def take_changes(self, changes, revision, confirmation=FROM_STORE):
+    def apply_changes(self, changes, revision, confirmation=FROM_STORE):
         """Take changes in their order.
 
         Parameters
@@ -171,7 +171,7 @@
 
         Returns
         -------
-        FeedAnswer or None
+        FeedUpdate or None
             None when the store was not heard for too long, or when the changes
             are no longer known.
         """
@@ -192,7 +192,7 @@
 
     def _answer(self, changes, whole):
         confirmation = Confirmation(self.confirmed_age_s, self._hops)
-        return FeedAnswer(changes, self._revision, whole, confirmation)
+        return FeedUpdate(changes, self._revision, whole, confirmation)
 
 
 class FeedPage(ResponsePage):
@@ -226,7 +226,7 @@
         answer = self._mirror.read(known, FEED_WAIT_S)
         if answer is None:
             return PageResponse("503 Service Unavailable")
-        return PageResponse("200 OK", encode_answer(answer), CONTENT_TYPE)
+        return PageResponse("200 OK", encode_update(answer), CONTENT_TYPE)
 
 
 class FeedClient:
@@ -300,7 +300,7 @@
     def _ask(self, fields):
         self._metrics.increment("feed.calls")
         timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=FEED_WAIT_S + ANSWER_MARGIN_S
+            connect=CONNECT_TIMEOUT_S, read=FEED_WAIT_S + READ_MARGIN_S
         )
         try:
             response = self._pool.request(
@@ -310,7 +310,7 @@
             raise StoreError(f"a host cannot be asked: {error}") from error
         if response.status != 200:
             raise StoreError(f"a host answered with status {response.status}")
-        return decode_answer(response.data)
+        return decode_update(response.data)
 
 
 def _pass_on(confirmation):
@@ -318,12 +318,12 @@
     return Confirmation(confirmation.age_s, confirmation.hops + 1)
 
 
-def encode_answer(answer):
+def encode_update(answer):
     """Return an answer as bytes.
 
     Parameters
     ----------
-    answer : FeedAnswer
+    answer : FeedUpdate
         The answer.
 
     Returns
@@ -347,7 +347,7 @@
     return zlib.compress(message.to_bytes_packed(), COMPRESSION_LEVEL)
 
 
-def decode_answer(data):
+def decode_update(data):
     """Return the answer that bytes encode.
 
     Parameters
@@ -357,7 +357,7 @@
 
     Returns
     -------
-    FeedAnswer
+    FeedUpdate
         The answer.
 
     Raises
@@ -376,6 +376,6 @@
             for entry in message.changes
         )
         confirmation = Confirmation(message.confirmedAgeMs / 1000, message.hops)
-        return FeedAnswer(changes, message.revision, message.whole, confirmation)
+        return FeedUpdate(changes, message.revision, message.whole, confirmation)
     except (capnp.KjException, zlib.error, ValueError) as error:
         raise StoreError(f"a host's answer cannot be read: {error}") from error
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -14,17 +14,17 @@
 
     Parameters
     ----------
-    sources : SourceChoice
+    sources : SourceSelector
         Where changes are heard of.
-    knowledge : Knowledge
+    store_state : StoreState
         Takes what the store tells.
     mirror : StoreMirror
         Keeps it for other hosts.
     """
 
-    def __init__(self, sources, knowledge, mirror):
+    def __init__(self, sources, store_state, mirror):
         self._sources = sources
-        self._knowledge = knowledge
+        self._store_state = store_state
         self._mirror = mirror
         self._has_snapshot = False
 
@@ -48,8 +48,8 @@
             except StoreError as error:
                 self._take_failure(source, error)
             else:
-                self._sources.note_answered(source)
-                self._knowledge.note_in_touch(source.name)
+                self._sources.note_success(source)
+                self._store_state.note_connected(source.name)
                 if gathers:
                     stopping.wait(GATHER_S)
 
@@ -57,23 +57,23 @@
         """Take one answer of a source; tell whether to pause before the next."""
         if not self._has_snapshot:
             snapshot, confirmation = source.read_all()
-            self._sources.check_confirmation(source, confirmation)
-            self._mirror.take_snapshot(snapshot, confirmation)
-            self._knowledge.apply_snapshot(snapshot)
+            self._sources.check_hops(source, confirmation)
+            self._mirror.apply_snapshot(snapshot, confirmation)
+            self._store_state.apply_snapshot(snapshot)
             self._has_snapshot = True
             return False
-        after = self._knowledge.revision
+        after = self._store_state.revision
         changes, revision, confirmation = source.watch(after)
-        self._sources.check_confirmation(source, confirmation)
-        self._mirror.take_changes(changes, revision, confirmation)
-        self._knowledge.apply_changes(changes, revision)
+        self._sources.check_hops(source, confirmation)
+        self._mirror.apply_changes(changes, revision, confirmation)
+        self._store_state.apply_changes(changes, revision)
         return bool(changes) and source.is_store
 
     def _take_failure(self, source, error):
         """Turn to another source; without one the store is lost."""
-        self._sources.note_failed(source)
+        self._sources.note_failure(source)
         if self._sources.choose() is None:
-            self._knowledge.note_lost(error)
+            self._store_state.note_lost(error)
 
     def run_sweep(self, stopping):
         """Drop entries that stay missing, until the process stops.
@@ -84,4 +84,4 @@
             Set when the process stops.
         """
         while not stopping.wait(SWEEP_S):
-            self._knowledge.drop_missing()
+            self._store_state.drop_missing()
--- a/redwingspring/gossip.py
+++ b/redwingspring/gossip.py
@@ -11,7 +11,7 @@
 
 import capnp
 
-from .members import Member, MemberState, Sighting
+from .members import Member, MemberReport, MemberState
 
 logger = logging.getLogger(__name__)
 
@@ -21,9 +21,9 @@
 SEED_INTERVAL_S = 0.15
 # Hosts of the seeds that are asked now and then, so that halves of the system
 # that lost each other meet again.
-SEED_CHANCE = 0.1
+SEED_PROBABILITY = 0.1
 MAX_AGE_MS = 0xFFFF
-MAX_DATAGRAM = 8192
+MAX_DATAGRAM_BYTES = 8192
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("gossip.capnp")))
@@ -52,7 +52,7 @@
         self.set_seeds(seeds)
         self._metrics = metrics
         self._decisions = decisions
-        self.on_count = None
+        self.on_alive_count = None
         self._alive = frozenset()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -82,7 +82,7 @@
         self._socket.settimeout(1.0)
         while not stopping.is_set():
             try:
-                data, sender = self._socket.recvfrom(MAX_DATAGRAM)
+                data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except TimeoutError:
                 continue
             except OSError as error:
@@ -97,7 +97,7 @@
             self._metrics.increment("gossip.malformed")
             return
         sightings, asks_answer = decoded
-        for member in self._members.take(sightings):
+        for member in self._members.merge(sightings):
             self._decisions.record(
                 "host found",
                 host=member.name,
@@ -121,7 +121,7 @@
             self._note_lost()
             targets = [member.peer_address for member in self._members.choose_peers()]
             if targets:
-                if self.seeds and random.random() < SEED_CHANCE:
+                if self.seeds and random.random() < SEED_PROBABILITY:
                     targets.append(random.choice(self.seeds))
                 self._send(map(_split, targets), False)
                 stopping.wait(GOSSIP_INTERVAL_S * random.uniform(0.8, 1.2))
@@ -150,11 +150,11 @@
         for name in self._alive - alive:
             self._decisions.record("host lost", host=name, alive=len(alive))
         self._alive = alive
-        if self.on_count is not None:
-            self.on_count(len(alive))
+        if self.on_alive_count is not None:
+            self.on_alive_count(len(alive))
 
     def _send(self, addresses, asks_answer):
-        data = encode_gossip(self._members.choose_report(), asks_answer)
+        data = encode_gossip(self._members.choose_reports(), asks_answer)
         for address in addresses:
             try:
                 self._socket.sendto(data, address)
@@ -175,7 +175,7 @@
 
     Parameters
     ----------
-    sightings : sequence of Sighting
+    sightings : sequence of MemberReport
         The report; the sender comes first.
     asks_answer : bool
         Whether the receiver should answer at once.
@@ -217,7 +217,7 @@
         MemberState(str(entry.state)),
         entry.capacity,
     )
-    return Sighting(member, entry.ageMs / 1000)
+    return MemberReport(member, entry.ageMs / 1000)
 
 
 def decode_gossip(data):
@@ -230,7 +230,7 @@
 
     Returns
     -------
-    tuple of (list of Sighting, bool) or None
+    tuple of (list of MemberReport, bool) or None
         The report and whether an answer is wanted; None if it cannot be read.
     """
     try:
--- a/redwingspring/members.py
+++ b/redwingspring/members.py
@@ -16,15 +16,15 @@
 
 # Datagrams of each round within the data centre. To other data centres one goes
 # out with the given probability, since bytes between them cost more.
-NEAR_FANOUT = 3
-FAR_CHANCE = 0.35
+LOCAL_FANOUT = 3
+REMOTE_PROBABILITY = 0.35
 # A host whose beat has not grown for this long counts as dead. News takes longer to
 # reach all hosts the more there are, so the time grows with each doubling beyond a
 # number of hosts. Directory answers may name a dead host for about six seconds.
-SILENT_S = 3.6
-MAX_SILENT_S = 5.0
-SILENT_HOSTS = 18
-SILENT_STEP_S = 0.6
+FAILURE_TIMEOUT_S = 3.6
+MAX_FAILURE_TIMEOUT_S = 5.0
+FAILURE_TIMEOUT_HOSTS = 18
+FAILURE_TIMEOUT_STEP_S = 0.6
 FORGET_S = 30.0
 # Members in one datagram: half of them those heard most recently, which carry
 # news on, the others at random, so that none is left out for long.
@@ -77,13 +77,13 @@
     capacity: int = 100
 
     @property
-    def age_key(self):
+    def recency_key(self):
         """Sort key by which a newer report of the same host is greater."""
         return (self.started_at, self.beat, self.state is MemberState.LEAVING)
 
 
 @dataclass(frozen=True)
-class Sighting:
+class MemberReport:
     """What one host tells another of a member.
 
     Attributes
@@ -115,7 +115,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._members = {}
-        self._silent_s = SILENT_S
+        self._silent_s = FAILURE_TIMEOUT_S
 
     @property
     def own(self):
@@ -137,7 +137,7 @@
         """Count up the beat of this host and forget hosts long dead."""
         with self._lock:
             self._own = replace(self._own, beat=self._own.beat + 1)
-            self._silent_s = find_silent_time(len(self._members) + 1)
+            self._silent_s = compute_failure_timeout(len(self._members) + 1)
             oldest = self._clock() - FORGET_S
             self._members = {
                 name: known
@@ -145,12 +145,12 @@
                 if known[1] > oldest
             }
 
-    def take(self, sightings):
+    def merge(self, sightings):
         """Take what another host reported.
 
         Parameters
         ----------
-        sightings : sequence of Sighting
+        sightings : sequence of MemberReport
             The report.
 
         Returns
@@ -162,11 +162,11 @@
         with self._lock:
             now = self._clock()
             for sighting in sightings:
-                if self._take_one(sighting.member, now, now - sighting.age_s):
+                if self._merge_one(sighting.member, now, now - sighting.age_s):
                     found.append(sighting.member)
         return found
 
-    def _take_one(self, member, now, heard):
+    def _merge_one(self, member, now, heard):
         """Take one report; return whether the host is new; the lock is held."""
         if member.name == self._own.name or now - heard > self._silent_s:
             return False
@@ -178,7 +178,7 @@
             # The time of day may have stepped back before the host started
             # again, so a later start is not always a greater one.
             restarted = silent and member.started_at != known[0].started_at
-            if not restarted and member.age_key <= known[0].age_key:
+            if not restarted and member.recency_key <= known[0].recency_key:
                 return False
         self._members[member.name] = (member, heard)
         return silent
@@ -198,7 +198,7 @@
                 *(m for m, heard in self._members.values() if heard >= oldest),
             ]
 
-    def list_steady(self):
+    def list_not_leaving(self):
         """Return the hosts that are heard and do not leave.
 
         Returns
@@ -244,12 +244,12 @@
         others = [m for m in self.list_alive() if m.name != self._own.name]
         near = [m for m in others if m.data_centre == self._own.data_centre]
         far = [m for m in others if m.data_centre != self._own.data_centre]
-        chosen = rng.sample(near, min(NEAR_FANOUT, len(near)))
-        if far and (not near or rng.random() < FAR_CHANCE):
+        chosen = rng.sample(near, min(LOCAL_FANOUT, len(near)))
+        if far and (not near or rng.random() < REMOTE_PROBABILITY):
             chosen.append(rng.choice(far))
         return chosen
 
-    def choose_report(self, rng=random):
+    def choose_reports(self, rng=random):
         """Return what the next datagram tells.
 
         Parameters
@@ -259,7 +259,7 @@
 
         Returns
         -------
-        list of Sighting
+        list of MemberReport
             This host first.
         """
         with self._lock:
@@ -271,11 +271,11 @@
             chosen, others = recent[: most // 2], recent[most // 2 :]
             left = most - len(chosen)
             chosen += rng.sample(others, min(left, len(others)))
-            told = [Sighting(member, now - heard) for member, heard in chosen]
-            return [Sighting(self._own, 0.0), *told]
+            told = [MemberReport(member, now - heard) for member, heard in chosen]
+            return [MemberReport(self._own, 0.0), *told]
 
 
-def find_silent_time(count):
+def compute_failure_timeout(count):
     """Return how long a host may be silent until it counts as dead.
 
     Parameters
@@ -288,11 +288,13 @@
     float
         Seconds.
     """
-    doublings = max(0.0, math.log2(count / SILENT_HOSTS))
-    return min(MAX_SILENT_S, SILENT_S + SILENT_STEP_S * doublings)
+    doublings = max(0.0, math.log2(count / FAILURE_TIMEOUT_HOSTS))
+    return min(
+        MAX_FAILURE_TIMEOUT_S, FAILURE_TIMEOUT_S + FAILURE_TIMEOUT_STEP_S * doublings
+    )
 
 
-def find_capacity(cores, link_mbit):
+def compute_capacity(cores, link_mbit):
     """Return what a host bears.
 
     Parameters
--- a/redwingspring/pages.py
+++ b/redwingspring/pages.py
@@ -6,7 +6,7 @@
 
 from .addresses import VERSION_LINE as ADDRESS_VERSION_LINE
 from .calls import is_request_id
-from .readiness import judge_service
+from .readiness import check_service_readiness
 from .status import (
     format_fact,
     format_word,
@@ -72,11 +72,11 @@
         bytes
             Text; status 503 when it does not, 404 for an unknown service.
         """
-        judgement = judge_service(self._entry, service)
-        status = 200 if judgement.taken else 503
-        if judgement.reason == Reason.UNKNOWN_SERVICE:
+        readiness = check_service_readiness(self._entry, service)
+        status = 200 if readiness.taken else 503
+        if readiness.reason == Reason.UNKNOWN_SERVICE:
             status = 404
-        return _send_text(render_service(judgement), status)
+        return _send_text(render_service(readiness), status)
 
     @cherrypy.expose
     def address(self, service, data_centre=None, format="json"):
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -10,7 +10,7 @@
 from ..storestate import (
     EvacuationChange,
     InstanceChange,
-    InstanceGone,
+    InstanceRemoval,
     TableChange,
 )
 from ..units import check_address
@@ -110,7 +110,7 @@
 
     Returns
     -------
-    TableChange, EvacuationChange, InstanceChange, InstanceGone or None
+    TableChange, EvacuationChange, InstanceChange, InstanceRemoval or None
         None for an entry without meaning here.
 
     Raises
@@ -121,7 +121,7 @@
     key, value = change.key, change.value
     if key.startswith(INSTANCE_PREFIX):
         if value is None:
-            return InstanceGone(key.removeprefix(INSTANCE_PREFIX))
+            return InstanceRemoval(key.removeprefix(INSTANCE_PREFIX))
         return InstanceChange(read_instance(key, value))
     if key.startswith(EVACUATION_PREFIX):
         data_centre = key.removeprefix(EVACUATION_PREFIX)
--- a/redwingspring/publication.py
+++ b/redwingspring/publication.py
@@ -146,7 +146,9 @@
             value = self._reader.read(key, self._values.highest_revision(key), wait)
             if value is not None and self._values.is_settled(key, value.stamp):
                 # A peer may have delivered another value of this revision first.
-                self._values.note_stamp(key, value.stamp, "read from the service")
+                self._values.check_for_conflict(
+                    key, value.stamp, "read from the service"
+                )
                 # Without this pause a service that ignores ``after`` would be
                 # asked in a loop.
                 raise StaleAnswerError(value.stamp.revision)
@@ -174,7 +176,7 @@
 
     def _take_stamp(self, sender, key, stamp):
         """Pull a value that a peer's heartbeat shows to be newer."""
-        self._values.note_stamp(key, stamp, sender)
+        self._values.check_for_conflict(key, stamp, sender)
         if self._values.is_settled(key, stamp):
             return
         now = time.monotonic()
@@ -205,7 +207,7 @@
         if key not in KEYS or len(message.text.encode()) > MAX_VALUE_BYTES:
             self._metrics.increment("publication.bad_values")
             return
-        self._values.note_stamp(key, stamp, sender)
+        self._values.check_for_conflict(key, stamp, sender)
         if self._values.is_settled(key, stamp):
             self._metrics.increment("publication.ignored")
             return
--- a/redwingspring/readiness.py
+++ b/redwingspring/readiness.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(frozen=True)
-class ServiceJudgement:
+class ServiceReadiness:
     """Whether this host takes requests of a service.
 
     Attributes
@@ -29,7 +29,7 @@
     reason: str
 
 
-def judge_host(entry):
+def check_host_readiness(entry):
     """Return whether a host takes new work, and why.
 
     Parameters
@@ -51,7 +51,7 @@
     return True, LEAVING if leaving else OK
 
 
-def judge_service(entry, service):
+def check_service_readiness(entry, service):
     """Return whether a host takes requests of a service.
 
     Parameters
@@ -63,20 +63,20 @@
 
     Returns
     -------
-    ServiceJudgement
+    ServiceReadiness
         True at this moment.
     """
-    taken, reason = judge_host(entry)
+    taken, reason = check_host_readiness(entry)
     if not taken:
-        return ServiceJudgement(service, False, reason)
+        return ServiceReadiness(service, False, reason)
     table = entry.directory.table
     gate = entry.gates.find(service)
     if table is None or service not in table.services or gate is None:
-        return ServiceJudgement(service, False, str(Reason.UNKNOWN_SERVICE))
+        return ServiceReadiness(service, False, str(Reason.UNKNOWN_SERVICE))
     now = time.monotonic()
     if not any(state.accepts_work(now) for state in table.services[service]):
-        return ServiceJudgement(service, False, str(Reason.NO_CAPACITY))
+        return ServiceReadiness(service, False, str(Reason.NO_CAPACITY))
     must_wait = gate.in_flight >= gate.limit or gate.waiting > 0
     if must_wait and gate.waiting >= gate.queue_length:
-        return ServiceJudgement(service, False, str(Reason.QUEUE_FULL))
-    return ServiceJudgement(service, True, reason)
+        return ServiceReadiness(service, False, str(Reason.QUEUE_FULL))
+    return ServiceReadiness(service, True, reason)
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -6,7 +6,7 @@
 from .follower import StoreFollower
 from .gossip import GossipNetwork
 from .instances import InstanceDirectory
-from .members import Members, build_member, find_capacity
+from .members import Members, build_member, compute_capacity
 from .metrics import Metrics, connect_statsd
 from .pipelining import RoutedServer
 from .platform import headers
@@ -17,8 +17,8 @@
 from .routeforwarder import RouteForwarder
 from .server import EntryServer, ServerBounds
 from .shares import ColdShare, HostCount, ProbeShare, RetryShare
-from .sources import WATCH_WAIT_S, SourceChoice, StoreSource
-from .storestate import Knowledge
+from .sources import WATCH_WAIT_S, SourceSelector, StoreSource
+from .storestate import StoreState
 
 
 def assemble_routed(entry, settings):
@@ -35,19 +35,19 @@
     entry.metrics = Metrics(connect_statsd(settings.statsd, prefix))
     entry.decisions = DecisionLog(entry.metrics)
     entry.directory = InstanceDirectory(settings.source)
-    entry.knowledge = Knowledge(
+    entry.store_state = StoreState(
         entry.directory, decode_change, entry.metrics, entry.decisions
     )
-    entry.knowledge.on_table = entry.apply_table
+    entry.store_state.on_table = entry.apply_table
     assemble_membership(entry, settings)
     entry.mirror = StoreMirror()
     store = StoreSource(StoreClient(settings.store, entry.metrics), WATCH_WAIT_S)
-    entry.sources = SourceChoice(
+    entry.sources = SourceSelector(
         entry.members, store, lambda address: FeedClient(address, entry.metrics)
     )
-    entry.follower = StoreFollower(entry.sources, entry.knowledge, entry.mirror)
+    entry.follower = StoreFollower(entry.sources, entry.store_state, entry.mirror)
     hosts = HostCount()
-    entry.gossip.on_count = hosts.note
+    entry.gossip.on_alive_count = hosts.note
     entry.dispatcher = RouteDispatcher(
         directory=entry.directory,
         dialect=headers,
@@ -80,7 +80,7 @@
         settings.address,
         settings.peer_address,
         settings.data_centre,
-        find_capacity(settings.cores * settings.core_share, settings.link_mbit),
+        compute_capacity(settings.cores * settings.core_share, settings.link_mbit),
     )
     entry.members = Members(own)
     entry.gossip = GossipNetwork(
@@ -104,7 +104,7 @@
     """
     registry = build_registry(entry.metrics)
     forwarder = RouteForwarder(
-        entry.knowledge,
+        entry.store_state,
         entry.dispatcher,
         headers,
         entry.metrics,
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -82,7 +82,7 @@
     @property
     def is_ready(self):
         """Tell whether this host takes new connections."""
-        return self.knowledge.table is not None and not self._draining
+        return self.store_state.table is not None and not self._draining
 
     def apply_table(self, table):
         """Put a routing table in force.
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -33,7 +33,7 @@
 
     Parameters
     ----------
-    knowledge : Knowledge
+    store_state : StoreState
         Configuration in force.
     dispatcher : RouteDispatcher
         Sends calls to targets.
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        knowledge,
+        store_state,
         dispatcher,
         dialect,
         metrics,
@@ -59,7 +59,7 @@
         latencies,
         clock=read_clock,
     ):
-        self.knowledge = knowledge
+        self.store_state = store_state
         self.dispatcher = dispatcher
         self.dialect = dialect
         self.metrics = metrics
@@ -98,7 +98,7 @@
 
     def _read_call(self, environ, received):
         """Return Ok with a RoutedCall, or an Error with a Rejection."""
-        table = self.knowledge.table
+        table = self.store_state.table
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
             return Error(Rejection(failure, NO_TABLE_RETURN_S))
@@ -156,7 +156,7 @@
 
     def _reject_unknown_route(self):
         """Return the rejection of a request that no known route matches."""
-        if self.knowledge.age > TRUSTED_AGE_S:
+        if self.store_state.age_s > TRUSTED_AGE_S:
             detail = "no route is known, but the configuration may be outdated"
             return Rejection(refuse(Reason.NOT_READY, detail), NO_TABLE_RETURN_S)
         return Rejection(refuse(Reason.UNKNOWN_SERVICE, "no route matches", 404))
@@ -206,8 +206,8 @@
             route=call.route.name if call else None,
             priority=call.route.priority if call else None,
             held_ms=round((self._clock() - received) * 1000, 1),
-            configuration_version=self.knowledge.version,
-            configuration_age_s=round(self.knowledge.age, 2),
+            configuration_version=self.store_state.version,
+            configuration_age_s=round(self.store_state.age_s, 2),
         )
         body = f"{failure.reason}: {failure.detail}\n".encode()
         headers = [
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -9,13 +9,13 @@
 # connection on which an answer was lost stays silent.
 WATCH_WAIT_S = 0.9
 # A reader's source asks the store itself; other hosts ask a reader.
-READER_HOPS = 1
+MAX_READER_HOPS = 1
 # A source that failed is left out for this long.
-FEED_FAILED_S = 1.0
-STORE_FAILED_S = 2.5
+FEED_BACKOFF_S = 1.0
+STORE_BACKOFF_S = 2.5
 # Readers are hosts that bear at least this part of what the strongest host bears:
 # all others of a data centre ask them, and a change goes out to all at once.
-STRONG_PART = 0.5
+MIN_READER_CAPACITY_RATIO = 0.5
 
 
 class StoreSource:
@@ -64,7 +64,7 @@
         return changes, revision, FROM_STORE
 
 
-class SourceChoice:
+class SourceSelector:
     """Orders the sources of a host.
 
     One strong host of each data centre, found by rendezvous hashing, reads for it; the
@@ -107,7 +107,7 @@
                 return source
         return None
 
-    def note_failed(self, source):
+    def note_failure(self, source):
         """Leave a source out for a while.
 
         Parameters
@@ -115,13 +115,13 @@
         source : StoreSource or FeedClient
             The source.
         """
-        wait_s = STORE_FAILED_S if source.is_store else FEED_FAILED_S
+        wait_s = STORE_BACKOFF_S if source.is_store else FEED_BACKOFF_S
         if self._is_reader:
             # The others rely on this host to find the store again.
-            wait_s = FEED_FAILED_S
+            wait_s = FEED_BACKOFF_S
         self._failed[source.name] = self._clock() + wait_s
 
-    def note_answered(self, source):
+    def note_success(self, source):
         """Forget the failures of a source.
 
         Parameters
@@ -131,7 +131,7 @@
         """
         self._failed.pop(source.name, None)
 
-    def check_confirmation(self, source, confirmation):
+    def check_hops(self, source, confirmation):
         """Refuse what hosts have passed on to each other too often.
 
         Readers that took each other's word would all rest on a store that none of
@@ -149,7 +149,7 @@
         StoreError
             If the source has it from another host of the same rank.
         """
-        most = READER_HOPS if self._is_reader else READER_HOPS + 1
+        most = MAX_READER_HOPS if self._is_reader else MAX_READER_HOPS + 1
         if confirmation.hops > most:
             raise StoreError(f"{source.name} does not hear the store itself")
 
@@ -176,7 +176,7 @@
     def _find_readers(self):
         """Return the host of each data centre that asks the store."""
         groups = {}
-        for member in self._members.list_steady():
+        for member in self._members.list_not_leaving():
             groups.setdefault(member.data_centre, []).append(member)
         return {name: _choose_reader(group) for name, group in groups.items()}
 
@@ -195,6 +195,6 @@
 
 def _choose_reader(members):
     """Return the host that reads for others, by rendezvous hash among the strong."""
-    least = STRONG_PART * max(member.capacity for member in members)
+    least = MIN_READER_CAPACITY_RATIO * max(member.capacity for member in members)
     strong = {m.name: m for m in members if m.capacity >= least}
     return strong[rank_hosts(strong, "store-reader")[0]]
--- a/redwingspring/status.py
+++ b/redwingspring/status.py
@@ -8,7 +8,7 @@
 from .addresses import find_alternatives
 from .errors import PageError
 from .logs import count_dropped
-from .readiness import judge_host, judge_service
+from .readiness import check_host_readiness, check_service_readiness
 from .requestlog import RequestState
 from .version import __version__
 
@@ -241,12 +241,12 @@
     }
 
 
-def render_service(judgement):
+def render_service(readiness):
     """Return the page that tells whether a service is taken.
 
     Parameters
     ----------
-    judgement : ServiceJudgement
+    readiness : ServiceReadiness
         What holds now.
 
     Returns
@@ -254,8 +254,8 @@
     str
         One line.
     """
-    word = "taken" if judgement.taken else "refused"
-    return f"service {format_word(judgement.service)} {word} {judgement.reason}\n"
+    word = "taken" if readiness.taken else "refused"
+    return f"service {format_word(readiness.service)} {word} {readiness.reason}\n"
 
 
 def render_request(request_id, requests):
@@ -304,7 +304,7 @@
 def _collect_host(entry, now):
     """Return who this host is and whether it takes work."""
     settings = entry.settings
-    taken, reason = judge_host(entry)
+    taken, reason = check_host_readiness(entry)
     started = entry.started
     return [
         {
@@ -336,13 +336,13 @@
 
 def _collect_service(entry, states, service, now):
     """Return the facts of one service."""
-    judgement = judge_service(entry, service)
+    readiness = check_service_readiness(entry, service)
     counts = Counter(_classify(state, now.monotonic) for state in states)
     facts = [
         {
             "service": service,
-            "taken": _say(judgement.taken),
-            "reason": judgement.reason,
+            "taken": _say(readiness.taken),
+            "reason": readiness.reason,
         },
         {"targets": service, **{name: counts[name] for name in _TARGET_STATES}},
     ]
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -12,7 +12,7 @@
 
 # Entries that lapse while the store is away are written again within about two
 # seconds of its return; until then they stay in use.
-LAPSE_S = 2.2
+MISSING_GRACE_S = 2.2
 # Revisions of deleted keys that are remembered against late news.
 MAX_TOMBSTONES = 2000
 
@@ -107,7 +107,7 @@
 
 
 @dataclass(frozen=True)
-class InstanceGone:
+class InstanceRemoval:
     """The entry of an instance was removed.
 
     Attributes
@@ -119,7 +119,7 @@
     instance_id: str
 
 
-class Knowledge:
+class StoreState:
     """The published state in force at this host.
 
     Parameters
@@ -151,7 +151,7 @@
         self._evacuated = set()
         self._missing = {}
         self._lost_at = clock()
-        self._returned_at = -LAPSE_S
+        self._returned_at = -MISSING_GRACE_S
 
     @property
     def version(self):
@@ -160,13 +160,13 @@
         return 0 if table is None else table.version
 
     @property
-    def age(self):
+    def age_s(self):
         """Return the seconds since the store was lost, 0 while it is in touch."""
         lost_at = self._lost_at
         return 0.0 if lost_at is None else self._clock() - lost_at
 
     @property
-    def is_in_touch(self):
+    def is_connected(self):
         """Tell whether changes of the store arrive."""
         return self._lost_at is None
 
@@ -191,7 +191,7 @@
             configuration_version=self.version,
         )
 
-    def note_in_touch(self, source):
+    def note_connected(self, source):
         """Note that the store's changes arrive.
 
         Parameters
@@ -335,10 +335,10 @@
             revision=revision,
         )
 
-    def _apply_gone(self, change, revision):
+    def _apply_removal(self, change, revision):
         now = self._clock()
-        if self._lost_at is not None or now < self._returned_at + LAPSE_S:
-            self._missing.setdefault(change.instance_id, now + LAPSE_S)
+        if self._lost_at is not None or now < self._returned_at + MISSING_GRACE_S:
+            self._missing.setdefault(change.instance_id, now + MISSING_GRACE_S)
             self._decisions.record(
                 "instance missing", instance=change.instance_id, revision=revision
             )
@@ -353,8 +353,8 @@
 
 
 _APPLIERS = {
-    TableChange: Knowledge._apply_table,
-    EvacuationChange: Knowledge._apply_evacuation,
-    InstanceChange: Knowledge._apply_instance,
-    InstanceGone: Knowledge._apply_gone,
+    TableChange: StoreState._apply_table,
+    EvacuationChange: StoreState._apply_evacuation,
+    InstanceChange: StoreState._apply_instance,
+    InstanceRemoval: StoreState._apply_removal,
 }
--- a/redwingspring/values.py
+++ b/redwingspring/values.py
@@ -161,7 +161,7 @@
                 f"{source}, in force: {_describe(known)}",
             )
 
-    def note_stamp(self, key, stamp, source):
+    def check_for_conflict(self, key, stamp, source):
         """Record a conflict that the stamp of another value shows.
 
         Parameters
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -7,14 +7,14 @@
     FROM_STORE,
     MAX_CONFIRMED_AGE_S,
     Confirmation,
-    FeedAnswer,
+    FeedUpdate,
     StoreMirror,
-    decode_answer,
-    encode_answer,
+    decode_update,
+    encode_update,
 )
 from redwingspring.follower import StoreFollower
-from redwingspring.members import Members, Sighting
-from redwingspring.sources import SourceChoice
+from redwingspring.members import MemberReport, Members
+from redwingspring.sources import SourceSelector
 from redwingspring.storestate import (
     HistoryLost,
     StoreChange,
@@ -43,14 +43,14 @@
 
     def fill(self):
         entries = (StoreChange("a", b"1", 3), StoreChange("b", b"2", 5))
-        self.mirror.take_snapshot(StoreSnapshot(entries, 5))
+        self.mirror.apply_snapshot(StoreSnapshot(entries, 5))
 
     def test_a_host_that_never_heard_the_store_tells_nothing(self):
         self.assertEqual(None, self.mirror.read(None, 0))
 
     def test_changes_follow_the_snapshot(self):
         self.fill()
-        self.mirror.take_changes([StoreChange("a", None, 6)], 7)
+        self.mirror.apply_changes([StoreChange("a", None, 6)], 7)
         answer = self.mirror.read(5, 0)
         self.assertEqual(
             ([None], 7), ([change.value for change in answer.changes], answer.revision)
@@ -72,7 +72,7 @@
                 answer = source.read(None, 0)
                 if answer is not None:
                     snapshot = StoreSnapshot(answer.changes, answer.revision)
-                    target.take_snapshot(snapshot, answer.confirmation)
+                    target.apply_snapshot(snapshot, answer.confirmation)
         self.assertEqual(None, self.mirror.read(None, 0))
         self.assertEqual(None, other.read(None, 0))
 
@@ -80,16 +80,16 @@
         self.patch(feed, "MAX_HISTORY", 3)
         self.fill()
         for number in range(6, 12):
-            self.mirror.take_changes([StoreChange("c", b"x", number)], number)
+            self.mirror.apply_changes([StoreChange("c", b"x", number)], number)
         self.assertTrue(self.mirror.read(6, 0).whole)
         self.assertFalse(self.mirror.read(9, 0).whole)
 
     def test_an_answer_survives_the_encoding_and_other_bytes_are_refused(self):
         changes = (StoreChange("a", b"\x00\xff", 3), StoreChange("b", None, 4))
-        answer = FeedAnswer(changes, 9, True, Confirmation(0.25, 1))
-        self.assertEqual(answer, decode_answer(encode_answer(answer)))
-        for data in (b"", b"\xff" * 60, encode_answer(answer)[:20]):
-            self.assertRaises(StoreError, decode_answer, data)
+        answer = FeedUpdate(changes, 9, True, Confirmation(0.25, 1))
+        self.assertEqual(answer, decode_update(encode_update(answer)))
+        for data in (b"", b"\xff" * 60, encode_update(answer)[:20]):
+            self.assertRaises(StoreError, decode_update, data)
 
     def test_a_list_of_targets_is_small_enough_for_a_slow_link(self):
         """It goes out to 44 hosts at once when their reader changes."""
@@ -104,7 +104,7 @@
             )
             for n in range(250)
         )
-        data = encode_answer(FeedAnswer(entries, 250, True, Confirmation()))
+        data = encode_update(FeedUpdate(entries, 250, True, Confirmation()))
         self.assertLess(len(data), 12_000)
 
 
@@ -130,7 +130,7 @@
         pass
 
 
-class SourceChoiceTest(RedwingspringTestCase):
+class SourceSelectorTest(RedwingspringTestCase):
     def setUp(self):
         super().setUp()
         self.clock = Clock()
@@ -139,8 +139,8 @@
     def build(self, number, count=12):
         """Return the choice of one of several hosts that all know each other."""
         members = Members(build_member(number), self.clock)
-        members.take(Sighting(build_member(n), 0.0) for n in range(count))
-        return SourceChoice(members, self.store, Source, self.clock)
+        members.merge(MemberReport(build_member(n), 0.0) for n in range(count))
+        return SourceSelector(members, self.store, Source, self.clock)
 
     def test_one_host_of_all_asks_the_store(self):
         """Each further reader would add a priced call for each change and wait."""
@@ -152,8 +152,8 @@
         weak = [replace(build_member(n), capacity=5) for n in range(12)]
         strong = [replace(build_member(n), capacity=200) for n in (12, 13)]
         members = Members(weak[0], self.clock)
-        members.take(Sighting(member, 0.0) for member in (*weak, *strong))
-        choice = SourceChoice(members, self.store, Source, self.clock)
+        members.merge(MemberReport(member, 0.0) for member in (*weak, *strong))
+        choice = SourceSelector(members, self.store, Source, self.clock)
         self.assertEqual(strong[0].peer_address, choice.choose().name)
 
     def test_weak_hosts_read_where_no_strong_one_is_left(self):
@@ -161,8 +161,8 @@
         choices = []
         for own in weak:
             members = Members(own, self.clock)
-            members.take(Sighting(member, 0.0) for member in weak)
-            choices.append(SourceChoice(members, self.store, Source, self.clock))
+            members.merge(MemberReport(member, 0.0) for member in weak)
+            choices.append(SourceSelector(members, self.store, Source, self.clock))
         self.assertEqual(1, [c.choose() for c in choices].count(self.store))
 
     def test_a_reader_whose_source_fails_asks_the_store_next(self):
@@ -170,7 +170,7 @@
         seconds = 0
         for choice in choices:
             first = choice.choose()
-            choice.note_failed(first)
+            choice.note_failure(first)
             seconds += not first.is_store and choice.choose().is_store
         self.assertEqual(3, seconds)
 
@@ -179,12 +179,12 @@
         for number in range(12):
             choice = self.build(number)
             source = choice.choose()
-            choice.check_confirmation(source, Confirmation(0.0, 1))
+            choice.check_hops(source, Confirmation(0.0, 1))
             limit = 1 if choice._is_reader else 2
-            choice.check_confirmation(source, Confirmation(0.0, limit))
+            choice.check_hops(source, Confirmation(0.0, limit))
             self.assertRaises(
                 StoreError,
-                choice.check_confirmation,
+                choice.check_hops,
                 source,
                 Confirmation(0.0, limit + 1),
             )
@@ -195,7 +195,7 @@
         names = []
         while (source := choice.choose()) is not None:
             names.append(source.name)
-            choice.note_failed(source)
+            choice.note_failure(source)
         self.assertEqual(5, len(names))
         self.assertEqual("store", names[-1])
 
@@ -210,18 +210,18 @@
             self.clock.now += 0.1
             for choice in choices:
                 others = [
-                    Sighting(build_member(n, beat=step + 2), 0.0) for n in range(16)
+                    MemberReport(build_member(n, beat=step + 2), 0.0) for n in range(16)
                 ]
-                choice._members.take(others)
+                choice._members.merge(others)
                 while (source := choice.choose()) is not None:
                     asked += source.is_store
-                    choice.note_failed(source)
+                    choice.note_failure(source)
         self.assertTrue(asked <= 10 * (4 * 1.2 + 12 * 0.5), asked)
 
 
 class FollowerTest(RedwingspringTestCase):
     def test_a_lost_history_is_answered_by_a_new_snapshot(self):
-        class Knowledge:
+        class StoreState:
             revision = 7
             snapshots = 0
 
@@ -231,7 +231,7 @@
             def apply_changes(self, changes, revision):
                 pass
 
-            def note_in_touch(self, source):
+            def note_connected(self, source):
                 pass
 
         class Stopping:
@@ -243,21 +243,21 @@
                 return self.left < 0
 
         source = Source("store", is_store=True)
-        knowledge = Knowledge()
+        store_state = StoreState()
 
         class Choice:
             def choose(self):
                 source.error = HistoryLost("x") if source.asked == 1 else None
                 return source
 
-            def note_answered(self, source):
+            def note_success(self, source):
                 pass
 
-            def check_confirmation(self, source, confirmation):
+            def check_hops(self, source, confirmation):
                 pass
 
-        StoreFollower(Choice(), knowledge, StoreMirror()).run(Stopping())
-        self.assertEqual(2, knowledge.snapshots)
+        StoreFollower(Choice(), store_state, StoreMirror()).run(Stopping())
+        self.assertEqual(2, store_state.snapshots)
 
 
 class FleetTest(RedwingspringTestCase):
@@ -280,14 +280,14 @@
         before = first.store.calls
         first.store.put("op/config", describe_configuration(9))
         for entry in entries:
-            wait_until(lambda e=entry: e.knowledge.version == 9, 2.0)
+            wait_until(lambda e=entry: e.store_state.version == 9, 2.0)
         self.assertTrue(first.store.calls - before <= 4)
 
     def test_a_host_whose_reader_dies_goes_on_with_the_store(self):
         host = HostFixture(self)
         ghost = build_member(4)
         while host.entry.sources.choose().is_store:
-            host.entry.members.take([Sighting(ghost, 0.0)])
+            host.entry.members.merge([MemberReport(ghost, 0.0)])
             ghost = build_member(int(ghost.name[5:]) + 4)
         host.store.put("op/config", describe_configuration(3))
-        wait_until(lambda: host.entry.knowledge.version == 3, 2.0)
+        wait_until(lambda: host.entry.store_state.version == 3, 2.0)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,15 +1,15 @@
 import random
 from dataclasses import replace
 
-from redwingspring.gossip import MAX_DATAGRAM, decode_gossip, encode_gossip
+from redwingspring.gossip import MAX_DATAGRAM_BYTES, decode_gossip, encode_gossip
 from redwingspring.members import (
+    FAILURE_TIMEOUT_S,
     MAX_ENTRIES,
-    SILENT_S,
     Member,
+    MemberReport,
     Members,
     MemberState,
-    Sighting,
-    find_capacity,
+    compute_capacity,
 )
 
 from .base import RedwingspringTestCase
@@ -31,9 +31,9 @@
 
 class CapacityTest(RedwingspringTestCase):
     def test_a_slow_link_counts_like_a_slow_processor(self):
-        self.assertEqual(86, find_capacity(0.86, 1000.0))
-        self.assertEqual(5, find_capacity(0.43, 5.0))
-        self.assertEqual(1, find_capacity(0.01, 0.1))
+        self.assertEqual(86, compute_capacity(0.86, 1000.0))
+        self.assertEqual(5, compute_capacity(0.43, 5.0))
+        self.assertEqual(1, compute_capacity(0.01, 0.1))
 
 
 class MembersTest(RedwingspringTestCase):
@@ -50,11 +50,11 @@
         return self.members.list_serving_names()
 
     def hear(self, number, age_s=0.0, **changes):
-        self.members.take([Sighting(build_member(number, **changes), age_s)])
+        self.members.merge([MemberReport(build_member(number, **changes), age_s)])
 
     def test_a_host_whose_beat_stops_is_no_longer_named(self):
         self.hear(1)
-        self.now += SILENT_S + 0.1
+        self.now += FAILURE_TIMEOUT_S + 0.1
         self.hear(1)
         self.assertEqual(["host-0"], self.serving)
 
@@ -67,19 +67,19 @@
     def test_a_host_that_starts_again_is_named_though_its_beat_is_lower(self):
         self.hear(1, beat=900)
         self.hear(1, started_at=2000, beat=1)
-        self.now += SILENT_S - 0.1
+        self.now += FAILURE_TIMEOUT_S - 0.1
         self.hear(1, started_at=2000, beat=2)
         self.now += 0.2
         self.assertEqual(["host-0", "host-1"], self.serving)
 
     def test_a_start_after_a_step_back_of_the_clock_is_found(self):
         self.hear(1, started_at=9000, beat=900)
-        self.now += SILENT_S + 0.1
+        self.now += FAILURE_TIMEOUT_S + 0.1
         self.hear(1, started_at=7000, beat=1)
         self.assertEqual(["host-0", "host-1"], self.serving)
 
     def test_old_news_of_a_dead_host_does_not_make_it_look_alive(self):
-        self.hear(1, age_s=SILENT_S - 0.5)
+        self.hear(1, age_s=FAILURE_TIMEOUT_S - 0.5)
         self.assertEqual(["host-0", "host-1"], self.serving)
         self.now += 0.6
         self.assertEqual(["host-0"], self.serving)
@@ -92,15 +92,15 @@
 class DatagramTest(RedwingspringTestCase):
     def test_a_report_survives_the_encoding(self):
         report = [
-            Sighting(replace(build_member(n), capacity=n + 1), n / 10)
+            MemberReport(replace(build_member(n), capacity=n + 1), n / 10)
             for n in range(MAX_ENTRIES)
         ]
         data = encode_gossip(report, True)
-        self.assertTrue(len(data) < MAX_DATAGRAM)
+        self.assertTrue(len(data) < MAX_DATAGRAM_BYTES)
         self.assertEqual((report, True), decode_gossip(data))
 
     def test_bytes_that_are_no_report_are_refused(self):
-        good = encode_gossip([Sighting(build_member(1), 0.0)], False)
+        good = encode_gossip([MemberReport(build_member(1), 0.0)], False)
         source = random.Random(1)
         for _ in range(300):
             data = bytearray(good[: source.randrange(len(good))])
@@ -125,7 +125,7 @@
                 for member in host.choose_peers(source):
                     target = int(member.name.removeprefix("host-"))
                     if target not in dead:
-                        hosts[target].take(host.choose_report(source))
+                        hosts[target].merge(host.choose_reports(source))
 
     def start(self, count, source):
         self.now = 0.0
@@ -133,8 +133,8 @@
         for host in hosts:
             for seed in hosts[:3]:
                 # A host asks the seeds until another one answers.
-                seed.take([Sighting(host.own, 0.0)])
-                host.take(seed.choose_report(source))
+                seed.merge([MemberReport(host.own, 0.0)])
+                host.merge(seed.choose_reports(source))
         self.run_rounds(hosts, (), 12, source)
         return hosts
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
     EvacuationChange,
     HistoryLost,
     InstanceChange,
-    InstanceGone,
+    InstanceRemoval,
     StoreBusy,
     StoreChange,
     StoreError,
@@ -52,7 +52,7 @@
         )
 
     def test_a_removed_entry_names_the_instance_that_is_gone(self):
-        self.assertEqual(InstanceGone("i-1"), decode("servers/i-1", None))
+        self.assertEqual(InstanceRemoval("i-1"), decode("servers/i-1", None))
 
     def test_hostile_entries_name_no_target(self):
         status = ENTRY["status"]
--- a/tests/test_routedpath.py
+++ b/tests/test_routedpath.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from redwingspring import routedentry
-from redwingspring.members import Sighting
+from redwingspring.members import MemberReport
 from redwingspring.verdict import Reason
 
 from .base import RedwingspringTestCase
@@ -229,7 +229,7 @@
 
     def test_a_host_without_configuration_says_not_run(self):
         host = HostFixture(self)
-        host.entry.knowledge.table = None
+        host.entry.store_state.table = None
         status, headers, _ = host.ask()
         self.assertEqual(503, status)
         self.assertEqual(str(Reason.NOT_READY), headers["failure-reason"])
@@ -258,11 +258,11 @@
         host = HostFixture(self)
         newer = [describe_route("new", "/new/", "idempotent")]
         host.store.put("op/config", describe_configuration(5, newer))
-        wait_until(lambda: host.entry.knowledge.version == 5)
+        wait_until(lambda: host.entry.store_state.version == 5)
         host.store.put("op/config", describe_configuration(4))
         host.store.put("servers/i-9", host.instances[0].entry())
         wait_until(lambda: "i-9" in host.entry.directory.list_ids())
-        self.assertEqual(5, host.entry.knowledge.version)
+        self.assertEqual(5, host.entry.store_state.version)
         self.assertEqual(404, host.ask()[0])
 
     def test_a_graceful_shutdown_answers_what_is_in_progress(self):
@@ -306,8 +306,8 @@
         """Their requests and long responses would cross between data centres."""
         entry = HostFixture(self).entry
         data_centres = ("akl-a", "ham-b", "ham-b", "wlg-c", "wlg-c")
-        entry.members.take(
-            Sighting(replace(build_member(number), data_centre=name), 0.0)
+        entry.members.merge(
+            MemberReport(replace(build_member(number), data_centre=name), 0.0)
             for number, name in enumerate(data_centres)
         )
         self.assertEqual(2, len(entry.find_addresses("akl-a")[0]))
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -113,7 +113,7 @@
         self.patch(readiness, "time", clock)
 
     def judge(self, service="fault-desk"):
-        found = readiness.judge_service(self.entry, service)
+        found = readiness.check_service_readiness(self.entry, service)
         return found.taken, found.reason
 
     def test_a_changed_line_would_break_scripts(self):
