Describe membership and gossip in the terms of failure detection

Comments and docstrings spoke of beats that grow, news and silence. They now name heartbeat counters, failure timeouts, fanout and partitions; the two log lines of failed socket calls are reworded. Private names follow.

--- a/redwingspring/gossip.capnp
+++ b/redwingspring/gossip.capnp
@@ -1,5 +1,5 @@
 @0xb3c1d5a7e94f2608;
-# Datagrams between entry hosts; see gossip.py.
+# Gossip datagrams between entry hosts; see gossip.py.
 
 enum State {
   starting @0;
@@ -11,17 +11,17 @@
   name @0 :Text;
   ip @1 :UInt32;
   port @2 :UInt16;
-  # Where callers connect.
+  # Port for callers.
   peerPort @3 :UInt16;
   dataCentre @4 :Text;
   startedAt @5 :UInt64;
-  # Unix time in milliseconds; a later start replaces an earlier one.
+  # Unix time in milliseconds; a report of a later start replaces one of an earlier.
   beat @6 :UInt32;
   state @7 :State;
   ageMs @8 :UInt16;
-  # Time since the sender's knowledge of the beat was fresh.
+  # Time since the sender last saw the heartbeat counter increase.
   capacity @9 :UInt16 = 100;
-  # What the host bears, in hundredths of a core.
+  # Load that the host can carry, in hundredths of a core.
 }
 
 struct Gossip {
--- a/redwingspring/gossip.py
+++ b/redwingspring/gossip.py
@@ -1,6 +1,6 @@
-"""Gossip between entry hosts: datagrams that tell which hosts are alive.
+"""Gossip between entry hosts: datagrams that report which hosts are alive.
 
-Messages for each host do not grow with the number of hosts.
+The number of messages that each host sends does not grow with the number of hosts.
 """
 
 import ipaddress
@@ -17,10 +17,10 @@
 
 PROTOCOL_VERSION = 1
 GOSSIP_INTERVAL_S = 0.4
-# Until another host is heard, the seeds are asked this often.
+# Interval of the datagrams to the seeds while no other host is known.
 SEED_INTERVAL_S = 0.15
-# Hosts of the seeds that are asked now and then, so that halves of the system
-# that lost each other meet again.
+# A round also sends a datagram to one seed with this probability, so that the two
+# sides of a healed network partition find each other again.
 SEED_PROBABILITY = 0.1
 MAX_AGE_MS = 0xFFFF
 MAX_DATAGRAM_BYTES = 8192
@@ -30,12 +30,12 @@
 
 
 class GossipNetwork:
-    """Sends and receives the datagrams.
+    """Sends and receives gossip datagrams.
 
     Parameters
     ----------
     members : Members
-        What is told and learned.
+        Membership table to send and to merge into.
     address : str
         ``ip:port`` to listen on.
     seeds : sequence of str
@@ -43,7 +43,7 @@
     metrics : Metrics
         Counters.
     decisions : DecisionLog
-        Takes one line for each host that is found.
+        Receives one line for each host that is found or lost.
     """
 
     def __init__(self, members, address, seeds, metrics, decisions):
@@ -53,12 +53,12 @@
         self._metrics = metrics
         self._decisions = decisions
         self.on_alive_count = None
-        self._alive = frozenset()
+        self._alive_names = frozenset()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 
     def set_seeds(self, seeds):
-        """Set which hosts are asked when no other is known.
+        """Set the hosts to contact while no other host is known.
 
         Parameters
         ----------
@@ -69,10 +69,10 @@
 
     def open(self):
         """Bind the address."""
-        self._socket.bind(_split(self._address))
+        self._socket.bind(_parse_address(self._address))
 
     def run_receiver(self, stopping):
-        """Take datagrams until the process stops.
+        """Receive datagrams until the process stops.
 
         Parameters
         ----------
@@ -86,18 +86,18 @@
             except TimeoutError:
                 continue
             except OSError as error:
-                logger.warning("gossip cannot be received: %s", error)
+                logger.warning("cannot receive gossip: %s", error)
                 stopping.wait(0.1)
                 continue
-            self._take(data, sender)
+            self._handle_datagram(data, sender)
 
-    def _take(self, data, sender):
+    def _handle_datagram(self, data, sender):
         decoded = decode_gossip(data)
         if decoded is None:
             self._metrics.increment("gossip.malformed")
             return
-        sightings, asks_answer = decoded
-        for member in self._members.merge(sightings):
+        reports, wants_reply = decoded
+        for member in self._members.merge(reports):
             self._decisions.record(
                 "host found",
                 host=member.name,
@@ -105,7 +105,7 @@
                 address=member.address,
                 state=str(member.state),
             )
-        if asks_answer:
+        if wants_reply:
             self._send([sender], False)
 
     def run_sender(self, stopping):
@@ -118,67 +118,67 @@
         """
         while not stopping.is_set():
             self._members.advance()
-            self._note_lost()
-            targets = [member.peer_address for member in self._members.choose_peers()]
-            if targets:
+            self._log_lost_hosts()
+            addresses = [member.peer_address for member in self._members.choose_peers()]
+            if addresses:
                 if self.seeds and random.random() < SEED_PROBABILITY:
-                    targets.append(random.choice(self.seeds))
-                self._send(map(_split, targets), False)
+                    addresses.append(random.choice(self.seeds))
+                self._send(map(_parse_address, addresses), False)
                 stopping.wait(GOSSIP_INTERVAL_S * random.uniform(0.8, 1.2))
             else:
-                self._send(map(_split, self.seeds), True)
+                self._send(map(_parse_address, self.seeds), True)
                 stopping.wait(SEED_INTERVAL_S)
 
     def announce(self, state):
-        """Tell every known host at once whether this host takes requests.
+        """Set the state of this host and send it to every known host at once.
 
         Parameters
         ----------
         state : MemberState
-            The state.
+            The new state.
         """
         self._members.set_state(state)
-        self._send(map(_split, self._list_peers()), False)
+        self._send(map(_parse_address, self._list_peer_addresses()), False)
 
-    def _list_peers(self):
+    def _list_peer_addresses(self):
         own = self._members.own.name
         return [m.peer_address for m in self._members.list_alive() if m.name != own]
 
-    def _note_lost(self):
-        """Log the hosts that are no longer heard."""
+    def _log_lost_hosts(self):
+        """Log the hosts that are no longer considered alive."""
         alive = frozenset(m.name for m in self._members.list_alive())
-        for name in self._alive - alive:
+        for name in self._alive_names - alive:
             self._decisions.record("host lost", host=name, alive=len(alive))
-        self._alive = alive
+        self._alive_names = alive
         if self.on_alive_count is not None:
             self.on_alive_count(len(alive))
 
-    def _send(self, addresses, asks_answer):
-        data = encode_gossip(self._members.choose_reports(), asks_answer)
+    def _send(self, addresses, wants_reply):
+        data = encode_gossip(self._members.choose_reports(), wants_reply)
         for address in addresses:
             try:
                 self._socket.sendto(data, address)
                 self._metrics.increment("gossip.sent")
             except OSError as error:
-                # The next datagram goes to other hosts.
+                # No retry is needed: the next round sends to other hosts.
                 self._metrics.increment("gossip.send_errors")
-                logger.debug("gossip cannot be sent to %s: %s", address, error)
+                logger.debug("cannot send gossip to %s: %s", address, error)
 
 
-def _split(address):
+def _parse_address(address):
     host, port = address.rsplit(":", 1)
     return host, int(port)
 
 
-def encode_gossip(sightings, asks_answer):
-    """Return the datagram for a report.
+def encode_gossip(reports, wants_reply):
+    """Return the datagram that carries reports.
 
     Parameters
     ----------
-    sightings : sequence of MemberReport
-        The report; the sender comes first.
-    asks_answer : bool
-        Whether the receiver should answer at once.
+    reports : sequence of MemberReport
+        The reports; that of the sender comes first.
+    wants_reply : bool
+        Whether the receiver should reply at once.
 
     Returns
     -------
@@ -186,12 +186,12 @@
         Packed capnp message.
     """
     message = _schema.Gossip.new_message(
-        version=PROTOCOL_VERSION, asksAnswer=asks_answer
+        version=PROTOCOL_VERSION, asksAnswer=wants_reply
     )
-    entries = message.init("members", len(sightings))
-    for entry, sighting in zip(entries, sightings, strict=True):
-        member = sighting.member
-        entry.ageMs = min(MAX_AGE_MS, max(0, int(sighting.age_s * 1000)))
+    entries = message.init("members", len(reports))
+    for entry, report in zip(entries, reports, strict=True):
+        member = report.member
+        entry.ageMs = min(MAX_AGE_MS, max(0, int(report.age_s * 1000)))
         entry.name = member.name
         ip, port = member.address.rsplit(":", 1)
         entry.ip = int(ipaddress.IPv4Address(ip))
@@ -205,7 +205,7 @@
     return message.to_bytes_packed()
 
 
-def _decode_sighting(entry):
+def _decode_report(entry):
     ip = ipaddress.IPv4Address(entry.ip)
     member = Member(
         entry.name,
@@ -221,22 +221,22 @@
 
 
 def decode_gossip(data):
-    """Return the report in a datagram.
+    """Return the reports in a datagram.
 
     Parameters
     ----------
     data : bytes
-        What arrived.
+        The datagram.
 
     Returns
     -------
     tuple of (list of MemberReport, bool) or None
-        The report and whether an answer is wanted; None if it cannot be read.
+        The reports and whether a reply is wanted; None for a malformed datagram.
     """
     try:
         message = _schema.Gossip.from_bytes_packed(data)
         if message.version != PROTOCOL_VERSION:
             return None
-        return list(map(_decode_sighting, message.members)), message.asksAnswer
+        return list(map(_decode_report, message.members)), message.asksAnswer
     except (capnp.KjException, ValueError):
         return None
--- a/redwingspring/members.py
+++ b/redwingspring/members.py
@@ -1,8 +1,9 @@
-"""Members of the system as one host knows them; no input or output.
+"""Group membership as one host sees it, without input or output.
 
-Each host counts up a beat of its own and tells others, a few times a second, the
-newest beats that it knows. A host whose beat no longer grows is taken as dead.
-Source: van Renesse, Minsky and Hayden, 1998.
+Implements the gossip-style failure detector of van Renesse, Minsky and Hayden (1998):
+each host increments a heartbeat counter of its own and sends the newest counters that
+it knows to a few other hosts several times a second. A host whose counter stops
+increasing is considered dead.
 """
 
 import math
@@ -14,29 +15,32 @@
 
 from .clock import read_clock
 
-# Datagrams of each round within the data centre. To other data centres one goes
-# out with the given probability, since bytes between them cost more.
+# Each round sends this many datagrams within the data centre, and one datagram to
+# another data centre with this probability, because traffic between data centres
+# costs more.
 LOCAL_FANOUT = 3
 REMOTE_PROBABILITY = 0.35
-# A host whose beat has not grown for this long counts as dead. News takes longer to
-# reach all hosts the more there are, so the time grows with each doubling beyond a
-# number of hosts. Directory answers may name a dead host for about six seconds.
+# A host is considered dead when its heartbeat counter has not increased for this long.
+# Gossip takes longer to reach all hosts of a larger system, so the timeout grows by one
+# step for each doubling beyond FAILURE_TIMEOUT_HOSTS. Directory responses may name a
+# dead host for about six seconds.
 FAILURE_TIMEOUT_S = 3.6
 MAX_FAILURE_TIMEOUT_S = 5.0
 FAILURE_TIMEOUT_HOSTS = 18
 FAILURE_TIMEOUT_STEP_S = 0.6
-FORGET_S = 30.0
-# Members in one datagram: half of them those heard most recently, which carry
-# news on, the others at random, so that none is left out for long.
+# Dead hosts are removed from the table after this long.
+CLEANUP_S = 30.0
+# Members in one datagram: half are the most recently updated ones, which spreads
+# changes quickly; the rest are chosen at random, so that none is omitted for long.
 MAX_ENTRIES = 64
 MAX_MEMBERS = 4096
-# A link this fast goes with one core: it carries what a core answers.
+# Link speed that the responses produced by one core fill.
 LINK_MBIT_PER_CORE = 100.0
 MAX_CAPACITY = 0xFFFF
 
 
 class MemberState(StrEnum):
-    """Whether a host takes requests."""
+    """Lifecycle state of a host; tells whether it accepts requests."""
 
     STARTING = "starting"
     SERVING = "serving"
@@ -45,7 +49,7 @@
 
 @dataclass(frozen=True)
 class Member:
-    """One start of a host, as far as it is known.
+    """What is known of one run of a host process.
 
     Attributes
     ----------
@@ -56,15 +60,15 @@
     peer_address : str
         ``ip:port`` for other hosts.
     data_centre : str
-        Where it is.
+        Data centre of the host.
     started_at : int
-        Unix milliseconds of its start.
+        Start time of the process in Unix milliseconds.
     beat : int
-        Counted up by the host.
+        Heartbeat counter, incremented by the host itself.
     state : MemberState
-        Whether it takes requests.
+        Whether it accepts requests.
     capacity : int, default=100
-        What the host bears, in hundredths of a core.
+        Load that the host can carry, in hundredths of a core.
     """
 
     name: str
@@ -78,21 +82,21 @@
 
     @property
     def recency_key(self):
-        """Sort key by which a newer report of the same host is greater."""
+        """Return a sort key that is greater for a newer report of the same host."""
         return (self.started_at, self.beat, self.state is MemberState.LEAVING)
 
 
 @dataclass(frozen=True)
 class MemberReport:
-    """What one host tells another of a member.
+    """State of one member as reported by another host.
 
     Attributes
     ----------
     member : Member
         The member.
     age_s : float
-        Seconds since the beat was fresh, as far as the teller knows. Without it
-        the news of a dead host would look fresh at every host that it reaches.
+        Seconds since the reporting host last saw the heartbeat increase. Without
+        the age, a report of a dead host would look recent at every host it reaches.
     """
 
     member: Member
@@ -100,7 +104,7 @@
 
 
 class Members:
-    """What this host knows of all hosts; no input or output.
+    """Membership table of this host, without input or output.
 
     Parameters
     ----------
@@ -115,168 +119,170 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._members = {}
-        self._silent_s = FAILURE_TIMEOUT_S
+        self._failure_timeout_s = FAILURE_TIMEOUT_S
 
     @property
     def own(self):
-        """Return the host itself, as it is told to others."""
+        """Return this host as it is reported to others."""
         return self._own
 
     def set_state(self, state):
-        """Set whether this host takes requests.
+        """Set the state of this host.
 
         Parameters
         ----------
         state : MemberState
-            The state.
+            The new state.
         """
         with self._lock:
             self._own = replace(self._own, state=state, beat=self._own.beat + 1)
 
     def advance(self):
-        """Count up the beat of this host and forget hosts long dead."""
+        """Increment the heartbeat of this host and remove hosts that are long dead."""
         with self._lock:
             self._own = replace(self._own, beat=self._own.beat + 1)
-            self._silent_s = compute_failure_timeout(len(self._members) + 1)
-            oldest = self._clock() - FORGET_S
+            self._failure_timeout_s = compute_failure_timeout(len(self._members) + 1)
+            cutoff = self._clock() - CLEANUP_S
             self._members = {
                 name: known
                 for name, known in self._members.items()
-                if known[1] > oldest
+                if known[1] > cutoff
             }
 
-    def merge(self, sightings):
-        """Take what another host reported.
+    def merge(self, reports):
+        """Merge the member reports of another host into the table.
 
         Parameters
         ----------
-        sightings : sequence of MemberReport
-            The report.
+        reports : sequence of MemberReport
+            The reports.
 
         Returns
         -------
         list of Member
-            Hosts that were not known as alive before.
+            Hosts that were unknown or considered dead before.
         """
         found = []
         with self._lock:
             now = self._clock()
-            for sighting in sightings:
-                if self._merge_one(sighting.member, now, now - sighting.age_s):
-                    found.append(sighting.member)
+            for report in reports:
+                if self._merge_one(report.member, now, now - report.age_s):
+                    found.append(report.member)
         return found
 
-    def _merge_one(self, member, now, heard):
-        """Take one report; return whether the host is new; the lock is held."""
-        if member.name == self._own.name or now - heard > self._silent_s:
+    def _merge_one(self, member, now, heard_at):
+        """Merge one report and tell whether the host was found; the lock is held."""
+        if member.name == self._own.name or now - heard_at > self._failure_timeout_s:
             return False
         known = self._members.get(member.name)
         if known is None and len(self._members) >= MAX_MEMBERS:
             return False
-        silent = known is None or now - known[1] > self._silent_s
+        newly_alive = known is None or now - known[1] > self._failure_timeout_s
         if known is not None:
-            # The time of day may have stepped back before the host started
-            # again, so a later start is not always a greater one.
-            restarted = silent and member.started_at != known[0].started_at
+            # The wall clock may have stepped back before the host restarted, so a
+            # later start does not always have a greater start time.
+            restarted = newly_alive and member.started_at != known[0].started_at
             if not restarted and member.recency_key <= known[0].recency_key:
                 return False
-        self._members[member.name] = (member, heard)
-        return silent
+        self._members[member.name] = (member, heard_at)
+        return newly_alive
 
     def list_alive(self):
-        """Return the hosts that are heard, this one included.
+        """Return the hosts that are considered alive, this one included.
 
         Returns
         -------
         list of Member
-            Leaving and starting hosts included.
+            Hosts in any state, also starting and leaving ones.
         """
         with self._lock:
-            oldest = self._clock() - self._silent_s
+            cutoff = self._clock() - self._failure_timeout_s
             return [
                 self._own,
-                *(m for m, heard in self._members.values() if heard >= oldest),
+                *(m for m, heard_at in self._members.values() if heard_at >= cutoff),
             ]
 
     def list_not_leaving(self):
-        """Return the hosts that are heard and do not leave.
+        """Return the live hosts that are not leaving.
 
         Returns
         -------
         list of Member
-            This one included unless it leaves.
+            This host is included unless it is leaving.
         """
         return [m for m in self.list_alive() if m.state is not MemberState.LEAVING]
 
     def list_serving(self):
-        """Return the hosts that take requests.
+        """Return the live hosts that accept requests.
 
         Returns
         -------
         list of Member
-            This one included if it does.
+            This host is included if it accepts requests.
         """
         return [m for m in self.list_alive() if m.state is MemberState.SERVING]
 
     def list_serving_names(self):
-        """Return the names of the hosts that take requests.
+        """Return the names of the live hosts that accept requests.
 
         Returns
         -------
         list of str
-            This one included if it does.
+            This host is included if it accepts requests.
         """
         return [member.name for member in self.list_serving()]
 
     def choose_peers(self, rng=random):
-        """Return the hosts that the next datagrams go to.
+        """Return the hosts to send the next datagrams to.
 
         Parameters
         ----------
         rng : random.Random, default=random
-            Source of the choice.
+            Random number generator.
 
         Returns
         -------
         list of Member
-            Mostly hosts of this data centre.
+            Hosts of this data centre and at most one of another.
         """
         others = [m for m in self.list_alive() if m.name != self._own.name]
-        near = [m for m in others if m.data_centre == self._own.data_centre]
-        far = [m for m in others if m.data_centre != self._own.data_centre]
-        chosen = rng.sample(near, min(LOCAL_FANOUT, len(near)))
-        if far and (not near or rng.random() < REMOTE_PROBABILITY):
-            chosen.append(rng.choice(far))
+        local = [m for m in others if m.data_centre == self._own.data_centre]
+        remote = [m for m in others if m.data_centre != self._own.data_centre]
+        chosen = rng.sample(local, min(LOCAL_FANOUT, len(local)))
+        if remote and (not local or rng.random() < REMOTE_PROBABILITY):
+            chosen.append(rng.choice(remote))
         return chosen
 
     def choose_reports(self, rng=random):
-        """Return what the next datagram tells.
+        """Return the reports to send in the next datagram.
 
         Parameters
         ----------
         rng : random.Random, default=random
-            Source of the choice where there are many hosts.
+            Selects the hosts to report when they do not all fit.
 
         Returns
         -------
         list of MemberReport
-            This host first.
+            This host comes first.
         """
         with self._lock:
             now = self._clock()
-            oldest = now - self._silent_s
-            recent = [k for k in self._members.values() if k[1] >= oldest]
+            cutoff = now - self._failure_timeout_s
+            recent = [k for k in self._members.values() if k[1] >= cutoff]
             recent.sort(key=lambda known: known[1], reverse=True)
-            most = MAX_ENTRIES - 1
-            chosen, others = recent[: most // 2], recent[most // 2 :]
-            left = most - len(chosen)
-            chosen += rng.sample(others, min(left, len(others)))
-            told = [MemberReport(member, now - heard) for member, heard in chosen]
-            return [MemberReport(self._own, 0.0), *told]
+            limit = MAX_ENTRIES - 1
+            chosen, others = recent[: limit // 2], recent[limit // 2 :]
+            free = limit - len(chosen)
+            chosen += rng.sample(others, min(free, len(others)))
+            reports = [
+                MemberReport(member, now - heard_at) for member, heard_at in chosen
+            ]
+            return [MemberReport(self._own, 0.0), *reports]
 
 
 def compute_failure_timeout(count):
-    """Return how long a host may be silent until it counts as dead.
+    """Return how long a heartbeat may stand still before its host counts as dead.
 
     Parameters
     ----------
@@ -295,7 +301,7 @@
 
 
 def compute_capacity(cores, link_mbit):
-    """Return what a host bears.
+    """Return the load that a host can carry.
 
     Parameters
     ----------
@@ -307,14 +313,14 @@
     Returns
     -------
     int
-        Hundredths of a core; a slow link counts like a slow processor.
+        Hundredths of a core; a slow link limits it like a lack of cores.
     """
-    bears = min(cores, link_mbit / LINK_MBIT_PER_CORE)
-    return min(MAX_CAPACITY, max(1, round(bears * 100)))
+    usable_cores = min(cores, link_mbit / LINK_MBIT_PER_CORE)
+    return min(MAX_CAPACITY, max(1, round(usable_cores * 100)))
 
 
 def build_member(name, address, peer_address, data_centre, capacity=100):
-    """Return this start of a host.
+    """Return the member entry of a host process that starts now.
 
     Parameters
     ----------
@@ -325,9 +331,9 @@
     peer_address : str
         ``ip:port`` for other hosts.
     data_centre : str
-        Where it is.
+        Data centre of the host.
     capacity : int, default=100
-        What it bears, in hundredths of a core.
+        Load that the host can carry, in hundredths of a core.
 
     Returns
     -------
