--- a/redwingspring/feed.capnp
+++ b/redwingspring/feed.capnp
@@ -1,5 +1,5 @@
 @0xc7e2f1904b8d3a65;
-# What one entry host tells another of the store; see feed.py.
+# Response of the feed of store changes between entry hosts; see feed.py.
 
 struct Change {
   key @0 :Text;
@@ -12,10 +12,10 @@
   version @0 :UInt16;
   revision @1 :UInt64;
   whole @2 :Bool;
-  # Whether the changes are everything that the store holds.
+  # Whether the changes are a full snapshot of the store.
   confirmedAgeMs @3 :UInt32;
-  # Time since the store last answered the sender.
+  # Time since the store last confirmed the data of the sender.
   changes @4 :List(Change);
   hops @5 :UInt8;
-  # Hosts between the sender and the store; 0 when the sender asks the store.
+  # Hosts between the sender and the store; 0 when the sender reads the store itself.
 }
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -1,9 +1,9 @@
-"""What a host knows of the store, told to the hosts that do not ask the store.
+"""Feed of store changes between hosts, so that few hosts call the store.
 
-Calls to the store are priced and limited, so one host asks it for all. One host of
-each data centre waits for changes at that host, the others at the one of their data
-centre. Whoever finds its source silent, or without the store, turns to another one
-or to the store itself.
+Calls to the store are priced and limited, so one host reads it on behalf of all. One
+host of each data centre, the reader, long-polls that host; the other hosts long-poll
+the reader of their data centre. A host whose source does not respond, or has itself
+lost the store, switches to another source or to the store.
 """
 
 import threading
@@ -24,14 +24,15 @@
 FEED_PATH = "/feed"
 CONTENT_TYPE = "application/octet-stream"
 MAX_HISTORY = 1000
-# A host that has not heard the store for this long tells nothing, so that the
-# others turn elsewhere while the bound on leaving targets still holds.
+# A host whose data was last confirmed by the store longer ago than this serves no
+# feed, so that the others switch to another source in time for the bound on leaving
+# targets.
 MAX_CONFIRMED_AGE_S = 1.5
 FEED_WAIT_S = 0.4
 CONNECT_TIMEOUT_S = 0.15
 READ_MARGIN_S = 0.25
-# A reader tells a change to all hosts of its data centre at once, perhaps over a
-# slow link; the fastest level already leaves a sixth of a list of targets.
+# A reader sends a change to all hosts of its data centre at once, possibly over a slow
+# link. The fastest level already compresses a list of targets to a sixth of its size.
 COMPRESSION_LEVEL = 1
 _MAX_AGE_MS = 0xFFFFFFFF
 _MAX_HOPS = 0xFF
@@ -42,14 +43,14 @@
 
 @dataclass(frozen=True)
 class Confirmation:
-    """How fresh something that a source tells of the store is.
+    """How recently the store confirmed data, and through how many hosts it came.
 
     Attributes
     ----------
     age_s : float, default=0.0
-        Seconds since the store answered.
+        Seconds since the response of the store.
     hops : int, default=0
-        Hosts that it was passed on by.
+        Hosts that forwarded the data.
     """
 
     age_s: float = 0.0
@@ -61,18 +62,18 @@
 
 @dataclass(frozen=True)
 class FeedUpdate:
-    """Part of what a host knows of the store.
+    """Response of the feed: a full snapshot or incremental changes.
 
     Attributes
     ----------
     changes : tuple of StoreChange
         Changes in the order of their revisions.
     revision : int
-        Revision of the store that they lead to.
+        Revision of the store after the changes.
     whole : bool
-        Whether they are everything that the store holds.
+        Whether the changes are a full snapshot of the store.
     confirmation : Confirmation
-        When the store last answered.
+        When the store last confirmed the data.
     """
 
     changes: tuple
@@ -82,7 +83,7 @@
 
 
 class StoreMirror:
-    """The store's entries as this host last heard of them.
+    """Copy of the store's entries with a history of recent changes.
 
     Parameters
     ----------
@@ -96,63 +97,63 @@
         self._entries = {}
         self._history = deque()
         self._revision = 0
-        self._oldest = 0
+        self._history_start = 0
         self._confirmed_at = None
         self._hops = 0
 
     @property
     def confirmed_age_s(self):
-        """Return the seconds since the store last answered."""
+        """Return the seconds since the store last confirmed the data."""
         if self._confirmed_at is None:
             return float("inf")
         return max(0.0, self._clock() - self._confirmed_at)
 
     def apply_snapshot(self, snapshot, confirmation=FROM_STORE):
-        """Take everything that the store holds.
+        """Replace the entries by a snapshot unless newer ones are known.
 
         Parameters
         ----------
         snapshot : StoreSnapshot
-            A state of the store.
+            Snapshot of the store.
         confirmation : Confirmation, default=FROM_STORE
-            How fresh it is.
+            When the store confirmed it.
         """
         with self._changed:
             if snapshot.revision >= self._revision:
                 self._entries = {change.key: change for change in snapshot.changes}
                 self._history.clear()
-                self._oldest = self._revision = snapshot.revision
-            self._confirm(confirmation)
+                self._history_start = self._revision = snapshot.revision
+            self._record_confirmation(confirmation)
 
     def apply_changes(self, changes, revision, confirmation=FROM_STORE):
-        """Take changes in their order.
+        """Apply changes in order.
 
         Parameters
         ----------
         changes : sequence of StoreChange
             The changes.
         revision : int
-            Revision of the store that they lead to.
+            Revision of the store after the changes.
         confirmation : Confirmation, default=FROM_STORE
-            How fresh they are.
+            When the store confirmed them.
         """
         with self._changed:
             for change in changes:
                 if change.revision > self._revision:
-                    self._take(change)
+                    self._apply(change)
             self._revision = max(self._revision, revision)
-            self._confirm(confirmation)
+            self._record_confirmation(confirmation)
 
-    def _take(self, change):
+    def _apply(self, change):
         if change.value is None:
             self._entries.pop(change.key, None)
         else:
             self._entries[change.key] = change
         self._history.append(change)
         while len(self._history) > MAX_HISTORY:
-            self._oldest = self._history.popleft().revision
+            self._history_start = self._history.popleft().revision
 
-    def _confirm(self, confirmation):
+    def _record_confirmation(self, confirmation):
         confirmed_at = self._clock() - confirmation.age_s
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
@@ -160,55 +161,55 @@
         self._changed.notify_all()
 
     def read(self, after, wait_s):
-        """Return what changed, waiting for it for a time.
+        """Return the changes after a revision, waiting for the first one.
 
         Parameters
         ----------
         after : int or None
-            Revision after which changes are wanted; None asks for everything.
+            Revision after which changes are wanted; None asks for a snapshot.
         wait_s : float
             Longest wait in seconds.
 
         Returns
         -------
         FeedUpdate or None
-            None when the store was not heard for too long, or when the changes
-            are no longer known.
+            A snapshot when the history does not reach back to the revision; None
+            when the data was last confirmed too long ago.
         """
         end = self._clock() + wait_s
         with self._changed:
             while self.confirmed_age_s <= MAX_CONFIRMED_AGE_S:
                 if after is None:
-                    return self._answer(tuple(self._entries.values()), True)
-                if after < self._oldest:
-                    return self._answer(tuple(self._entries.values()), True)
+                    return self._build_update(tuple(self._entries.values()), True)
+                if after < self._history_start:
+                    return self._build_update(tuple(self._entries.values()), True)
                 changes = tuple(c for c in self._history if c.revision > after)
-                left = end - self._clock()
-                if changes or left <= 0:
-                    return self._answer(changes, False)
-                until_doubt = MAX_CONFIRMED_AGE_S - self.confirmed_age_s
-                self._changed.wait(max(0.01, min(left, until_doubt)))
+                remaining = end - self._clock()
+                if changes or remaining <= 0:
+                    return self._build_update(changes, False)
+                until_stale_s = MAX_CONFIRMED_AGE_S - self.confirmed_age_s
+                self._changed.wait(max(0.01, min(remaining, until_stale_s)))
         return None
 
-    def _answer(self, changes, whole):
+    def _build_update(self, changes, whole):
         confirmation = Confirmation(self.confirmed_age_s, self._hops)
         return FeedUpdate(changes, self._revision, whole, confirmation)
 
 
 class FeedPage(ResponsePage):
-    """WSGI application that tells other hosts what this one knows of the store.
+    """WSGI application that serves the feed of store changes to other hosts.
 
     Parameters
     ----------
     mirror : StoreMirror
-        What this host knows.
+        Copy of the store's entries.
     """
 
     def __init__(self, mirror):
         self._mirror = mirror
 
     def respond(self, environ):
-        """Return what changed, as a compressed capnp message.
+        """Return the requested changes as a compressed capnp message.
 
         Parameters
         ----------
@@ -223,19 +224,19 @@
         query = parse_qs(environ.get("QUERY_STRING", ""))
         after = query.get("after", [""])[0]
         known = int(after) if after.isascii() and after.isdigit() else None
-        answer = self._mirror.read(known, FEED_WAIT_S)
-        if answer is None:
+        update = self._mirror.read(known, FEED_WAIT_S)
+        if update is None:
             return PageResponse("503 Service Unavailable")
-        return PageResponse("200 OK", encode_update(answer), CONTENT_TYPE)
+        return PageResponse("200 OK", encode_update(update), CONTENT_TYPE)
 
 
 class FeedClient:
-    """Asks another host what it knows of the store.
+    """Reads the feed of another host.
 
     Parameters
     ----------
     address : str
-        ``ip:port`` of the host for other hosts.
+        Peer address of the host, ``ip:port``.
     metrics : Metrics
         Counters.
     """
@@ -254,26 +255,26 @@
         self._pool.close()
 
     def read_all(self):
-        """Return everything that the store holds, as the host knows it.
+        """Return a snapshot of the store as the host has it.
 
         Returns
         -------
         tuple of (StoreSnapshot, Confirmation)
-            The state, and how fresh it is.
+            The snapshot, and when the store confirmed it.
 
         Raises
         ------
         StoreError
-            If the host gives no usable answer.
+            If the host gives no usable response.
         """
-        answer = self._ask({})
-        if not answer.whole:
-            raise StoreError("a host answered with a part")
-        snapshot = StoreSnapshot(answer.changes, answer.revision)
-        return snapshot, _pass_on(answer.confirmation)
+        update = self._fetch_update({})
+        if not update.whole:
+            raise StoreError("a host sent changes instead of a snapshot")
+        snapshot = StoreSnapshot(update.changes, update.revision)
+        return snapshot, _add_hop(update.confirmation)
 
     def watch(self, after):
-        """Wait for changes.
+        """Wait for changes after a revision.
 
         Parameters
         ----------
@@ -283,21 +284,22 @@
         Returns
         -------
         tuple of (tuple of StoreChange, int, Confirmation)
-            The changes, the revision to go on from, and how fresh they are.
+            The changes, the revision to continue from, and when the store
+            confirmed them.
 
         Raises
         ------
         HistoryLost
-            If the host no longer knows the changes.
+            If the host's history no longer reaches back to the revision.
         StoreError
-            If the host gives no usable answer.
+            If the host gives no usable response.
         """
-        answer = self._ask({"after": after})
-        if answer.whole:
-            raise HistoryLost("a host no longer knows the changes")
-        return answer.changes, answer.revision, _pass_on(answer.confirmation)
+        update = self._fetch_update({"after": after})
+        if update.whole:
+            raise HistoryLost("a host no longer has the changes in its history")
+        return update.changes, update.revision, _add_hop(update.confirmation)
 
-    def _ask(self, fields):
+    def _fetch_update(self, fields):
         self._metrics.increment("feed.calls")
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=FEED_WAIT_S + READ_MARGIN_S
@@ -307,24 +309,24 @@
                 "GET", FEED_PATH, fields=fields, timeout=timeout
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise StoreError(f"a host cannot be asked: {error}") from error
+            raise StoreError(f"a request to a host failed: {error}") from error
         if response.status != 200:
-            raise StoreError(f"a host answered with status {response.status}")
+            raise StoreError(f"a host responded with status {response.status}")
         return decode_update(response.data)
 
 
-def _pass_on(confirmation):
-    """Return a confirmation as the host that asked has it."""
+def _add_hop(confirmation):
+    """Return a confirmation with one more hop, as the receiving host holds it."""
     return Confirmation(confirmation.age_s, confirmation.hops + 1)
 
 
-def encode_update(answer):
-    """Return an answer as bytes.
+def encode_update(update):
+    """Return an update as a compressed message.
 
     Parameters
     ----------
-    answer : FeedUpdate
-        The answer.
+    update : FeedUpdate
+        The update.
 
     Returns
     -------
@@ -333,13 +335,13 @@
     """
     message = _schema.Feed.new_message(
         version=PROTOCOL_VERSION,
-        revision=answer.revision,
-        whole=answer.whole,
-        confirmedAgeMs=min(_MAX_AGE_MS, int(answer.confirmation.age_s * 1000)),
-        hops=min(_MAX_HOPS, answer.confirmation.hops),
+        revision=update.revision,
+        whole=update.whole,
+        confirmedAgeMs=min(_MAX_AGE_MS, int(update.confirmation.age_s * 1000)),
+        hops=min(_MAX_HOPS, update.confirmation.hops),
     )
-    entries = message.init("changes", len(answer.changes))
-    for entry, change in zip(entries, answer.changes, strict=True):
+    entries = message.init("changes", len(update.changes))
+    for entry, change in zip(entries, update.changes, strict=True):
         entry.key = change.key
         entry.deleted = change.value is None
         entry.value = change.value or b""
@@ -348,7 +350,7 @@
 
 
 def decode_update(data):
-    """Return the answer that bytes encode.
+    """Return the update in a compressed message.
 
     Parameters
     ----------
@@ -358,17 +360,17 @@
     Returns
     -------
     FeedUpdate
-        The answer.
+        The update.
 
     Raises
     ------
     StoreError
-        If the bytes are no answer.
+        If the bytes are not an update of this protocol version.
     """
     try:
         message = _schema.Feed.from_bytes_packed(zlib.decompress(data))
         if message.version != PROTOCOL_VERSION:
-            raise StoreError("a host speaks another version")
+            raise StoreError("a host uses another version of the feed protocol")
         changes = tuple(
             StoreChange(
                 entry.key, None if entry.deleted else entry.value, entry.revision
@@ -378,4 +380,4 @@
         confirmation = Confirmation(message.confirmedAgeMs / 1000, message.hops)
         return FeedUpdate(changes, message.revision, message.whole, confirmation)
     except (capnp.KjException, zlib.error, ValueError) as error:
-        raise StoreError(f"a host's answer cannot be read: {error}") from error
+        raise StoreError(f"cannot decode a host's response: {error}") from error
