--- a/redwingspring/conflicts.py
+++ b/redwingspring/conflicts.py
@@ -1,20 +1,21 @@
-"""Checks of exceptions against each other and against the services."""
+"""Checks of configuration exceptions against each other and the services."""
 
 
-def check_contradictions(source, readings):
-    """Report exceptions that give one key two values with equal precision.
+def check_contradictions(source, parsed):
+    """Report exceptions of equal selectors that set different values for a key.
 
-    Two selectors of equal precision overlap only when they are equal.
+    Unequal selectors need no check here: two selectors of equal precision overlap only
+    when they are equal.
 
     Parameters
     ----------
     source : YamlSource
-        Collects the problems.
-    readings : iterable of tuple of (dict of str to Entry, ConfigurationException)
-        The parts of each exception by name, and the exception.
+        Collects the reported problems.
+    parsed : iterable of tuple of (dict of str to Entry, ConfigurationException)
+        Parsed parts of each exception by name, and the exception itself.
     """
     first = {}
-    for parts, exception in readings:
+    for parts, exception in parsed:
         selector = (exception.service, exception.target, exception.data_centre)
         if selector == (None, None, None):
             continue
@@ -28,15 +29,15 @@
                 source.report(parts["set"].value[key], message)
 
 
-def check_matches(source, readings, services):
-    """Report exceptions whose selector includes no target.
+def check_matches(source, parsed, services):
+    """Report exceptions whose selector matches no target.
 
     Parameters
     ----------
     source : YamlSource
-        Collects the problems.
-    readings : iterable of tuple of (dict of str to Entry, ConfigurationException)
-        The parts of each exception by name, and the exception.
+        Collects the reported problems.
+    parsed : iterable of tuple of (dict of str to Entry, ConfigurationException)
+        Parsed parts of each exception by name, and the exception itself.
     services : mapping of str to Service
         All services.
     """
@@ -50,7 +51,7 @@
     for target in targets:
         by_address.setdefault(target.address, []).append(target)
     pairs = {(target.service, target.data_centre) for target in targets}
-    for parts, exception in readings:
+    for parts, exception in parsed:
         given = {part: getattr(exception, part) for part in known if part in parts}
         if not given or None in given.values():
             continue
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -1,25 +1,26 @@
-"""Follows the store: a snapshot first, then changes, and again after a gap."""
+"""Follows the store: reads a snapshot, then changes; starts over after a gap."""
 
 from .storestate import HistoryLost, StoreError
 
-# Changes that come in quick succession are read from the store together.
-GATHER_S = 0.15
-# Pause while all sources have just failed.
-PAUSE_S = 0.05
-SWEEP_S = 0.2
+# Pause after changes from the store, so that one call reads further changes that
+# follow in quick succession.
+BATCH_DELAY_S = 0.15
+# Pause while every source is in its backoff after a failure.
+RETRY_DELAY_S = 0.05
+SWEEP_INTERVAL_S = 0.2
 
 
 class StoreFollower:
-    """Keeps the knowledge of this host up to date.
+    """Keeps the published state of this host up to date.
 
     Parameters
     ----------
     sources : SourceSelector
-        Where changes are heard of.
+        Selects the source to read from.
     store_state : StoreState
-        Takes what the store tells.
+        Puts snapshots and changes in force.
     mirror : StoreMirror
-        Keeps it for other hosts.
+        Keeps snapshots and changes for the feed to other hosts.
     """
 
     def __init__(self, sources, store_state, mirror):
@@ -39,22 +40,22 @@
         while not stopping.is_set():
             source = self._sources.choose()
             if source is None:
-                stopping.wait(PAUSE_S)
+                stopping.wait(RETRY_DELAY_S)
                 continue
             try:
-                gathers = self._ask(source)
+                should_pause = self._read_source(source)
             except HistoryLost:
                 self._has_snapshot = False
             except StoreError as error:
-                self._take_failure(source, error)
+                self._handle_failure(source, error)
             else:
                 self._sources.note_success(source)
                 self._store_state.note_connected(source.name)
-                if gathers:
-                    stopping.wait(GATHER_S)
+                if should_pause:
+                    stopping.wait(BATCH_DELAY_S)
 
-    def _ask(self, source):
-        """Take one answer of a source; tell whether to pause before the next."""
+    def _read_source(self, source):
+        """Apply one response of a source; tell whether to pause before the next."""
         if not self._has_snapshot:
             snapshot, confirmation = source.read_all()
             self._sources.check_hops(source, confirmation)
@@ -69,19 +70,19 @@
         self._store_state.apply_changes(changes, revision)
         return bool(changes) and source.is_store
 
-    def _take_failure(self, source, error):
-        """Turn to another source; without one the store is lost."""
+    def _handle_failure(self, source, error):
+        """Back off from a source; the store is lost when no other one is left."""
         self._sources.note_failure(source)
         if self._sources.choose() is None:
             self._store_state.note_lost(error)
 
     def run_sweep(self, stopping):
-        """Drop entries that stay missing, until the process stops.
+        """Remove instances that stay missing, until the process stops.
 
         Parameters
         ----------
         stopping : threading.Event
             Set when the process stops.
         """
-        while not stopping.wait(SWEEP_S):
+        while not stopping.wait(SWEEP_INTERVAL_S):
             self._store_state.drop_missing()
--- a/redwingspring/readiness.py
+++ b/redwingspring/readiness.py
@@ -1,4 +1,4 @@
-"""Whether a host takes requests now, and why."""
+"""Readiness of this host and its services, with the reason."""
 
 import time
 from dataclasses import dataclass
@@ -12,16 +12,16 @@
 
 @dataclass(frozen=True)
 class ServiceReadiness:
-    """Whether this host takes requests of a service.
+    """Whether this host accepts requests of a service.
 
     Attributes
     ----------
     service : str
         Name of the service.
     taken : bool
-        Whether a request that arrives now is taken.
+        Whether a request that arrives now is accepted.
     reason : str
-        ``ok``, ``leaving``, or the reason that a refusal would carry.
+        ``ok``, ``leaving``, or the reason with which a request would be refused.
     """
 
     service: str
@@ -30,7 +30,7 @@
 
 
 def check_host_readiness(entry):
-    """Return whether a host takes new work, and why.
+    """Check whether this host accepts requests.
 
     Parameters
     ----------
@@ -40,19 +40,19 @@
     Returns
     -------
     tuple of bool and str
-        Whether it does, and ``ok``, ``leaving`` or a refusal's reason.
+        Whether it does, and ``ok``, ``leaving`` or the reason of a refusal.
     """
     refusal = entry.membership.check_serving()
     if refusal is not None:
         return False, str(refusal.reason)
-    # A leaving host still takes work, so that callers who know its address
-    # from an earlier answer lose nothing.
+    # A leaving host still accepts requests, so that callers with its address from an
+    # earlier directory response do not fail.
     leaving = entry.membership.state is HostState.LEAVING
     return True, LEAVING if leaving else OK
 
 
 def check_service_readiness(entry, service):
-    """Return whether a host takes requests of a service.
+    """Check whether this host accepts requests of a service.
 
     Parameters
     ----------
@@ -64,7 +64,7 @@
     Returns
     -------
     ServiceReadiness
-        True at this moment.
+        The readiness at this moment.
     """
     taken, reason = check_host_readiness(entry)
     if not taken:
--- a/redwingspring/rendezvous.py
+++ b/redwingspring/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: an order of hosts for a key that needs no agreement."""
+"""Rendezvous hashing: ranks hosts for a key without coordination between them."""
 
 import math
 
@@ -6,22 +6,22 @@
 
 
 def rank_hosts(names, key):
-    """Return host names in the order of their weight for a key.
+    """Return host names ranked by their hash for a key.
 
-    Hosts that know lists that differ in d names differ in at most d of the
-    first names of the order. Source: Thaler and Ravishankar, 1998.
+    Two lists of hosts that differ in d names differ in at most d of the names that
+    rank first. Source: Thaler and Ravishankar, 1998.
 
     Parameters
     ----------
     names : iterable of str
         Host names.
     key : str
-        What the order is for.
+        Key to rank the hosts for.
 
     Returns
     -------
     list of str
-        Highest weight first.
+        Highest hash first.
     """
     return sorted(
         set(names),
@@ -38,7 +38,7 @@
     names : iterable of str
         Live hosts.
     minimum : int, default=3
-        Fewest readers, as far as there are hosts.
+        Minimum number of readers; all hosts when there are fewer.
 
     Returns
     -------
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -1,20 +1,21 @@
-"""Choice of where a host hears of the store's changes."""
+"""Selection of the source from which a host reads the store's changes."""
 
 from .clock import read_clock
 from .feed import FROM_STORE
 from .rendezvous import rank_hosts
 from .storestate import StoreError
 
-# A watch of the store that answers nothing for this long is asked anew, because a
-# connection on which an answer was lost stays silent.
+# A watch of the store ends after this long and is sent again, because a connection on
+# which a response was lost delivers nothing more.
 WATCH_WAIT_S = 0.9
-# A reader's source asks the store itself; other hosts ask a reader.
+# Hops of the data that a reader accepts: its source must read the store itself. Other
+# hosts read from a reader and accept one hop more.
 MAX_READER_HOPS = 1
-# A source that failed is left out for this long.
+# A source that failed is skipped for this long.
 FEED_BACKOFF_S = 1.0
 STORE_BACKOFF_S = 2.5
-# Readers are hosts that bear at least this part of what the strongest host bears:
-# all others of a data centre ask them, and a change goes out to all at once.
+# Readers have at least this share of the capacity of the strongest host, because all
+# other hosts of a data centre read from them and a change is sent to all at once.
 MIN_READER_CAPACITY_RATIO = 0.5
 
 
@@ -37,45 +38,46 @@
         self._wait_s = wait_s
 
     def read_all(self):
-        """Return everything that the store holds.
+        """Return a snapshot of the store.
 
         Returns
         -------
         tuple of (StoreSnapshot, Confirmation)
-            The state, and that it comes from the store.
+            The snapshot, confirmed by the store itself.
         """
         return self._store.read_all(), FROM_STORE
 
     def watch(self, after):
-        """Wait for changes.
+        """Wait for changes after a revision.
 
         Parameters
         ----------
         after : int
-            Revision after which changes are wanted.
+            Revision after which changes are used.
 
         Returns
         -------
         tuple of (tuple of StoreChange, int, Confirmation)
-            The changes, the revision to go on from, and that they come from the
-            store.
+            The changes, confirmed by the store itself, and the revision to
+            continue from.
         """
         changes, revision = self._store.watch(after, self._wait_s)
         return changes, revision, FROM_STORE
 
 
 class SourceSelector:
-    """Orders the sources of a host.
+    """Selects the source that this host reads the store's changes from.
 
-    One strong host of each data centre, found by rendezvous hashing, reads for it; the
-    others ask that host. One of the readers asks the store, and the other readers
-    ask it. When a source fails, a reader turns to the store, and another host to
-    the readers of the other data centres, then to the store.
+    Each data centre has one reader, selected by rendezvous hashing among its hosts of
+    sufficient capacity. One of the readers reads from the store, and the other readers
+    read from that one; every other host reads from the reader of its data centre. When
+    its source fails, a reader falls back to the store, and another host first to the
+    readers of the other data centres, then to the store.
 
     Parameters
     ----------
     members : Members
-        Hosts that are alive.
+        Membership table.
     store : StoreSource
         The store.
     open_feed : callable
@@ -90,25 +92,26 @@
         self._open_feed = open_feed
         self._clock = clock
         self._feeds = {}
-        self._failed = {}
+        self._skipped_until = {}
         self._is_reader = False
 
     def choose(self):
-        """Return the source to ask now.
+        """Return the source to read from now.
 
         Returns
         -------
         StoreSource, FeedClient or None
-            The first in order that has not just failed; None when all have.
+            The first in order of preference that has not failed recently; None
+            when all have.
         """
         now = self._clock()
         for source in self._list_sources():
-            if now >= self._failed.get(source.name, 0.0):
+            if now >= self._skipped_until.get(source.name, 0.0):
                 return source
         return None
 
     def note_failure(self, source):
-        """Leave a source out for a while.
+        """Skip a source for a while after a failure.
 
         Parameters
         ----------
@@ -117,84 +120,86 @@
         """
         wait_s = STORE_BACKOFF_S if source.is_store else FEED_BACKOFF_S
         if self._is_reader:
-            # The others rely on this host to find the store again.
+            # The other hosts rely on this one to reconnect to the store quickly.
             wait_s = FEED_BACKOFF_S
-        self._failed[source.name] = self._clock() + wait_s
+        self._skipped_until[source.name] = self._clock() + wait_s
 
     def note_success(self, source):
-        """Forget the failures of a source.
+        """Clear the backoff of a source.
 
         Parameters
         ----------
         source : StoreSource or FeedClient
             The source.
         """
-        self._failed.pop(source.name, None)
+        self._skipped_until.pop(source.name, None)
 
     def check_hops(self, source, confirmation):
-        """Refuse what hosts have passed on to each other too often.
+        """Reject data that was forwarded by too many hosts.
 
-        Readers that took each other's word would all rest on a store that none of
-        them asks, and learn late that it is away or that nobody hears it.
+        Without this limit readers could read from each other while none of them reads
+        the store, and would learn late that they have all lost it.
 
         Parameters
         ----------
         source : StoreSource or FeedClient
             The source.
         confirmation : Confirmation
-            How fresh its answer is.
+            Age and hops of its response.
 
         Raises
         ------
         StoreError
-            If the source has it from another host of the same rank.
+            If the data has more hops than this host accepts.
         """
-        most = MAX_READER_HOPS if self._is_reader else MAX_READER_HOPS + 1
-        if confirmation.hops > most:
-            raise StoreError(f"{source.name} does not hear the store itself")
+        limit = MAX_READER_HOPS if self._is_reader else MAX_READER_HOPS + 1
+        if confirmation.hops > limit:
+            raise StoreError(f"{source.name} is too many hops away from the store")
 
     def _list_sources(self):
         own = self._members.own
-        readers = self._find_readers()
+        readers = self._choose_readers()
         reader = readers.pop(own.data_centre, own)
-        first = self._find_first([reader, *readers.values()])
+        store_reader = self._choose_store_reader([reader, *readers.values()])
         others = [readers[name] for name in sorted(readers)]
-        self._forget_feeds([reader, *others])
-        feeds = [self._find_feed(member) for member in others]
+        self._close_unused_feeds([reader, *others])
+        feeds = [self._get_feed(member) for member in others]
         self._is_reader = reader.name == own.name
         if not self._is_reader:
-            return [self._find_feed(reader), *feeds, self._store]
-        if first.name == own.name:
+            return [self._get_feed(reader), *feeds, self._store]
+        if store_reader.name == own.name:
             return [self._store, *feeds]
-        nearest = self._find_feed(first)
-        return [nearest, self._store, *(f for f in feeds if f is not nearest)]
+        preferred = self._get_feed(store_reader)
+        return [preferred, self._store, *(f for f in feeds if f is not preferred)]
 
-    def _find_first(self, readers):
-        """Return the reader that asks the store for all."""
+    def _choose_store_reader(self, readers):
+        """Return the reader that reads from the store on behalf of all hosts."""
         return _choose_reader(readers)
 
-    def _find_readers(self):
-        """Return the host of each data centre that asks the store."""
+    def _choose_readers(self):
+        """Return the reader of each data centre by its name."""
         groups = {}
         for member in self._members.list_not_leaving():
             groups.setdefault(member.data_centre, []).append(member)
         return {name: _choose_reader(group) for name, group in groups.items()}
 
-    def _find_feed(self, member):
+    def _get_feed(self, member):
         address = member.peer_address
         feed = self._feeds.get(address)
         if feed is None:
             feed = self._feeds[address] = self._open_feed(address)
         return feed
 
-    def _forget_feeds(self, members):
-        wanted = {member.peer_address for member in members}
-        for address in self._feeds.keys() - wanted:
+    def _close_unused_feeds(self, members):
+        used = {member.peer_address for member in members}
+        for address in self._feeds.keys() - used:
             self._feeds.pop(address).close()
 
 
 def _choose_reader(members):
-    """Return the host that reads for others, by rendezvous hash among the strong."""
-    least = MIN_READER_CAPACITY_RATIO * max(member.capacity for member in members)
-    strong = {m.name: m for m in members if m.capacity >= least}
-    return strong[rank_hosts(strong, "store-reader")[0]]
+    """Return the first host by rendezvous hash among those of sufficient capacity."""
+    min_capacity = MIN_READER_CAPACITY_RATIO * max(
+        member.capacity for member in members
+    )
+    eligible = {m.name: m for m in members if m.capacity >= min_capacity}
+    return eligible[rank_hosts(eligible, "store-reader")[0]]
--- a/redwingspring/stamp.py
+++ b/redwingspring/stamp.py
@@ -1,4 +1,4 @@
-"""Published values and their order."""
+"""Published values and the version stamps that order them."""
 
 import hashlib
 from dataclasses import dataclass
@@ -8,14 +8,14 @@
 @total_ordering
 @dataclass(frozen=True)
 class Stamp:
-    """Position of a value in the order of publication.
+    """Version of a published value; a later version compares greater.
 
     Attributes
     ----------
     revision : int
-        Given by the configuration service.
+        Revision that the configuration service assigned.
     digest : str
-        SHA-256 of the text; decides between two values of one revision.
+        SHA-256 of the text; breaks the tie between two values of one revision.
     """
 
     revision: int
@@ -25,7 +25,7 @@
         return (self.revision, self.digest) < (other.revision, other.digest)
 
 
-# Stands for "no value known"; it is lower than every stamp of a value.
+# Stamp for "no value known"; lower than the stamp of any value.
 NO_STAMP = Stamp(0, "")
 
 
@@ -35,9 +35,9 @@
     Parameters
     ----------
     revision : int
-        Its revision.
+        Revision of the value.
     text : str
-        The value.
+        Text of the value.
 
     Returns
     -------
@@ -49,16 +49,16 @@
 
 @dataclass(frozen=True)
 class PublishedValue:
-    """A value with its place in the order.
+    """A published value with its version stamp.
 
     Attributes
     ----------
     key : str
         ``configuration`` or ``hosts``.
     stamp : Stamp
-        Its stamp.
+        Version stamp.
     text : str or None
-        YAML text; None when the bytes are no text of the allowed size.
+        YAML text; None when the bytes are not UTF-8 or exceed the size limit.
     """
 
     key: str
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -1,4 +1,4 @@
-"""What the operator and the targets have published, as this host knows it."""
+"""State that operators and targets publish in the store, as this host has read it."""
 
 import logging
 import threading
@@ -10,37 +10,38 @@
 from .mappings import drop_oldest
 from .routes import RoutingTable
 
-# Entries that lapse while the store is away are written again within about two
-# seconds of its return; until then they stay in use.
+# Entries that expire while the store is unreachable are written again by their targets
+# within about two seconds of its return. Missing instances stay in use until then.
 MISSING_GRACE_S = 2.2
-# Revisions of deleted keys that are remembered against late news.
+# Deleted keys whose revisions are kept, so that a change that arrives late does not
+# restore them.
 MAX_TOMBSTONES = 2000
 
 
 class StoreError(RedwingspringError):
-    """The store gave no usable answer."""
+    """The store or a host's feed gave no usable response."""
 
 
 class StoreBusy(StoreError):
-    """The store turned a call away."""
+    """The store rejected a call because it is overloaded or unavailable."""
 
 
 class HistoryLost(StoreError):
-    """The store no longer knows the changes that were asked for."""
+    """The requested changes are no longer in the history of the source."""
 
 
 @dataclass(frozen=True)
 class StoreChange:
-    """One entry of the store, as written.
+    """One version of an entry of the store.
 
     Attributes
     ----------
     key : str
         Key of the entry.
     value : bytes or None
-        Its value; None when it was deleted.
+        Value of the entry; None when it was deleted.
     revision : int
-        Revision of the store that made it.
+        Revision of the store at which it was written or deleted.
     """
 
     key: str
@@ -50,14 +51,14 @@
 
 @dataclass(frozen=True)
 class StoreSnapshot:
-    """Everything that the store holds.
+    """All entries of the store.
 
     Attributes
     ----------
     changes : tuple of StoreChange
         The entries.
     revision : int
-        Revision of the store that is contained for certain.
+        Highest revision whose changes the snapshot is certain to contain.
     """
 
     changes: tuple
@@ -79,12 +80,12 @@
 
 @dataclass(frozen=True)
 class EvacuationChange:
-    """A data centre is taken out of service or taken back.
+    """A data centre was evacuated or put back into service.
 
     Attributes
     ----------
     data_centre : str
-        Its name.
+        Name of the data centre.
     evacuated : bool
         Whether its targets get no requests.
     """
@@ -95,7 +96,7 @@
 
 @dataclass(frozen=True)
 class InstanceChange:
-    """An instance wrote its entry.
+    """The entry of an instance was written.
 
     Attributes
     ----------
@@ -120,18 +121,18 @@
 
 
 class StoreState:
-    """The published state in force at this host.
+    """Applies store changes to the published state in force at this host.
 
     Parameters
     ----------
     directory : InstanceDirectory
-        Takes the instances.
+        Receives the instances.
     decode : callable
-        Returns the typed change of a StoreChange, None for one without meaning.
+        Returns the typed change of a StoreChange, None for a key that is not used.
     metrics : Metrics
         Counters.
     decisions : DecisionLog
-        Takes one line for each changed belief.
+        Receives one line for each change of the state.
     clock : callable, default=read_clock
         Returns seconds.
     """
@@ -151,32 +152,32 @@
         self._evacuated = set()
         self._missing = {}
         self._lost_at = clock()
-        self._returned_at = -MISSING_GRACE_S
+        self._regained_at = -MISSING_GRACE_S
 
     @property
     def version(self):
-        """Return the version of the table in force, 0 without one."""
+        """Return the version of the routing table in force, 0 without one."""
         table = self.table
         return 0 if table is None else table.version
 
     @property
     def age_s(self):
-        """Return the seconds since the store was lost, 0 while it is in touch."""
+        """Return the seconds since the store was lost, 0 while connected."""
         lost_at = self._lost_at
         return 0.0 if lost_at is None else self._clock() - lost_at
 
     @property
     def is_connected(self):
-        """Tell whether changes of the store arrive."""
+        """Tell whether this host receives the changes of the store."""
         return self._lost_at is None
 
     def note_lost(self, cause):
-        """Note that the store cannot be reached.
+        """Record that the store cannot be reached from any source.
 
         Parameters
         ----------
         cause : Exception
-            Why.
+            Failure of the last source.
         """
         with self._lock:
             if self._lost_at is not None:
@@ -192,19 +193,19 @@
         )
 
     def note_connected(self, source):
-        """Note that the store's changes arrive.
+        """Record that a source delivers the changes of the store.
 
         Parameters
         ----------
         source : str
-            Where they come from.
+            Name of the source.
         """
         with self._lock:
             if self._lost_at is None:
                 return
             away_s = self._clock() - self._lost_at
             self._lost_at = None
-            self._returned_at = self._clock()
+            self._regained_at = self._clock()
         self._metrics.increment("store.regained")
         self._decisions.record(
             "store regained",
@@ -214,31 +215,31 @@
         )
 
     def apply_snapshot(self, snapshot):
-        """Take everything that the store holds.
+        """Apply all entries of a snapshot and remove those that it lacks.
 
         Parameters
         ----------
         snapshot : StoreSnapshot
-            A state of the store.
+            Snapshot of the store.
         """
         with self._lock:
             for change in snapshot.changes:
                 self._apply(change)
-            listed = {change.key for change in snapshot.changes}
+            present = {change.key for change in snapshot.changes}
             for key, revision in list(self._revisions.items()):
-                if key not in listed and revision <= snapshot.revision:
+                if key not in present and revision <= snapshot.revision:
                     self._apply(StoreChange(key, None, snapshot.revision))
             self.revision = max(self.revision, snapshot.revision)
 
     def apply_changes(self, changes, revision):
-        """Take changes in their order.
+        """Apply changes in order.
 
         Parameters
         ----------
         changes : sequence of StoreChange
             The changes.
         revision : int
-            Revision of the store that they lead to.
+            Revision of the store after the changes.
         """
         with self._lock:
             for change in changes:
@@ -246,16 +247,16 @@
             self.revision = max(self.revision, revision)
 
     def drop_missing(self):
-        """Forget instances whose entries did not come back in time."""
+        """Remove instances whose entries were not written again in time."""
         with self._lock:
             now = self._clock()
-            due = [key for key, end in self._missing.items() if now >= end]
-            for instance_id in due:
+            expired = [key for key, end in self._missing.items() if now >= end]
+            for instance_id in expired:
                 del self._missing[instance_id]
                 self._remove_instance(instance_id)
 
     def _apply(self, change):
-        """Take one change unless a later one is known; the lock is held."""
+        """Apply one change unless a later one is known; the lock is held."""
         known = max(
             self._revisions.get(change.key, 0), self._tombstones.get(change.key, 0)
         )
@@ -337,7 +338,7 @@
 
     def _apply_removal(self, change, revision):
         now = self._clock()
-        if self._lost_at is not None or now < self._returned_at + MISSING_GRACE_S:
+        if self._lost_at is not None or now < self._regained_at + MISSING_GRACE_S:
             self._missing.setdefault(change.instance_id, now + MISSING_GRACE_S)
             self._decisions.record(
                 "instance missing", instance=change.instance_id, revision=revision
--- a/redwingspring/values.py
+++ b/redwingspring/values.py
@@ -11,7 +11,8 @@
 CONFIGURATION_KEY = "configuration"
 HOSTS_KEY = "hosts"
 KEYS = (CONFIGURATION_KEY, HOSTS_KEY)
-# Refused stamps are remembered so that their documents are not fetched again.
+# Stamps of refused values are kept, so that the values are not fetched again. The same
+# number of reported events is kept.
 MAX_REFUSED = 256
 
 
@@ -24,7 +25,7 @@
         Puts a PublishedValue from a source in force; raises DocumentError to
         refuse it.
     audit : AuditTrail
-        Trail of changes.
+        Records accepted, refused, older and conflicting values.
     metrics : Metrics
         Counters.
     """
@@ -71,7 +72,7 @@
         return NO_STAMP if value is None else value.stamp
 
     def is_settled(self, key, stamp):
-        """Tell whether a value would change nothing here.
+        """Tell whether a value does not need to be offered.
 
         Parameters
         ----------
@@ -83,7 +84,7 @@
         Returns
         -------
         bool
-            True when it is not newer than the value in force, or refused.
+            True when it is not newer than the value in force, or was refused before.
         """
         return stamp <= self.stamp(key) or (key, stamp) in self._refused
 
@@ -111,7 +112,7 @@
         value : PublishedValue
             The value.
         source : str
-            Route by which it came, for the audit trail.
+            Description of its origin for the audit trail.
 
         Returns
         -------
@@ -154,7 +155,7 @@
         """
         self._metrics.increment("publication.older")
         known = self.stamp(key)
-        if self._is_news((key, "older", revision, known.revision)):
+        if self._is_first_report((key, "older", revision, known.revision)):
             self._audit.record(
                 f"{key}-older",
                 f"revision {revision}",
@@ -162,16 +163,16 @@
             )
 
     def check_for_conflict(self, key, stamp, source):
-        """Record a conflict that the stamp of another value shows.
+        """Record a conflict if a stamp has the same revision but another digest.
 
         Parameters
         ----------
         key : str
             One of ``KEYS``.
         stamp : Stamp
-            Stamp of a value that a peer or the service has.
+            Stamp of a value of a peer or of the service.
         source : str
-            The peer, or how the value came.
+            The peer, or a description of the value's origin.
         """
         self._report_conflict(key, self.stamp(key), stamp, source)
 
@@ -183,8 +184,8 @@
         except DocumentError:
             raise
         except Exception as error:
-            # A document that trips a fault must not end the watching thread or
-            # be fetched again and again.
+            # A document that triggers a bug must neither end the watching thread nor
+            # be fetched repeatedly.
             logger.exception("cannot apply %s", value.key)
             raise DocumentError([f"{value.key}: {error!r}"]) from error
 
@@ -192,7 +193,7 @@
         if stamp.revision != known.revision or stamp.digest == known.digest:
             return
         digests = tuple(sorted((stamp.digest, known.digest)))
-        if self._is_news((key, "conflict", stamp.revision, digests)):
+        if self._is_first_report((key, "conflict", stamp.revision, digests)):
             self._metrics.increment("publication.conflicts")
             self._audit.record(
                 f"{key}-conflict",
@@ -201,12 +202,12 @@
                 "the higher digest is in force",
             )
 
-    def _is_news(self, fact):
-        """Return True once for each fact, so that repeats are only counted."""
+    def _is_first_report(self, event):
+        """Return True once for each event, so that it is recorded only once."""
         with self._report_lock:
-            if fact in self._reported:
+            if event in self._reported:
                 return False
-            self._reported = (*self._reported, fact)[-MAX_REFUSED:]
+            self._reported = (*self._reported, event)[-MAX_REFUSED:]
             return True
 
 
