Name counters of stub calls and deadlines of missing instances

`asked` counted the watch calls of a stub in one place and the calls to the store in another; `_missing` maps instances to deadlines.

asked -> watch_calls, store_calls _missing -> _missing_until

--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -150,7 +150,7 @@
         self._revisions = {}
         self._tombstones = {}
         self._evacuated = set()
-        self._missing = {}
+        self._missing_until = {}
         self._lost_at = clock()
         self._regained_at = -MISSING_GRACE_S
 
@@ -250,9 +250,9 @@
         """Remove instances whose entries were not written again in time."""
         with self._lock:
             now = self._clock()
-            expired = [key for key, end in self._missing.items() if now >= end]
+            expired = [key for key, end in self._missing_until.items() if now >= end]
             for instance_id in expired:
-                del self._missing[instance_id]
+                del self._missing_until[instance_id]
                 self._remove_instance(instance_id)
 
     def _apply(self, change):
@@ -323,7 +323,7 @@
 
     def _apply_instance(self, change, revision):
         instance = change.instance
-        self._missing.pop(instance.id, None)
+        self._missing_until.pop(instance.id, None)
         if not self._directory.put(instance):
             return
         self._decisions.record(
@@ -339,7 +339,7 @@
     def _apply_removal(self, change, revision):
         now = self._clock()
         if self._lost_at is not None or now < self._regained_at + MISSING_GRACE_S:
-            self._missing.setdefault(change.instance_id, now + MISSING_GRACE_S)
+            self._missing_until.setdefault(change.instance_id, now + MISSING_GRACE_S)
             self._decisions.record(
                 "instance missing", instance=change.instance_id, revision=revision
             )
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -115,13 +115,13 @@
         self.name = name
         self.is_store = is_store
         self.error = None
-        self.asked = 0
+        self.watch_calls = 0
 
     def read_all(self):
         return StoreSnapshot((), 1), FROM_STORE
 
     def watch(self, after):
-        self.asked += 1
+        self.watch_calls += 1
         if self.error is not None:
             raise self.error
         return (), after, FROM_STORE
@@ -207,7 +207,7 @@
     def test_calls_to_a_failed_store_are_limited_by_backoff(self):
         """Refused calls are priced, and 18 hosts must not overload a failing store."""
         selectors = [self.build(number, 16) for number in range(16)]
-        asked = 0
+        store_calls = 0
         for step in range(100):
             self.clock.now += 0.1
             for selector in selectors:
@@ -216,9 +216,9 @@
                 ]
                 selector._members.merge(others)
                 while (source := selector.choose()) is not None:
-                    asked += source.is_store
+                    store_calls += source.is_store
                     selector.note_failure(source)
-        self.assertTrue(asked <= 10 * (4 * 1.2 + 12 * 0.5), asked)
+        self.assertTrue(store_calls <= 10 * (4 * 1.2 + 12 * 0.5), store_calls)
 
 
 class FollowerTest(RedwingspringTestCase):
@@ -249,7 +249,7 @@
 
         class SourceSelectorStub:
             def choose(self):
-                source.error = HistoryLost("x") if source.asked == 1 else None
+                source.error = HistoryLost("x") if source.watch_calls == 1 else None
                 return source
 
             def note_success(self, source):
