Rename the module of former host lists to hosthistory

The module name did not say of which lists it keeps a history.

listhistory -> hosthistory ListHistory -> HostListHistory

--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -109,9 +109,9 @@
 @mutations.register("probe-lists")
 def forget_former_lists():
     """Trust the grantors under a new host list at once."""
-    from redwingspring import listhistory
+    from redwingspring import hosthistory
 
-    listhistory.overlap = lambda first, second: True
+    hosthistory.overlap = lambda first, second: True
 
 
 @mutations.register("drain")
--- a/redwingspring/listhistory.py
+++ b/redwingspring/hosthistory.py
@@ -11,7 +11,7 @@
 MAX_LISTS = 256
 
 
-class ListHistory:
+class HostListHistory:
     """Remembers which host lists were in force.
 
     Parameters
--- a/redwingspring/probes.py
+++ b/redwingspring/probes.py
@@ -14,8 +14,8 @@
 
 from .body import RequestBody
 from .grants import CLOCK_MARGIN_S
+from .hosthistory import HostListHistory
 from .limits import MIN_PROBE_BUDGET
-from .listhistory import ListHistory
 from .messages import LeaseRequest, SeenTarget, SeenTargets
 from .rendezvous import rank_hosts
 from .slots import PROBE, PROBE_START_S, find_probe_term
@@ -130,7 +130,7 @@
         self._network = network
         self._metrics = metrics
         self._outcomes = outcomes
-        self._lists = ListHistory(name, membership)
+        self._lists = HostListHistory(name, membership)
         # Ids of two processes of one host should differ in logs of targets.
         self._numbers = itertools.count(int(time.time()))
         self._table = None
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -11,8 +11,8 @@
 from redwingspring import probes
 from redwingspring.configuration import Target
 from redwingspring.grants import CLOCK_MARGIN_S, MAX_TERM_S, GrantTable
+from redwingspring.hosthistory import HostListHistory
 from redwingspring.limits import MIN_PROBE_BUDGET
-from redwingspring.listhistory import ListHistory
 from redwingspring.membership import Host
 from redwingspring.messages import LeaseReply, LeaseRequest, SeenTarget, SeenTargets
 from redwingspring.metrics import Metrics
@@ -56,7 +56,7 @@
         self.tables[name] = GrantTable(lambda *args: 1, lambda: self.now)
         network, membership = mock.Mock(), mock.Mock(hosts=list_hosts(listed))
         client = QuorumClient(name, self.tables[name], membership, network)
-        self.lists[name] = ListHistory(name, membership, lambda: self.now)
+        self.lists[name] = HostListHistory(name, membership, lambda: self.now)
         self.members[name] = membership
         network.send.side_effect = lambda to, body: self.send(name, to, body)
         self.clients[name] = client
