Rename methods of leases, probes and quorums that other parts use

The names were figurative or did not say what is done.

LeaseClient.give_up -> release_if_finished LeaseGrantor.answer_request -> handle_request LeaseGrantor.take_release -> handle_release GrantTable._quiet_until -> _refuses_cold_until QuorumClient.ask -> request_grants QuorumClient.numbers -> request_numbers Prober.take_seen -> handle_seen_targets Prober.visit_due -> check_due_targets Watch.own -> own_report_time Watch.elsewhere -> peer_report_time hosthistory.overlap -> quorums_intersect Publication._take_stamp -> _handle_stamp

The patches in harness/mutant.py and the mocks in the tests follow.

--- a/harness/costs.py
+++ b/harness/costs.py
@@ -299,7 +299,7 @@
         for _ in range(grantors)
     ]
     for table in tables:
-        table._quiet_until = 0.0
+        table._refuses_cold_until = 0.0
     ways = [(Channel("asker"), Channel("grantor")) for _ in tables]
     numbers = iter(range(10**6))
 
--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -84,16 +84,16 @@
     from redwingspring.quorum import PendingRequest, QuorumClient
     from redwingspring.slots import PROBE
 
-    ask = QuorumClient.ask
+    request_grants = QuorumClient.request_grants
 
     def agree(self, grantors, request):
         if request.kind != PROBE:
-            return ask(self, grantors, request)
+            return request_grants(self, grantors, request)
         pending = PendingRequest(1)
         pending.record(True, 1)
         return pending
 
-    QuorumClient.ask = agree
+    QuorumClient.request_grants = agree
 
 
 @mutations.register("probe-reports")
@@ -103,7 +103,7 @@
     from redwingspring.targets import NEVER, TargetState
 
     never = property(lambda self: NEVER)
-    Watch.own = Watch.elsewhere = TargetState.last_reported = never
+    Watch.own_report_time = Watch.peer_report_time = TargetState.last_reported = never
 
 
 @mutations.register("probe-lists")
@@ -111,7 +111,7 @@
     """Trust the grantors under a new host list at once."""
     from redwingspring import hosthistory
 
-    hosthistory.overlap = lambda first, second: True
+    hosthistory.quorums_intersect = lambda first, second: True
 
 
 @mutations.register("drain")
@@ -142,7 +142,7 @@
     publication.POLLS_PER_S = 0.1
 
     Publication._push = lambda self, value: None
-    Publication._take_stamp = lambda self, sender, key, stamp: None
+    Publication._handle_stamp = lambda self, sender, key, stamp: None
 
 
 @mutations.register("order")
--- a/redwingspring/assembly.py
+++ b/redwingspring/assembly.py
@@ -102,7 +102,7 @@
         metrics=entry.metrics,
         outcomes=outcomes,
     )
-    entry.peers.register(SeenTargets, entry.prober.take_seen)
+    entry.peers.register(SeenTargets, entry.prober.handle_seen_targets)
     forwarder = Forwarder(
         entry.directory, entry.dispatcher, entry.requests, entry.metrics
     )
@@ -136,8 +136,8 @@
         lambda state: entry.temperatures.announce(state, Temperature.WARM),
     )
     grantor = LeaseGrantor(entry.grants, entry.peers, entry.metrics)
-    entry.peers.register(LeaseRequest, grantor.answer_request)
-    entry.peers.register(LeaseRelease, grantor.take_release)
+    entry.peers.register(LeaseRequest, grantor.handle_request)
+    entry.peers.register(LeaseRelease, grantor.handle_release)
     entry.peers.register(LeaseReply, entry.leases.record_reply)
     entry.peers.register(TargetStates, entry.temperatures.take)
     entry.membership.on_hello = entry.temperatures.note_connection
--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -259,7 +259,7 @@
             relay.response.abort()
         relay.state.end()
         if relay.lease is not None:
-            self.leases.give_up(relay.lease, finished=whole, whole=whole)
+            self.leases.release_if_finished(relay.lease, finished=whole, whole=whole)
 
     def record_broken(self, relay):
         """Count a response that broke off against its target.
@@ -416,11 +416,13 @@
         decision.state.record_cancelled(seconds)
         if decision.lease is not None:
             # The target may still work on it, so the lease has to expire.
-            self.leases.give_up(decision.lease, finished=False)
+            self.leases.release_if_finished(decision.lease, finished=False)
 
     def _record_failure(self, decision, failure):
         """Count a failed attempt against its target."""
         self.metrics.increment(f"attempts.failed.{failure.reason}")
         if decision.lease is not None:
-            self.leases.give_up(decision.lease, finished=failure.proves_not_run)
+            self.leases.release_if_finished(
+                decision.lease, finished=failure.proves_not_run
+            )
         self.outcomes.record_failure(decision.state, failure)
--- a/redwingspring/grants.py
+++ b/redwingspring/grants.py
@@ -110,7 +110,7 @@
         self._clock = clock
         self._find_probe_term = find_probe_term or (lambda address: 0.0)
         self._started = clock()
-        self._quiet_until = clock() + MAX_TERM_S + CLOCK_MARGIN_S
+        self._refuses_cold_until = clock() + MAX_TERM_S + CLOCK_MARGIN_S
         self._lock = threading.Lock()
         self._grants = {}
         self._ramps = {}
@@ -218,7 +218,7 @@
         """Tell whether a grant that a restart made this host forget may last."""
         if kind == PROBE:
             return now < self._started + lasts
-        return now < self._quiet_until
+        return now < self._refuses_cold_until
 
     def _allowed(self, kind, target, now):
         record = self._ramps.get(target)
--- a/redwingspring/hosthistory.py
+++ b/redwingspring/hosthistory.py
@@ -55,7 +55,9 @@
         present = self._find_grantors(self._names, address)
         for ended, names in self._former:
             end = ended + lasts + SPREAD_S
-            if end > safe and not overlap(present, self._find_grantors(names, address)):
+            if end > safe and not quorums_intersect(
+                present, self._find_grantors(names, address)
+            ):
                 safe = end
         return safe
 
@@ -74,7 +76,7 @@
         return rank_grantors(names | {self._name}, address)
 
 
-def overlap(first, second):
+def quorums_intersect(first, second):
     """Tell whether quorums of two groups of grantors always share a host.
 
     Parameters
--- a/redwingspring/leases.py
+++ b/redwingspring/leases.py
@@ -128,11 +128,15 @@
             return None
         address = state.target.address
         request = LeaseRequest(
-            next(self.quorum.numbers), COLD, address, slot, math.floor(term * 1000)
+            next(self.quorum.request_numbers),
+            COLD,
+            address,
+            slot,
+            math.floor(term * 1000),
         )
         grantors = self.quorum.find_grantors(address)
         lease = Lease(state, request, grantors, now + term)
-        pending = self.quorum.ask(grantors, request)
+        pending = self.quorum.request_grants(grantors, request)
         if pending.agreed:
             self._slots[state.target] = pending.slots_allowed
             if slot < pending.slots_allowed:
@@ -146,7 +150,7 @@
         self._not_before[state.target] = time.monotonic() + random.uniform(*BACKOFF_S)
         return None
 
-    def give_up(self, lease, finished, whole=False):
+    def release_if_finished(self, lease, finished, whole=False):
         """Release a lease if its work is known to be over.
 
         Parameters
@@ -215,7 +219,7 @@
         self._network = network
         self._metrics = metrics
 
-    def answer_request(self, sender, request):
+    def handle_request(self, sender, request):
         """Grant or refuse a slot.
 
         Parameters
@@ -237,7 +241,7 @@
         reply = LeaseReply(request.number, answer.granted, answer.slots_allowed)
         self._network.send(sender, reply)
 
-    def take_release(self, sender, release):
+    def handle_release(self, sender, release):
         """Free a slot.
 
         Parameters
--- a/redwingspring/probes.py
+++ b/redwingspring/probes.py
@@ -81,12 +81,12 @@
         return min(state.limits.probe_budget for state in self.states)
 
     @property
-    def own(self):
+    def own_report_time(self):
         """Monotonic time of the newest report that this host got."""
         return max(state.own_report_time for state in self.states)
 
     @property
-    def elsewhere(self):
+    def peer_report_time(self):
         """Monotonic time of the newest report that another host told of."""
         return max(state.reported_elsewhere for state in self.states)
 
@@ -147,12 +147,12 @@
             Set when the process stops.
         """
         while not stopping.is_set():
-            self.visit_due()
+            self.check_due_targets()
             due = self._heap[0][0] if self._heap else math.inf
             wait = max(due - time.monotonic(), MIN_WAIT_S)
             stopping.wait(min(wait, MAX_WAIT_S))
 
-    def visit_due(self):
+    def check_due_targets(self):
         """Visit all targets that are due now, and send the news."""
         if self._directory.table is not self._table:
             self._apply(self._directory.table)
@@ -168,7 +168,7 @@
                 heapq.heappush(self._heap, (watch.due, address))
         self._send_news()
 
-    def take_seen(self, sender, news):
+    def handle_seen_targets(self, sender, news):
         """Take what another host saw of targets.
 
         Parameters
@@ -216,8 +216,8 @@
     def _visit(self, watch):
         """Do what is due for a target; return when to visit it next."""
         now = time.monotonic()
-        own, after = watch.own, watch.after
-        known = max(watch.told, watch.elsewhere)
+        own, after = watch.own_report_time, watch.after
+        known = max(watch.told, watch.peer_report_time)
         if own > known:
             self._news.append((watch.address, own, True, False))
             known = own
@@ -272,14 +272,14 @@
         # start is never later than the grantors assume.
         deadline = time.time() + PROBE_START_S
         term_ms = math.ceil(find_probe_term(watch.budget) * 1000)
-        number = next(self._quorum.numbers)
+        number = next(self._quorum.request_numbers)
         request = LeaseRequest(number, PROBE, watch.address, 0, term_ms)
         grantors = self._quorum.find_grantors(watch.address)
         lasts = term_ms / 1000 + CLOCK_MARGIN_S
         # The host list may have changed since the visit was planned.
         if self._lists.find_safe_time(watch.address, lasts) > time.monotonic():
             return False
-        pending = self._quorum.ask(grantors, request)
+        pending = self._quorum.request_grants(grantors, request)
         if not pending.agreed:
             # Nothing was sent under it; a lease that was used is never released.
             self._quorum.release(grantors, request, whole=False)
@@ -291,9 +291,9 @@
             state.note_seen(NEVER, started)
         answered = self._send(watch, deadline)
         self._metrics.increment("probes.answered" if answered else "probes.failed")
-        reported = watch.own >= started
+        reported = watch.own_report_time >= started
         if reported:
-            watch.told = watch.own
+            watch.told = watch.own_report_time
         self._news.append((watch.address, started, reported, True))
         self._send_news()
         return True
--- a/redwingspring/publication.py
+++ b/redwingspring/publication.py
@@ -61,7 +61,7 @@
         self._pulls = {}
         network.register(Pull, self._take_pull)
         network.register(Value, self._take_value)
-        membership.on_stamp = self._take_stamp
+        membership.on_stamp = self._handle_stamp
 
     def is_reader(self):
         """Tell whether this host watches the configuration service.
@@ -172,7 +172,7 @@
             if lacks_value and self._network.send(name, message):
                 self._metrics.increment("publication.pushes")
 
-    def _take_stamp(self, sender, key, stamp):
+    def _handle_stamp(self, sender, key, stamp):
         """Pull a value that a peer's heartbeat shows to be newer."""
         self._values.note_stamp(key, stamp, sender)
         if self._values.is_settled(key, stamp):
--- a/redwingspring/quorum.py
+++ b/redwingspring/quorum.py
@@ -139,7 +139,7 @@
         self._membership = membership
         self._network = network
         # A random start keeps replies to a former process from matching.
-        self.numbers = itertools.count(secrets.randbits(48))
+        self.request_numbers = itertools.count(secrets.randbits(48))
         self._pending = {}
 
     def find_grantors(self, address):
@@ -158,7 +158,7 @@
         names = {host.name for host in self._membership.hosts} | {self._name}
         return rank_grantors(names, address)
 
-    def ask(self, grantors, request):
+    def request_grants(self, grantors, request):
         """Return the replies that decide about a request.
 
         Parameters
--- a/tests/datapath.py
+++ b/tests/datapath.py
@@ -170,7 +170,9 @@
             directory=self.directory,
             pools=self.pools,
             gates=self.gates,
-            leases=SimpleNamespace(select=lambda *_: (), give_up=lambda *_, **__: None),
+            leases=SimpleNamespace(
+                select=lambda *_: (), release_if_finished=lambda *_, **__: None
+            ),
             membership=SimpleNamespace(check_serving=lambda: self.refusal),
             metrics=self.metrics,
             policies=policies,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -45,7 +45,7 @@
     def __init__(self, hosts, name, listed):
         self.network = LocalNetwork(hosts, name)
         self.grants = GrantTable(lambda *args: 1)
-        self.grants._quiet_until = 0.0
+        self.grants._refuses_cold_until = 0.0
         metrics = Metrics()
         self.hosts = [Host(n, f"{n}:1", f"{n}:2", "akl-a") for n in listed]
         self.client = LeaseClient(
@@ -60,11 +60,11 @@
 
     def receive(self, sender, body):
         if isinstance(body, LeaseRequest):
-            self.grantor.answer_request(sender, body)
+            self.grantor.handle_request(sender, body)
         elif isinstance(body, LeaseReply):
             self.client.record_reply(sender, body)
         elif isinstance(body, LeaseRelease):
-            self.grantor.take_release(sender, body)
+            self.grantor.handle_release(sender, body)
 
     def acquire(self):
         self.client._not_before.clear()
@@ -143,15 +143,15 @@
     def test_unfinished_work_keeps_its_slot(self):
         hosts = make_hosts([f"h{n}" for n in range(9)])
         lease = hosts["h0"].acquire()
-        hosts["h0"].client.give_up(lease, finished=False)
+        hosts["h0"].client.release_if_finished(lease, finished=False)
         self.assertIsNone(hosts["h1"].acquire())
-        hosts["h0"].client.give_up(lease, finished=True, whole=True)
+        hosts["h0"].client.release_if_finished(lease, finished=True, whole=True)
         self.assertIsNotNone(hosts["h1"].acquire())
 
     def test_numbers_of_two_processes_of_one_host_differ(self):
         hosts = make_hosts(["h0"])
-        first = hosts["h0"].client.quorum.numbers
-        second = make_hosts(["h0"])["h0"].client.quorum.numbers
+        first = hosts["h0"].client.quorum.request_numbers
+        second = make_hosts(["h0"])["h0"].client.quorum.request_numbers
         self.assertNotEqual(
             list(itertools.islice(first, 3)), list(itertools.islice(second, 3))
         )
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -83,9 +83,9 @@
         if self.lists[name].find_safe_time(ADDRESS, lasts) > self.now:
             return False
         term_ms = math.ceil(self.term * 1000)
-        request = LeaseRequest(next(client.numbers), PROBE, ADDRESS, 0, term_ms)
+        request = LeaseRequest(next(client.request_numbers), PROBE, ADDRESS, 0, term_ms)
         grantors = client.find_grantors(ADDRESS)
-        agreed = client.ask(grantors, request).agreed
+        agreed = client.request_grants(grantors, request).agreed
         if not agreed:
             client.release(grantors, request, whole=False)
         return agreed
@@ -193,8 +193,8 @@
     def make_prober(self, name, agreed=True):
         pending = PendingRequest(1)
         pending.record(agreed, 1)
-        quorum = mock.Mock(numbers=iter(range(100)))
-        quorum.ask.return_value = pending
+        quorum = mock.Mock(request_numbers=iter(range(100)))
+        quorum.request_grants.return_value = pending
         table = TargetTable(MappingProxyType({"fault-desk": (self.state,)}), None)
         membership = mock.Mock(live_names=lambda: NAMES, hosts=())
         membership.check_serving.return_value = None
@@ -212,7 +212,7 @@
     def pass_time(self, prober, seconds):
         end = self.passed + seconds
         while self.passed < end:
-            prober.visit_due()
+            prober.check_due_targets()
             self.passed += 0.05
 
     def report_after(self, seconds):
@@ -236,7 +236,7 @@
                 self.report_after(0.0)
             else:
                 seen = SeenTargets((SeenTarget(ADDRESS, 0, True, False),))
-                self.prober.take_seen("h1", seen)
+                self.prober.handle_seen_targets("h1", seen)
             self.pass_time(self.prober, 0.5)
         self.send.assert_not_called()
         self.assertTrue(self.prober._network.broadcast.called)
@@ -265,10 +265,10 @@
         self.pass_time(prober, 14.0)
         self.send.assert_not_called()
         self.assertTrue(prober._quorum.release.called)
-        self.assertLess(prober._quorum.ask.call_count, 12)
+        self.assertLess(prober._quorum.request_grants.call_count, 12)
 
     def test_a_host_that_paused_sends_a_probe_after_its_lease(self):
-        self.prober.visit_due()
+        self.prober.check_due_targets()
         (watch,) = self.prober._watches.values()
         self.state.note_seen(NEVER, NEVER)
         deadline = time.time()
@@ -281,7 +281,7 @@
         for name in NAMES:
             prober = self.make_prober(name)
             prober._lists._known_since = NEVER
-            prober.visit_due()
+            prober.check_due_targets()
             (watch,) = prober._watches.values()
             moments.append(prober._find_due(watch, now + 1, now))
         moments.sort()
