Word the lease, grant, quorum and probe modules in plain terms

Comments and docstrings used figurative or elliptic phrases, and some names did not say what they hold. Each reason behind a constant stays, in one or two sentences. Names within these modules and the attributes that their tests read follow:

leases.TRICKLE_S -> COLD_REQUEST_INTERVAL_S LeaseClient._begin -> _start_attempt LeaseClient._note_ramp -> _mark_warm_if_complete LeaseClient._slots -> _slots_allowed Grant.expires -> expires_at GrantTable._started -> _started_at GrantTable._allowed -> _count_allowed_slots GrantTable._is_quiet -> _may_have_lost_grant RampRecord.first -> first_at quorum.QUORUM_SHARE -> QUORUM_FRACTION PendingRequest._spare -> _max_refusals PendingRequest._refused -> _refusals PendingRequest._allowed -> _slots_granted PendingRequest.slots_seen -> min_slots_refused PendingRequest.record_silence -> record_unreachable QuorumClient._ask_grantor -> _send_request hosthistory.SPREAD_S -> MAX_PROPAGATION_S hosthistory.MAX_LISTS -> MAX_FORMER_LISTS HostListHistory._former -> _former_lists HostListHistory._note_list -> _record_list probes.TELL_SHARES -> BROADCAST_FRACTIONS probes.LAST_TELL_SHARE -> LAST_BROADCAST_FRACTION probes.JITTER_SHARE -> JITTER_FRACTION probes.RANK_STEP_S -> RANK_DELAY_S probes.RETRY_SHARES -> RETRY_FRACTIONS probes.RETRY_BOUNDS_S -> RETRY_DELAY_BOUNDS_S probes.MAX_WAIT_S -> MAX_SLEEP_S probes.MIN_WAIT_S -> MIN_SLEEP_S probes.MAX_ENTRIES -> MAX_ENTRIES_PER_MESSAGE Watch.told -> shared_report_time Prober._lists -> _history Prober._news -> _observations Prober._numbers -> _probe_numbers Prober._apply -> _apply_table Prober._visit -> _check_target Prober._find_due -> _find_due_time Prober._probe -> _lease_and_probe Prober._send -> _send_probe Prober._send_news -> _broadcast_observations

--- a/redwingspring/grants.py
+++ b/redwingspring/grants.py
@@ -1,4 +1,4 @@
-"""Grants of leases: the side that a lease is asked from."""
+"""Grants of leases, kept by the hosts that act as grantors."""
 
 import threading
 import time
@@ -7,46 +7,47 @@
 from .ramps import RampProgress
 from .slots import PROBE
 
-# A grantor that forgot its grants in a restart waits for the longest lease,
-# so this bounds how long a new host grants nothing for cold starts.
+# A restarted grantor has lost its grants and refuses cold-start leases for the longest
+# possible term. This bounds how long a newly started host grants none.
 MAX_TERM_S = 2.0
-# Probe leases last a whole probe interval of their target, and a restarted
-# grantor is quiet for as long, target by target; work does not wait for them.
+# A probe lease lasts for a whole probe interval of its target. A restarted grantor
+# refuses probe leases for as long, separately for each target. That may be long because
+# no request waits for a probe lease.
 MAX_PROBE_TERM_S = 86_400.0
-# A target ends the work of a lease by its own clock; grants last this much
-# longer, so that clocks may differ by that much.
+# The target's own clock decides when the work under a lease ends. Grants last this much
+# longer, which is the clock difference that is tolerated.
 CLOCK_MARGIN_S = 0.25
 
 
 @dataclass(frozen=True)
 class Grant:
-    """One slot of a target given to one host.
+    """Grant of one slot of a target to one host.
 
     Attributes
     ----------
     holder : str
-        Name of the host.
+        Name of the host that holds the slot.
     number : int
-        Number of the holder's request.
-    expires : float
+        Number of the request that the slot was granted for.
+    expires_at : float
         Monotonic time in seconds.
     """
 
     holder: str
     number: int
-    expires: float
+    expires_at: float
 
 
 @dataclass(frozen=True)
 class GrantAnswer:
-    """Answer to a request for a grant.
+    """Answer to a request for a lease.
 
     Attributes
     ----------
     granted : bool
-        Whether the slot was given.
+        Whether the slot was granted.
     slots_allowed : int
-        Slots that the ramp allows at present.
+        Number of slots that the ramp of the target allows now.
     """
 
     granted: bool
@@ -54,14 +55,14 @@
 
 
 class RampRecord:
-    """What a grantor counted for one target since it turned cold."""
+    """Responses that a grantor has counted for one target since it turned cold."""
 
     def __init__(self):
         self.responses = 0
-        self.first = None
+        self.first_at = None
 
     def count(self, now):
-        """Count a whole response.
+        """Count a complete response.
 
         Parameters
         ----------
@@ -69,11 +70,11 @@
             Monotonic time in seconds.
         """
         self.responses += 1
-        if self.first is None:
-            self.first = now
+        if self.first_at is None:
+            self.first_at = now
 
     def progress(self, now):
-        """Return the counts as a ramp policy takes them.
+        """Return the progress of the ramp.
 
         Parameters
         ----------
@@ -83,25 +84,25 @@
         Returns
         -------
         RampProgress
-            The counts.
+            Number of responses and seconds since the first of them.
         """
-        seconds = 0.0 if self.first is None else now - self.first
+        seconds = 0.0 if self.first_at is None else now - self.first_at
         return RampProgress(self.responses, seconds)
 
 
 class GrantTable:
-    """Slots that this host has granted.
+    """Leases that this host has granted as a grantor.
 
     Parameters
     ----------
     count_slots : callable
-        Returns the slots that a target's ramp allows, from the kind of the
-        lease, the target's address and a RampProgress; 0 for an unknown
+        Returns how many slots the ramp of a target allows, given the kind of the
+        lease, the address of the target and a RampProgress; 0 for an unknown
         target.
     clock : callable, default=time.monotonic
         Monotonic clock in seconds.
     find_probe_term : callable or None, default=None
-        Returns the seconds that a probe lease of an address lasts under the
+        Returns how many seconds a probe lease for an address lasts under the
         configuration of this host.
     """
 
@@ -109,19 +110,19 @@
         self._count_slots = count_slots
         self._clock = clock
         self._find_probe_term = find_probe_term or (lambda address: 0.0)
-        self._started = clock()
+        self._started_at = clock()
         self._refuses_cold_until = clock() + MAX_TERM_S + CLOCK_MARGIN_S
         self._lock = threading.Lock()
         self._grants = {}
         self._ramps = {}
 
     def request(self, holder, number, kind, target, slot, term):
-        """Grant a slot if nobody holds it.
+        """Grant a slot unless it is already held.
 
         Parameters
         ----------
         holder : str
-            Name of the host that asks.
+            Name of the host that requests the slot.
         number : int
             Number of its request.
         kind : str
@@ -129,36 +130,39 @@
         target : str
             Address of the target.
         slot : int
-            Number of the slot.
+            Index of the slot.
         term : float
-            Seconds; cut to ``MAX_TERM_S``. A probe lease lasts at least as long
-            as the configuration of this host demands.
+            Requested duration in seconds, limited to ``MAX_TERM_S``. A probe lease
+            lasts at least as long as the configuration of this host requires.
 
         Returns
         -------
         GrantAnswer
-            Whether the slot was granted.
+            Whether the slot was granted, and how many slots are allowed.
         """
         now = self._clock()
         with self._lock:
-            allowed = self._allowed(kind, target, now)
-            lasts = self._find_term(kind, target, term) + CLOCK_MARGIN_S
-            if self._is_quiet(kind, lasts, now) or not 0 <= slot < allowed:
+            allowed = self._count_allowed_slots(kind, target, now)
+            duration = self._find_term(kind, target, term) + CLOCK_MARGIN_S
+            if (
+                self._may_have_lost_grant(kind, duration, now)
+                or not 0 <= slot < allowed
+            ):
                 return GrantAnswer(False, allowed)
             key = (kind, target, slot)
-            held = self._grants.get(key)
-            if held is not None and held.expires > now:
+            current = self._grants.get(key)
+            if current is not None and current.expires_at > now:
                 return GrantAnswer(False, allowed)
-            self._grants[key] = Grant(holder, number, now + lasts)
+            self._grants[key] = Grant(holder, number, now + duration)
             return GrantAnswer(True, allowed)
 
     def release(self, holder, number, kind, target, slot, whole):
-        """Free a slot and count the response that its lease brought.
+        """Release a slot and count the response received under its lease.
 
         Parameters
         ----------
         holder : str
-            Name of the host that held it.
+            Name of the host that held the slot.
         number : int
             Number of its request.
         kind : str
@@ -166,23 +170,23 @@
         target : str
             Address of the target.
         slot : int
-            Number of the slot.
+            Index of the slot.
         whole : bool
-            Whether a whole response of a target that did not report itself
-            cold arrived.
+            Whether a complete response arrived from a target that did not report
+            itself cold.
         """
         now = self._clock()
         with self._lock:
             key = (kind, target, slot)
-            held = self._grants.get(key)
-            if held is None or (held.holder, held.number) != (holder, number):
+            current = self._grants.get(key)
+            if current is None or (current.holder, current.number) != (holder, number):
                 return
             del self._grants[key]
-            if whole and held.expires > now:
+            if whole and current.expires_at > now:
                 self._ramps.setdefault(target, RampRecord()).count(now)
 
     def reset_ramp(self, target):
-        """Begin a target's ramp again.
+        """Restart the ramp of a target.
 
         Parameters
         ----------
@@ -193,34 +197,36 @@
             self._ramps.pop(target, None)
 
     def retain(self, targets):
-        """Forget the ramps of all other targets.
+        """Drop the ramps of all other targets, and expired grants.
 
         Parameters
         ----------
         targets : set of str
-            Addresses in force.
+            Addresses of the targets in the current configuration.
         """
         now = self._clock()
         with self._lock:
             for target in self._ramps.keys() - targets:
                 del self._ramps[target]
-            expired = [key for key, g in self._grants.items() if g.expires <= now]
+            expired = [
+                key for key, grant in self._grants.items() if grant.expires_at <= now
+            ]
             for key in expired:
                 del self._grants[key]
 
     def _find_term(self, kind, target, term):
         if kind != PROBE:
             return min(term, MAX_TERM_S)
-        # The holder's configuration may be older and allow more probes.
+        # The configuration of the requesting host may be older and allow more probes.
         return min(max(term, self._find_probe_term(target)), MAX_PROBE_TERM_S)
 
-    def _is_quiet(self, kind, lasts, now):
-        """Tell whether a grant that a restart made this host forget may last."""
+    def _may_have_lost_grant(self, kind, duration, now):
+        """Return whether a grant lost in a restart may still be in effect."""
         if kind == PROBE:
-            return now < self._started + lasts
+            return now < self._started_at + duration
         return now < self._refuses_cold_until
 
-    def _allowed(self, kind, target, now):
+    def _count_allowed_slots(self, kind, target, now):
         record = self._ramps.get(target)
         progress = RampProgress(0, 0.0) if record is None else record.progress(now)
         return self._count_slots(kind, target, progress)
--- a/redwingspring/hosthistory.py
+++ b/redwingspring/hosthistory.py
@@ -1,25 +1,26 @@
-"""Recent host lists: whether grantors can know what former grantors granted."""
+"""History of host lists, used to wait for grants that only former grantors know."""
 
 import time
 from collections import deque
 
 from .quorum import count_quorum, rank_grantors
 
-# A new value is in force at every host within this time.
-SPREAD_S = 4.0
-# About one change a second over the longest probe interval in common use.
-MAX_LISTS = 256
+# A newly published host list is in force at every host within this time.
+MAX_PROPAGATION_S = 4.0
+# Enough for about one change per second during the longest probe interval in common
+# use.
+MAX_FORMER_LISTS = 256
 
 
 class HostListHistory:
-    """Remembers which host lists were in force.
+    """Records the host lists that were in force.
 
     Parameters
     ----------
     name : str
         Name of this host.
     membership : Membership
-        Source of the list in force.
+        Provides the list in force.
     clock : callable, default=time.monotonic
         Monotonic clock in seconds.
     """
@@ -31,42 +32,42 @@
         self._known_since = clock()
         self._hosts = ()
         self._names = frozenset()
-        self._former = deque(maxlen=MAX_LISTS)
+        self._former_lists = deque(maxlen=MAX_FORMER_LISTS)
 
-    def find_safe_time(self, address, lasts):
-        """Return from when on a quorum overlaps with all earlier ones that count.
+    def find_safe_time(self, address, grant_duration):
+        """Return the time from which a quorum knows of every grant in effect.
 
         Parameters
         ----------
         address : str
             Address of the target.
-        lasts : float
+        grant_duration : float
             Seconds that a grant lasts.
 
         Returns
         -------
         float
-            Monotonic time. Before it, grants may exist that only grantors under
-            a former list know of.
+            Monotonic time in seconds. Until then there may be grants that are known
+            only to grantors under a former list.
         """
-        self._note_list()
-        # A host does not know the lists from before the first one that it noted.
-        safe = self._known_since + lasts + SPREAD_S
-        present = self._find_grantors(self._names, address)
-        for ended, names in self._former:
-            end = ended + lasts + SPREAD_S
-            if end > safe and not quorums_intersect(
-                present, self._find_grantors(names, address)
+        self._record_list()
+        # Lists that were in force before the first recorded one are unknown.
+        safe_time = self._known_since + grant_duration + MAX_PROPAGATION_S
+        current_grantors = self._find_grantors(self._names, address)
+        for ended, names in self._former_lists:
+            end = ended + grant_duration + MAX_PROPAGATION_S
+            if end > safe_time and not quorums_intersect(
+                current_grantors, self._find_grantors(names, address)
             ):
-                safe = end
-        return safe
+                safe_time = end
+        return safe_time
 
-    def _note_list(self):
+    def _record_list(self):
         hosts = self._membership.hosts
         if hosts is self._hosts:
             return
         if self._names:
-            self._former.append((self._clock(), self._names))
+            self._former_lists.append((self._clock(), self._names))
         else:
             self._known_since = self._clock()
         self._hosts = hosts
@@ -77,18 +78,18 @@
 
 
 def quorums_intersect(first, second):
-    """Tell whether quorums of two groups of grantors always share a host.
+    """Return whether every quorum of one group shares a host with those of another.
 
     Parameters
     ----------
     first, second : collection of str
-        Names of the grantors.
+        Names of the grantors in each group.
 
     Returns
     -------
     bool
-        True for equal groups, and when the quorums are too large to be disjoint
-        even if another host, which is not listed, counts itself as a grantor.
+        True for equal groups, and if the quorums are too large to be disjoint even
+        when one more host, which is not listed, counts itself as a grantor.
     """
     union = set(first).union(second)
     if len(union) == len(first) == len(second):
--- a/redwingspring/leases.py
+++ b/redwingspring/leases.py
@@ -1,4 +1,4 @@
-"""Leases on the slots of targets in cold start: the side that asks."""
+"""Client and server side of leases on the slots of targets in cold start."""
 
 import math
 import random
@@ -20,27 +20,28 @@
     "count_quorum",
 ]
 
-# After a refusal the slot is in use; asking again at once would only
-# collide with the other hosts that ask.
+# Range of the random delay after a refusal. The slot is in use then, and a retry
+# without a delay would compete with the requests of other hosts.
 BACKOFF_S = (0.01, 0.06)
-# While warm targets exist, requests pay for the lease's round trip only as
-# often as a cold target needs work to get warm.
-TRICKLE_S = 0.05
+# Minimum time between lease requests for one cold target while warm targets exist.
+# It limits how many requests wait for the round trip of a lease, but still gives the
+# cold target enough work to warm up.
+COLD_REQUEST_INTERVAL_S = 0.05
 MIN_USEFUL_TERM_S = 0.05
 
 
 @dataclass(frozen=True)
 class Lease:
-    """The right to give one request to a target in cold start.
+    """Permission to send one request to a target in cold start.
 
     Attributes
     ----------
     state : TargetState
         The target.
     request : LeaseRequest
-        The request for the lease.
+        The message that requested the lease.
     grantors : tuple of str
-        Hosts that were asked.
+        Names of the hosts that the message was sent to.
     expires_at : float
         Unix time in seconds.
     """
@@ -52,22 +53,22 @@
 
 
 class LeaseClient:
-    """Asks grantors for leases and gives them up.
+    """Requests leases from grantors and releases them.
 
     Parameters
     ----------
     name : str
         Name of this host.
     grants : GrantTable
-        The grants of this host, which may itself be a grantor.
+        Grants made by this host, which may itself be a grantor.
     membership : Membership
-        Source of host names.
+        Provides the host names.
     network : PeerNetwork
-        Way to the other grantors.
+        Connections to the other grantors.
     metrics : Metrics
         Counters.
     on_warm : callable
-        Called with a TargetState whose ramp is complete.
+        Called with the TargetState of a target that has completed its ramp.
     """
 
     def __init__(self, name, grants, membership, network, metrics, on_warm):
@@ -76,54 +77,57 @@
         self._on_warm = on_warm
         self._lock = threading.Lock()
         self._not_before = {}
-        self._slots = {}
+        self._slots_allowed = {}
 
     def select(self, cold, has_warm):
-        """Return the cold targets to ask for, in order.
+        """Return the cold targets to request a lease for, in order.
 
         Parameters
         ----------
         cold : sequence of TargetState
-            Candidates.
+            Candidate targets.
         has_warm : bool
-            Whether a warm target could take the request.
+            Whether a warm target could serve the request.
 
         Returns
         -------
         list of TargetState
-            Those that may be asked for now, at most one with a warm target.
+            At most three targets without a pending delay, or at most one if there
+            is a warm target.
         """
         now = time.monotonic()
-        ready = [s for s in cold if self._not_before.get(s.target, 0.0) <= now]
+        ready = [
+            state for state in cold if self._not_before.get(state.target, 0.0) <= now
+        ]
         random.shuffle(ready)
         return ready[:1] if has_warm else ready[:3]
 
     def acquire(self, state, deadline, has_warm=False):
-        """Return a lease on a slot of a target, or None.
+        """Acquire a lease on a slot of a target.
 
         Parameters
         ----------
         state : TargetState
             The target.
         deadline : float
-            Unix time in seconds after which the lease is of no use.
+            Unix time in seconds at which the request must be done.
         has_warm : bool, default=False
-            Whether a warm target could take the request.
+            Whether a warm target could serve the request.
 
         Returns
         -------
         Lease or None
-            The lease.
+            The lease, or None if it was refused or not requested.
         """
-        if not self._begin(state, TRICKLE_S if has_warm else 0.0):
+        if not self._start_attempt(state, COLD_REQUEST_INTERVAL_S if has_warm else 0.0):
             return None
-        known = self._slots.get(state.target, state.limits.cold_slots)
+        known = self._slots_allowed.get(state.target, state.limits.cold_slots)
         slot = random.randrange(max(1, min(known, state.limits.slots)))
-        # The clock is read before the request is sent, so that the holder's
-        # end of the lease is never later than a grantor's.
+        # Read the clock before sending the request, so that the lease never expires
+        # later for the holder than for a grantor.
         now = time.time()
-        longest = min(MAX_TERM_S, state.limits.cold_lease)
-        term = min(deadline - now, longest)
+        max_term = min(MAX_TERM_S, state.limits.cold_lease)
+        term = min(deadline - now, max_term)
         if term < MIN_USEFUL_TERM_S:
             return None
         address = state.target.address
@@ -138,30 +142,30 @@
         lease = Lease(state, request, grantors, now + term)
         pending = self.quorum.request_grants(grantors, request)
         if pending.agreed:
-            self._slots[state.target] = pending.slots_allowed
+            self._slots_allowed[state.target] = pending.slots_allowed
             if slot < pending.slots_allowed:
                 self._metrics.increment("leases.acquired")
-                self._note_ramp(state, pending.slots_allowed)
+                self._mark_warm_if_complete(state, pending.slots_allowed)
                 return lease
-        elif pending.slots_seen:
-            self._slots[state.target] = pending.slots_seen
+        elif pending.min_slots_refused:
+            self._slots_allowed[state.target] = pending.min_slots_refused
         self._metrics.increment("leases.refused")
         self.quorum.release(grantors, request, whole=False)
         self._not_before[state.target] = time.monotonic() + random.uniform(*BACKOFF_S)
         return None
 
     def release_if_finished(self, lease, finished, whole=False):
-        """Release a lease if its work is known to be over.
+        """Release a lease if its request is known to have ended.
 
         Parameters
         ----------
         lease : Lease
             The lease.
         finished : bool
-            Whether nothing runs at the target for it; if not, the lease
-            must expire.
+            Whether the target no longer works on the request. Otherwise the
+            lease is kept until it expires.
         whole : bool, default=False
-            Whether a whole response arrived.
+            Whether a complete response arrived.
         """
         if not finished:
             self._metrics.increment("leases.left_to_expire")
@@ -171,28 +175,28 @@
         self.quorum.release(lease.grantors, lease.request, whole and warm)
 
     def record_reply(self, sender, reply):
-        """Take a grantor's reply.
+        """Record the reply of a grantor.
 
         Parameters
         ----------
         sender : str
             Name of the grantor.
         reply : LeaseReply
-            Its reply.
+            The reply.
         """
         self.quorum.record_reply(sender, reply)
 
-    def _begin(self, state, pause):
-        """Tell whether this thread may ask for a target now."""
+    def _start_attempt(self, state, interval):
+        """Return whether to request a lease now, and delay the next request if so."""
         now = time.monotonic()
         with self._lock:
             if self._not_before.get(state.target, 0.0) > now:
                 return False
-            self._not_before[state.target] = now + pause
+            self._not_before[state.target] = now + interval
             return True
 
-    def _note_ramp(self, state, slots_allowed):
-        """Declare a target warm when its ramp is complete."""
+    def _mark_warm_if_complete(self, state, slots_allowed):
+        """Mark a target as warm if its ramp is complete and it reports itself warm."""
         report = state.report
         if slots_allowed <= state.limits.slots or report is None:
             return
@@ -202,14 +206,14 @@
 
 
 class LeaseGrantor:
-    """Answers other hosts' lease messages from this host's grants.
+    """Handles lease messages of other hosts.
 
     Parameters
     ----------
     grants : GrantTable
-        The grants of this host.
+        Grants made by this host.
     network : PeerNetwork
-        Way back to the holders.
+        Connections to the lease holders.
     metrics : Metrics
         Counters.
     """
@@ -220,14 +224,14 @@
         self._metrics = metrics
 
     def handle_request(self, sender, request):
-        """Grant or refuse a slot.
+        """Grant or refuse a lease and send the reply.
 
         Parameters
         ----------
         sender : str
-            Name of the host that asks.
+            Name of the host that requests the lease.
         request : LeaseRequest
-            What it asks for.
+            The request.
         """
         answer = self._grants.request(
             sender,
@@ -242,14 +246,14 @@
         self._network.send(sender, reply)
 
     def handle_release(self, sender, release):
-        """Free a slot.
+        """Release a lease.
 
         Parameters
         ----------
         sender : str
-            Name of the host that held it.
+            Name of the host that held the lease.
         release : LeaseRelease
-            What it gives up.
+            The message that identifies the lease.
         """
         self._grants.release(
             sender,
--- a/redwingspring/probes.py
+++ b/redwingspring/probes.py
@@ -23,81 +23,82 @@
 from .upstream import Attempt, ResponseBroken, send_attempt
 from .verdict import Reason, doubt, refuse
 
-# Shares of ``probe.after`` at which a host tells the others of reports that
-# they do not know of. The first is random, so that one of the hosts that have
-# news speaks and the others find themselves informed.
-TELL_SHARES = (0.5, 0.7)
-LAST_TELL_SHARE = 0.95
-# Keeps targets that fell quiet together from being probed together.
-JITTER_SHARE = 0.1
-# Each further host waits this much longer: enough for a lease, a probe and the
-# message about it.
-RANK_STEP_S = 0.3
-# A refused lease is asked for again after a share of the interval, so that
-# hosts without a quorum cost little.
-RETRY_SHARES = (0.5, 1.0)
-RETRY_BOUNDS_S = (0.5, 30.0)
-# Bounds how late a changed configuration is noticed.
-MAX_WAIT_S = 0.25
-# Bounds the processor time, and lets news of one moment share a message.
-MIN_WAIT_S = 0.01
+# Fractions of ``probe.after`` at which a host broadcasts the time of a report that the
+# other hosts do not know of. The first fraction is random, so that usually one of the
+# hosts with a recent report broadcasts it and the others need not.
+BROADCAST_FRACTIONS = (0.5, 0.7)
+LAST_BROADCAST_FRACTION = 0.95
+# Spreads the probes of targets that stopped reporting at the same time.
+JITTER_FRACTION = 0.1
+# Delay for each rank among the hosts: long enough for the host before to acquire a
+# lease, send a probe and broadcast the result.
+RANK_DELAY_S = 0.3
+# A refused lease is requested again after a fraction of the probe interval, so that
+# hosts that reach no quorum cause little load.
+RETRY_FRACTIONS = (0.5, 1.0)
+RETRY_DELAY_BOUNDS_S = (0.5, 30.0)
+# Upper bound on the delay until a changed configuration is noticed.
+MAX_SLEEP_S = 0.25
+# Limits the CPU time of the loop, and lets observations made at about the same time
+# share one message.
+MIN_SLEEP_S = 0.01
 MAX_BODY_BYTES = 64 << 10
-MAX_ENTRIES = 4000
+MAX_ENTRIES_PER_MESSAGE = 4000
 MAX_AGE_MS = (1 << 32) - 1
 
 
 @dataclass(eq=False)
 class Watch:
-    """What the prober keeps for one address.
+    """State of the prober for one target address.
 
     Attributes
     ----------
     address : str
         ``ip:port`` of the target.
     states : tuple of TargetState
-        One for each service with this address.
-    told : float
+        The state of the target in each service that lists this address.
+    shared_report_time : float
         Monotonic time of the newest report that the other hosts know of.
     due : float
-        Monotonic time of the next visit.
+        Monotonic time of the next check.
     not_before : float, default=NEVER
-        Monotonic time before which no lease is asked for.
+        Monotonic time before which no lease is requested.
     """
 
     address: str
     states: tuple
-    told: float
+    shared_report_time: float
     due: float
     not_before: float = field(default=NEVER)
 
     @property
     def after(self):
-        """Age of the last report, in seconds, after which to probe."""
+        """Return the age of the last report, in seconds, at which to probe."""
         return max(state.limits.probe_after for state in self.states)
 
     @property
     def budget(self):
-        """Rate of probes a second, over all hosts."""
+        """Return the maximum number of probes per second, over all hosts."""
         return min(state.limits.probe_budget for state in self.states)
 
     @property
     def own_report_time(self):
-        """Monotonic time of the newest report that this host got."""
+        """Return the monotonic time of the newest report received by this host."""
         return max(state.own_report_time for state in self.states)
 
     @property
     def peer_report_time(self):
-        """Monotonic time of the newest report that another host told of."""
+        """Return the monotonic time of the newest report that another host received."""
         return max(state.reported_elsewhere for state in self.states)
 
     @property
     def probed(self):
-        """Monotonic time of the newest probe."""
+        """Return the monotonic time of the newest probe by any host."""
         return max(state.probed for state in self.states)
 
 
 class Prober:
-    """Probes quiet targets and tells other hosts which targets are not quiet.
+    """Probes targets that send no reports and broadcasts which targets do.
 
     Parameters
     ----------
@@ -108,15 +109,15 @@
     pools : PoolDirectory
         Connections to targets.
     membership : Membership
-        Tells whether this host may serve, and which hosts are heard.
+        Tells whether this host may serve, and which hosts are live.
     quorum : QuorumClient
-        Way to the grantors of probe leases.
+        Requests probe leases from the grantors.
     network : PeerNetwork
-        Way to the other hosts.
+        Connections to the other hosts.
     metrics : Metrics
         Counters.
     outcomes : OutcomeRecorder
-        Takes what probes tell about targets.
+        Records the outcomes of probes.
     """
 
     def __init__(
@@ -130,16 +131,17 @@
         self._network = network
         self._metrics = metrics
         self._outcomes = outcomes
-        self._lists = HostListHistory(name, membership)
-        # Ids of two processes of one host should differ in logs of targets.
-        self._numbers = itertools.count(int(time.time()))
+        self._history = HostListHistory(name, membership)
+        # Start at the current time, so that the request ids of two processes of one
+        # host differ in the logs of targets.
+        self._probe_numbers = itertools.count(int(time.time()))
         self._table = None
         self._watches = {}
         self._heap = []
-        self._news = []
+        self._observations = []
 
     def run(self, stopping):
-        """Visit targets when they are due until the process stops.
+        """Check targets when they are due until the process stops.
 
         Parameters
         ----------
@@ -149,50 +151,52 @@
         while not stopping.is_set():
             self.check_due_targets()
             due = self._heap[0][0] if self._heap else math.inf
-            wait = max(due - time.monotonic(), MIN_WAIT_S)
-            stopping.wait(min(wait, MAX_WAIT_S))
+            wait = max(due - time.monotonic(), MIN_SLEEP_S)
+            stopping.wait(min(wait, MAX_SLEEP_S))
 
     def check_due_targets(self):
-        """Visit all targets that are due now, and send the news."""
+        """Check all targets that are due now, and broadcast the observations."""
         if self._directory.table is not self._table:
-            self._apply(self._directory.table)
+            self._apply_table(self._directory.table)
         now = time.monotonic()
         while self._heap and self._heap[0][0] <= now:
             _, address = heapq.heappop(self._heap)
             watch = self._watches[address]
             watch.due = now + watch.after
             try:
-                # A visit may take up to a probe's deadline.
-                watch.due = max(self._visit(watch), time.monotonic() + MIN_WAIT_S)
+                # The check may take until the deadline of a probe.
+                watch.due = max(
+                    self._check_target(watch), time.monotonic() + MIN_SLEEP_S
+                )
             finally:
                 heapq.heappush(self._heap, (watch.due, address))
-        self._send_news()
+        self._broadcast_observations()
 
-    def handle_seen_targets(self, sender, news):
-        """Take what another host saw of targets.
+    def handle_seen_targets(self, sender, message):
+        """Record which targets another host received a report from or probed.
 
         Parameters
         ----------
         sender : str
             Name of the host.
-        news : SeenTargets
-            What it saw.
+        message : SeenTargets
+            Its observations.
         """
         now = time.monotonic()
-        for entry in news.entries:
+        for entry in message.entries:
             watch = self._watches.get(entry.target)
             if watch is None:
                 continue
-            # The age does not count the time on the way, so the report seems
-            # younger and a probe comes later, never earlier.
+            # The age excludes the time in transit. The report therefore seems more
+            # recent than it is, and the next probe can only be later, never earlier.
             seen = now - entry.age_ms / 1000
             for state in watch.states:
                 state.note_seen(
                     seen if entry.reported else NEVER, seen if entry.probed else NEVER
                 )
 
-    def _apply(self, table):
-        """Watch the targets of a newer configuration."""
+    def _apply_table(self, table):
+        """Watch the targets of a new configuration."""
         self._table = table
         groups = {}
         for states in table.services.values():
@@ -202,86 +206,101 @@
         watches = {}
         for address, states in groups.items():
             old = self._watches.get(address)
-            # A new host first hears from the others which targets are quiet.
+            # A newly started host first waits for the others to broadcast which targets
+            # have reported.
             watch = Watch(address, tuple(states), now, now)
             if old is not None:
-                watch.told, watch.not_before = old.told, old.not_before
-            latest = now + watch.after * random.uniform(*TELL_SHARES)
+                watch.shared_report_time, watch.not_before = (
+                    old.shared_report_time,
+                    old.not_before,
+                )
+            latest = now + watch.after * random.uniform(*BROADCAST_FRACTIONS)
             watch.due = latest if old is None else min(old.due, latest)
             watches[address] = watch
         self._watches = watches
         self._heap = [(watch.due, address) for address, watch in watches.items()]
         heapq.heapify(self._heap)
 
-    def _visit(self, watch):
-        """Do what is due for a target; return when to visit it next."""
+    def _check_target(self, watch):
+        """Broadcast or probe as due for a target; return when to check it next."""
         now = time.monotonic()
-        own, after = watch.own_report_time, watch.after
-        known = max(watch.told, watch.peer_report_time)
-        if own > known:
-            self._news.append((watch.address, own, True, False))
-            known = own
-        watch.told = known
-        for share in (random.uniform(*TELL_SHARES), LAST_TELL_SHARE):
+        report_time, after = watch.own_report_time, watch.after
+        known = max(watch.shared_report_time, watch.peer_report_time)
+        if report_time > known:
+            self._observations.append((watch.address, report_time, True, False))
+            known = report_time
+        watch.shared_report_time = known
+        for share in (random.uniform(*BROADCAST_FRACTIONS), LAST_BROADCAST_FRACTION):
             if known + after * share > now:
                 return known + after * share
-        due = self._find_due(watch, known + after, now)
+        due = self._find_due_time(watch, known + after, now)
         if due > now:
             return due
         if not self._may_probe(watch, now):
-            return now + after * random.uniform(*RETRY_SHARES)
-        if not self._probe(watch):
-            least, most = RETRY_BOUNDS_S
-            pause = min(max(1 / watch.budget, least), most)
-            watch.not_before = now + pause * random.uniform(*RETRY_SHARES)
+            return now + after * random.uniform(*RETRY_FRACTIONS)
+        if not self._lease_and_probe(watch):
+            min_delay, max_delay = RETRY_DELAY_BOUNDS_S
+            delay = min(max(1 / watch.budget, min_delay), max_delay)
+            watch.not_before = now + delay * random.uniform(*RETRY_FRACTIONS)
             return watch.not_before
-        return time.monotonic() + after * random.uniform(*TELL_SHARES)
+        return time.monotonic() + after * random.uniform(*BROADCAST_FRACTIONS)
 
-    def _find_due(self, watch, quiet_at, now):
-        """Return when this host should probe a target that stays quiet."""
+    def _find_due_time(self, watch, quiet_at, now):
+        """Return when this host should probe a target if it sends no report."""
         if watch.budget < MIN_PROBE_BUDGET:
             return now + watch.after
         names = self._membership.live_names()
         if self._name not in names:
             return now + watch.after
-        lasts = find_probe_term(watch.budget) + CLOCK_MARGIN_S
-        safe = self._lists.find_safe_time(watch.address, lasts)
-        earliest = max(quiet_at, watch.probed + lasts, watch.not_before, safe)
-        length = max(watch.after, 1 / watch.budget)
-        # All hosts find about the same number without a message. Where they
-        # do not, the lease decides.
-        interval = int((time.time() + earliest - now) // length)
-        key = f"{watch.address}\0probe\0{interval}"
+        grant_duration = find_probe_term(watch.budget) + CLOCK_MARGIN_S
+        safe_time = self._history.find_safe_time(watch.address, grant_duration)
+        earliest = max(
+            quiet_at, watch.probed + grant_duration, watch.not_before, safe_time
+        )
+        interval_s = max(watch.after, 1 / watch.budget)
+        # All hosts compute about the same interval number without communication. The
+        # lease decides if they differ.
+        interval_number = int((time.time() + earliest - now) // interval_s)
+        key = f"{watch.address}\0probe\0{interval_number}"
         rank = rank_hosts(names, key).index(self._name)
-        # The same jitter on all hosts keeps their order.
-        jitter = xxhash.xxh3_64_intdigest(key.encode()) / 2**64 * JITTER_SHARE * length
-        return earliest + jitter + rank * RANK_STEP_S
+        # All hosts use the same jitter, which keeps the order of their ranks.
+        jitter = (
+            xxhash.xxh3_64_intdigest(key.encode())
+            / 2**64
+            * JITTER_FRACTION
+            * interval_s
+        )
+        return earliest + jitter + rank * RANK_DELAY_S
 
     def _may_probe(self, watch, now):
-        """Tell whether this host may ask for a lease now."""
+        """Return whether this host may request a probe lease now."""
         return (
             self._membership.check_serving() is None
             and all(state.needs_probe(now) for state in watch.states)
-            # Work in all slots brings a report without a probe.
+            # With requests in all slots, a response brings a report without a probe.
             and all(state.in_flight < state.limits.slots for state in watch.states)
         )
 
-    def _probe(self, watch):
-        """Probe a target under a lease; return False without one."""
-        # The clock is read before the lease is asked for, so that the last
-        # start is never later than the grantors assume.
+    def _lease_and_probe(self, watch):
+        """Acquire a lease and send a probe; return whether a lease was granted."""
+        # Read the clock before requesting the lease, so that the probe never starts
+        # later than the grantors assume.
         deadline = time.time() + PROBE_START_S
         term_ms = math.ceil(find_probe_term(watch.budget) * 1000)
         number = next(self._quorum.request_numbers)
         request = LeaseRequest(number, PROBE, watch.address, 0, term_ms)
         grantors = self._quorum.find_grantors(watch.address)
-        lasts = term_ms / 1000 + CLOCK_MARGIN_S
-        # The host list may have changed since the visit was planned.
-        if self._lists.find_safe_time(watch.address, lasts) > time.monotonic():
+        grant_duration = term_ms / 1000 + CLOCK_MARGIN_S
+        # The host list may have changed since the check was scheduled.
+        if (
+            self._history.find_safe_time(watch.address, grant_duration)
+            > time.monotonic()
+        ):
             return False
         pending = self._quorum.request_grants(grantors, request)
         if not pending.agreed:
-            # Nothing was sent under it; a lease that was used is never released.
+            # No probe was sent under the lease. A lease that was used is not released
+            # but expires, which enforces the interval between probes.
             self._quorum.release(grantors, request, whole=False)
             self._metrics.increment("probes.no_lease")
             return False
@@ -289,17 +308,17 @@
         started = time.monotonic()
         for state in watch.states:
             state.note_seen(NEVER, started)
-        answered = self._send(watch, deadline)
+        answered = self._send_probe(watch, deadline)
         self._metrics.increment("probes.answered" if answered else "probes.failed")
         reported = watch.own_report_time >= started
         if reported:
-            watch.told = watch.own_report_time
-        self._news.append((watch.address, started, reported, True))
-        self._send_news()
+            watch.shared_report_time = watch.own_report_time
+        self._observations.append((watch.address, started, reported, True))
+        self._broadcast_observations()
         return True
 
-    def _send(self, watch, deadline):
-        """Send a probe; return whether a whole response arrived."""
+    def _send_probe(self, watch, deadline):
+        """Send a probe; return whether a complete response arrived."""
         state = watch.states[0]
         limits = replace(
             state.limits,
@@ -328,7 +347,7 @@
             method="GET",
             path=watch.states[0].limits.probe_path,
             headers={
-                "Request-Id": f"probe-{self._name[:40]}-{next(self._numbers)}",
+                "Request-Id": f"probe-{self._name[:40]}-{next(self._probe_numbers)}",
                 "Attempt-Id": attempt_id,
                 "Request-Deadline": limit,
                 "Response-Deadline": limit,
@@ -338,43 +357,43 @@
             deadline=deadline,
             guard=lambda: self._check_send(watch, deadline),
             caller_socket=None,
-            # A pooled connection that the target closed would look like a
-            # fault of the target.
+            # Do not use a connection that was idle for long. If the target had closed
+            # it, the probe would be recorded as a failure of the target.
             idempotent=False,
         )
 
     def _check_send(self, watch, deadline):
-        """Return why a probe must not be sent, or None."""
+        """Return the reason why the probe must not be sent, or None."""
         refusal = self._membership.check_serving()
         if refusal is not None:
             return refusal
         now = time.monotonic()
         if not all(state.needs_probe(now) for state in watch.states):
             return refuse(Reason.STALE_DECISION, "the target needs no probe")
-        # The clock is read last, so that a pause before this point counts.
+        # Read the clock last, so that a pause of the process before this point counts.
         if time.time() >= deadline:
             return refuse(Reason.DEADLINE, "the lease is too old for a probe")
         return None
 
-    def _send_news(self):
-        """Tell all hosts what this host saw since the last call."""
-        news, self._news = self._news, []
+    def _broadcast_observations(self):
+        """Broadcast the observations made since the last call to all hosts."""
+        observations, self._observations = self._observations, []
         now = time.monotonic()
         entries = [
             SeenTarget(
                 address, min(int((now - seen) * 1000), MAX_AGE_MS), reported, probed
             )
-            for address, seen, reported, probed in news
+            for address, seen, reported, probed in observations
         ]
-        for first in range(0, len(entries), MAX_ENTRIES):
-            part = tuple(entries[first : first + MAX_ENTRIES])
+        for first in range(0, len(entries), MAX_ENTRIES_PER_MESSAGE):
+            part = tuple(entries[first : first + MAX_ENTRIES_PER_MESSAGE])
             self._network.broadcast(SeenTargets(part))
         if entries:
             self._metrics.increment("probes.reports_told", len(entries))
 
 
 def _read_body(response, deadline):
-    """Read the body of a probe's response; return whether it is whole."""
+    """Read the body of a probe response; return whether it is complete."""
     size = 0
     try:
         while data := response.read():
--- a/redwingspring/quorum.py
+++ b/redwingspring/quorum.py
@@ -1,4 +1,4 @@
-"""Requests to the grantors of a target, decided by a quorum of them."""
+"""Lease requests to the grantors of a target, decided by a quorum of them."""
 
 import itertools
 import math
@@ -9,19 +9,19 @@
 from .rendezvous import rank_hosts
 
 MAX_GRANTORS = 9
-# Two quorums out of lists that differ in d grantors intersect while
+# Quorums under two host lists that differ in d grantors intersect as long as
 # 2 * quorum > grantors + d.
-QUORUM_SHARE = 0.75
-# Round trips between data centres take 2 ms; the rest is for busy hosts.
+QUORUM_FRACTION = 0.75
+# A round trip between data centres takes 2 ms; the rest allows for busy hosts.
 REPLY_TIMEOUT_S = 0.25
-# The first grantor is asked before the others, so that hosts that ask at the
-# same time do not split the grants and all fail; without its reply the others
-# decide.
+# How long to wait for the first grantor before sending the request to the others.
+# Hosts that request a lease at the same time would otherwise split the grants, and none
+# would reach a quorum. Without a reply in this time the other grantors decide.
 FIRST_REPLY_TIMEOUT_S = 0.02
 
 
 def count_quorum(grantors):
-    """Return how many grantors must agree.
+    """Return how many grantors must grant a request.
 
     Parameters
     ----------
@@ -31,106 +31,109 @@
     Returns
     -------
     int
-        At least three quarters of them.
+        The size of a quorum, at least three quarters of the grantors.
     """
-    return max(grantors // 2 + 1, math.ceil(grantors * QUORUM_SHARE))
+    return max(grantors // 2 + 1, math.ceil(grantors * QUORUM_FRACTION))
 
 
 def rank_grantors(names, address):
-    """Return which hosts decide about a target.
+    """Return the hosts that act as grantors of a target.
 
     Parameters
     ----------
     names : iterable of str
-        All hosts.
+        Names of all hosts.
     address : str
         Address of the target.
 
     Returns
     -------
     tuple of str
-        The first ``MAX_GRANTORS`` by rendezvous hash.
+        The first ``MAX_GRANTORS`` names by rendezvous hash.
     """
     return tuple(rank_hosts(names, address)[:MAX_GRANTORS])
 
 
 class PendingRequest:
-    """Collect the replies to one request for a lease.
+    """Replies to one request for a lease.
 
     Parameters
     ----------
     grantors : int
-        How many hosts are asked.
+        Number of hosts that receive the request.
     """
 
     def __init__(self, grantors):
         self._quorum = count_quorum(grantors)
-        self._spare = grantors - self._quorum
+        self._max_refusals = grantors - self._quorum
         self._lock = threading.Lock()
-        self._refused = 0
-        self._allowed = []
-        self.slots_seen = None
+        self._refusals = 0
+        self._slots_granted = []
+        self.min_slots_refused = None
         self.replied = threading.Event()
         self.decided = threading.Event()
 
-    def record_silence(self):
-        """Count a grantor that cannot be asked."""
+    def record_unreachable(self):
+        """Count a grantor that the request could not be sent to."""
         with self._lock:
-            self._spare -= 1
-            if self._refused > self._spare:
+            self._max_refusals -= 1
+            if self._refusals > self._max_refusals:
                 self.decided.set()
             self.replied.set()
 
     def record(self, granted, slots_allowed):
-        """Count a reply.
+        """Record a reply.
 
         Parameters
         ----------
         granted : bool
             Whether the slot was granted.
         slots_allowed : int
-            Slots that the grantor's ramp allows.
+            Number of slots that the ramp allows according to the grantor.
         """
         with self._lock:
             if granted:
-                self._allowed.append(slots_allowed)
+                self._slots_granted.append(slots_allowed)
             else:
-                self._refused += 1
-                if self.slots_seen is None or slots_allowed < self.slots_seen:
-                    self.slots_seen = slots_allowed
-            if self.agreed or self._refused > self._spare:
+                self._refusals += 1
+                if (
+                    self.min_slots_refused is None
+                    or slots_allowed < self.min_slots_refused
+                ):
+                    self.min_slots_refused = slots_allowed
+            if self.agreed or self._refusals > self._max_refusals:
                 self.decided.set()
             self.replied.set()
 
     @property
     def refused(self):
-        """Tell whether any grantor refused."""
-        return self._refused > 0
+        """Return whether any grantor refused the request."""
+        return self._refusals > 0
 
     @property
     def agreed(self):
-        """Tell whether enough grantors agreed."""
-        return len(self._allowed) >= self._quorum
+        """Return whether a quorum of grantors granted the request."""
+        return len(self._slots_granted) >= self._quorum
 
     @property
     def slots_allowed(self):
-        """Least number of slots that an agreeing grantor allows."""
-        return min(self._allowed, default=0)
+        """Return the least number of slots allowed by a grantor that granted."""
+        return min(self._slots_granted, default=0)
 
 
 class QuorumClient:
-    """Asks the grantors of a target and collects their replies.
+    """Sends lease requests to the grantors of a target and collects the replies.
 
     Parameters
     ----------
     name : str
         Name of this host.
     grants : GrantTable
-        The grants of this host, which may itself be a grantor.
+        Grants made by this host, which may itself be a grantor.
     membership : Membership
-        Source of host names.
+        Provides the host names.
     network : PeerNetwork
-        Way to the other grantors.
+        Connections to the other grantors.
     """
 
     def __init__(self, name, grants, membership, network):
@@ -138,12 +141,13 @@
         self._grants = grants
         self._membership = membership
         self._network = network
-        # A random start keeps replies to a former process from matching.
+        # Numbers start at random, so that a reply to an earlier process of this host
+        # does not match a request of this one.
         self.request_numbers = itertools.count(secrets.randbits(48))
         self._pending = {}
 
     def find_grantors(self, address):
-        """Return the hosts that decide about a target.
+        """Return the hosts that act as grantors of a target.
 
         Parameters
         ----------
@@ -153,51 +157,51 @@
         Returns
         -------
         tuple of str
-            At most ``MAX_GRANTORS`` names.
+            At most ``MAX_GRANTORS`` names, in the order of their rank.
         """
         names = {host.name for host in self._membership.hosts} | {self._name}
         return rank_grantors(names, address)
 
     def request_grants(self, grantors, request):
-        """Return the replies that decide about a request.
+        """Send a request to the grantors and wait until it is decided.
 
         Parameters
         ----------
         grantors : sequence of str
-            Hosts to ask.
+            Names of the grantors.
         request : LeaseRequest
-            What to ask for.
+            The request.
 
         Returns
         -------
         PendingRequest
-            The replies; those that arrive later are dropped.
+            The replies received in time; later ones are dropped.
         """
         pending = PendingRequest(len(grantors))
         self._pending[request.number] = pending
         first, *others = grantors
         try:
-            self._ask_grantor(first, request, pending)
+            self._send_request(first, request, pending)
             pending.replied.wait(FIRST_REPLY_TIMEOUT_S)
             if not pending.refused:
                 for grantor in others:
-                    self._ask_grantor(grantor, request, pending)
+                    self._send_request(grantor, request, pending)
                 pending.decided.wait(REPLY_TIMEOUT_S)
         finally:
             del self._pending[request.number]
         return pending
 
     def release(self, grantors, request, whole):
-        """Give up what grantors granted.
+        """Release the slot at the grantors that may have granted it.
 
         Parameters
         ----------
         grantors : sequence of str
-            Hosts that were asked.
+            Names of the hosts that received the request.
         request : LeaseRequest
             The request.
         whole : bool
-            Whether a whole response arrived.
+            Whether a complete response arrived.
         """
         message = LeaseRelease(
             request.number, request.kind, request.target, request.slot, whole
@@ -216,20 +220,20 @@
                 self._network.send(grantor, message)
 
     def record_reply(self, sender, reply):
-        """Take a grantor's reply.
+        """Record the reply of a grantor.
 
         Parameters
         ----------
         sender : str
             Name of the grantor.
         reply : LeaseReply
-            Its reply.
+            The reply.
         """
         pending = self._pending.get(reply.number)
         if pending is not None:
             pending.record(reply.granted, reply.slots_allowed)
 
-    def _ask_grantor(self, grantor, request, pending):
+    def _send_request(self, grantor, request, pending):
         if grantor == self._name:
             answer = self._grants.request(
                 self._name,
@@ -241,4 +245,4 @@
             )
             pending.record(answer.granted, answer.slots_allowed)
         elif not self._network.send(grantor, request):
-            pending.record_silence()
+            pending.record_unreachable()
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -280,13 +280,13 @@
         now = time.monotonic()
         for name in NAMES:
             prober = self.make_prober(name)
-            prober._lists._known_since = NEVER
+            prober._history._known_since = NEVER
             prober.check_due_targets()
             (watch,) = prober._watches.values()
-            moments.append(prober._find_due(watch, now + 1, now))
+            moments.append(prober._find_due_time(watch, now + 1, now))
         moments.sort()
         gaps = [b - a for a, b in zip(moments, moments[1:], strict=False)]
-        self.assertAlmostEqual(probes.RANK_STEP_S, min(gaps), places=2)
+        self.assertAlmostEqual(probes.RANK_DELAY_S, min(gaps), places=2)
         self.assertNotEqual(*(self.find_first(n) for n in (1, 2)))
 
     def find_first(self, seed):
