--- a/redwingspring/hostlist.py
+++ b/redwingspring/hostlist.py
@@ -1,11 +1,11 @@
-"""The published list of entry hosts, checked with file, line and key."""
+"""Parsing of the published host list, with errors that name file, line and key."""
 
 from dataclasses import dataclass
 
 from .units import check_address, check_name
 from .yamlsource import YamlSource
 
-PARTS = ("name", "address", "peer_address", "data_centre", "state")
+FIELDS = ("name", "address", "peer_address", "data_centre", "state")
 STATES = ("live", "leaving")
 
 
@@ -22,9 +22,9 @@
     peer_address : str
         ``ip:port`` for other hosts.
     data_centre : str
-        Where it is.
+        Name of the data centre that the host is in.
     state : {"live", "leaving"}
-        State according to the list, which lags behind.
+        State in the list, which may be older than that in the heartbeats of the host.
     """
 
     name: str
@@ -35,7 +35,7 @@
 
 
 def parse_host_list(text, name="hosts"):
-    """Return the hosts that a document lists.
+    """Parse and check a host list.
 
     Parameters
     ----------
@@ -52,37 +52,37 @@
     Raises
     ------
     DocumentError
-        With one message for each fault.
+        With one message for each problem found.
     """
     source = YamlSource(text, name)
     entries = source.read_mapping(source.root, ("hosts",), ())
     seen = {}
     hosts = []
     for item in source.read_items(entries.get("hosts")):
-        parts = source.read_mapping(item, PARTS, ())
+        fields = source.read_mapping(item, FIELDS, ())
         values = {}
-        for part in PARTS:
-            values[part] = _read_part(source, part, parts.get(part), seen)
+        for field in FIELDS:
+            values[field] = _read_field(source, field, fields.get(field), seen)
         hosts.append(ListedHost(**values))
     source.raise_problems()
     return tuple(hosts)
 
 
-def _read_part(source, part, entry, seen):
-    """Return one text of a host; report it when an earlier host has it too."""
+def _read_field(source, field, entry, seen):
+    """Return the text of one field; report invalid and duplicate values."""
     text = source.read_text(entry)
     if text is None:
         return None
     try:
-        if part == "state":
+        if field == "state":
             if text not in STATES:
                 raise ValueError(f"must be one of: {', '.join(STATES)}")
             return text
-        if part == "data_centre":
+        if field == "data_centre":
             return check_name(text)
-        (check_name if part == "name" else check_address)(text)
-        # Callers and peers must not share an address either.
-        kind = "name" if part == "name" else "address"
+        (check_name if field == "name" else check_address)(text)
+        # An address must not be used for both callers and peers.
+        kind = "name" if field == "name" else "address"
         if (kind, text) in seen:
             raise ValueError(f"{text} is also used in line {seen[kind, text]}")
         seen[kind, text] = entry.line
--- a/redwingspring/hosts.py
+++ b/redwingspring/hosts.py
@@ -1,4 +1,4 @@
-"""Entry hosts and the published list of them."""
+"""Entry hosts, their state and the published host list."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -34,9 +34,9 @@
     peer_address : str
         ``ip:port`` for other hosts.
     data_centre : str
-        Where it is.
+        Name of the data centre that the host is in.
     leaving : bool, default=False
-        Whether it leaves.
+        Whether the host is leaving.
     """
 
     name: str
@@ -48,17 +48,17 @@
 
 @dataclass(frozen=True)
 class Peer:
-    """What another host has told.
+    """Latest messages of another host.
 
     Attributes
     ----------
     hello : Hello or None, default=None
-        Its latest introduction.
+        The latest introduction of the host.
     heartbeat : Heartbeat or None, default=None
-        Its latest heartbeat.
+        The latest heartbeat of the host.
     received_at : float, default=-inf
-        Monotonic time in seconds of its latest message.
-    proved_at : float, default=-inf
+        Monotonic time in seconds at which the latest message was received.
+    confirmed_at : float, default=-inf
         Monotonic time in seconds at which this host sent the newest heartbeat
         that the peer has echoed. The peer was running after that time.
     """
@@ -66,25 +66,25 @@
     hello: Hello | None = None
     heartbeat: Heartbeat | None = None
     received_at: float = NEVER
-    proved_at: float = NEVER
+    confirmed_at: float = NEVER
 
     @property
     def leaving(self):
-        """Tell whether its latest heartbeat says that it leaves."""
+        """Return whether the latest heartbeat says that the host is leaving."""
         return self.heartbeat is not None and (
             self.heartbeat.state == HostState.LEAVING.value
         )
 
 
 def parse_hosts(text, name="hosts"):
-    """Return the hosts that a document lists.
+    """Parse a host list into hosts.
 
     Parameters
     ----------
     text : str
         YAML text.
     name : str, default="hosts"
-        Source for error messages.
+        File or source name for error messages.
 
     Returns
     -------
@@ -94,7 +94,7 @@
     Raises
     ------
     DocumentError
-        With one message for each fault.
+        With one message for each problem found.
     """
     return tuple(
         Host(
--- a/redwingspring/publication.py
+++ b/redwingspring/publication.py
@@ -1,4 +1,4 @@
-"""Distribution of published values: the service's readers, push and pull."""
+"""Distribution of published values from the configuration service to all hosts."""
 
 import random
 import threading
@@ -10,41 +10,43 @@
 from .hosts import HostState
 from .messages import Pull, Value
 from .rendezvous import select_readers
-from .servicereader import MAX_VALUE_BYTES, StaleAnswerError
+from .servicereader import MAX_VALUE_BYTES, StaleResponseError
 from .stamp import PublishedValue, Stamp, make_stamp
 from .values import CONFIGURATION_KEY, HOSTS_KEY, KEYS
 
 __all__ = ["CONFIGURATION_KEY", "HOSTS_KEY", "KEYS", "Publication"]
 
-WATCH_S = 20
-# All hosts together poll each key this often, whatever their number. Readers
-# can be cut off from the service or served stale values without a sign; with
-# at most 25 hosts, any single host that sees a new value then finds it in time.
+WATCH_TIMEOUT_S = 20
+# Rate at which all hosts together poll each key, whatever their number. The readers may
+# be disconnected from the service or receive stale values without noticing. With at
+# most 25 hosts, this rate lets any single host that can read a new value find it in
+# time.
 POLLS_PER_S = 10.0
 MIN_POLL_PERIOD_S = 0.5
-START_WATCH_S = 1
+START_WATCH_TIMEOUT_S = 1
 MAX_RETRY_DELAY_S = 2.0
-ROLE_CHECK_S = 0.25
-# A pull that is not answered in this time is sent to the next peer that offers.
+ROLE_CHECK_INTERVAL_S = 0.25
+# A pull without a response in this time is sent to the next peer whose heartbeat shows
+# the value.
 PULL_TIMEOUT_S = 0.5
-# All readers push a small value to every host, which saves a round trip. A
-# larger one is announced by a heartbeat and pulled once by each host.
-PUSH_BYTES = 64 << 10
+# All readers push values up to this size to every host, which saves a round trip. A
+# larger value is announced by heartbeats, and each host pulls it once.
+MAX_PUSH_BYTES = 64 << 10
 
 
 class Publication:
-    """Keeps the values of this host as new as those of the service and peers.
+    """Keeps the values of this host up to date with the service and with peers.
 
     Parameters
     ----------
     values : ValueStore
-        Values in force.
+        Stores the values in force.
     reader : ServiceReader
-        The configuration service.
+        Client of the configuration service.
     network : PeerNetwork
         Connections to peers.
     membership : Membership
-        Hosts and their stamps.
+        Provides the hosts and the stamps in their heartbeats.
     metrics : Metrics
         Counters.
     """
@@ -55,27 +57,27 @@
         self._network = network
         self._membership = membership
         self._metrics = metrics
-        self._changed = threading.Condition()
+        self._received_changed = threading.Condition()
         self._received = {}
         self._newest_received = {}
         self._pulls = {}
-        network.register(Pull, self._take_pull)
-        network.register(Value, self._take_value)
+        network.register(Pull, self._handle_pull)
+        network.register(Value, self._handle_value)
         membership.on_stamp = self._handle_stamp
 
     def is_reader(self):
-        """Tell whether this host watches the configuration service.
+        """Return whether this host watches the configuration service.
 
         Returns
         -------
         bool
-            True when it is among the first hosts by rendezvous hash.
+            True if it is among the first live hosts by rendezvous hash.
         """
         membership = self._membership
         return membership.name in select_readers(membership.live_names())
 
     def run_watch(self, key, stopping):
-        """Keep one key as new as at the service until the process stops.
+        """Keep one key up to date with the service until the process stops.
 
         Parameters
         ----------
@@ -84,35 +86,39 @@
         stopping : threading.Event
             Set when the process stops.
         """
-        # The first read does not wait, so that a start is quick.
+        # The first read does not wait for a change, so that the host starts quickly.
         self._read(key, 0, stopping)
         next_poll = self._schedule_poll()
         while not stopping.is_set():
-            if self._is_needed(key):
-                # A starting host counts as a reader until it has heard others.
+            if self._must_read(key):
+                # A starting host is a reader until it has heard other hosts.
                 starting = self._membership.state is HostState.STARTING
-                self._read(key, START_WATCH_S if starting else WATCH_S, stopping)
+                self._read(
+                    key,
+                    START_WATCH_TIMEOUT_S if starting else WATCH_TIMEOUT_S,
+                    stopping,
+                )
                 next_poll = self._schedule_poll()
             elif time.monotonic() >= next_poll:
                 self._read(key, 0, stopping)
                 next_poll = self._schedule_poll()
             else:
-                stopping.wait(ROLE_CHECK_S)
+                stopping.wait(ROLE_CHECK_INTERVAL_S)
 
     def run_apply(self, stopping):
-        """Put values received from peers in force until the process stops.
+        """Apply values received from peers until the process stops.
 
         Parameters
         ----------
         stopping : threading.Event
             Set when the process stops.
         """
-        # A thread of its own: parsing a large document must not delay the
-        # heartbeats that come on the same connection.
+        # Runs in a thread of its own because parsing a large document must not delay
+        # the heartbeats that arrive on the same connection.
         while not stopping.is_set():
-            with self._changed:
+            with self._received_changed:
                 if not self._received:
-                    self._changed.wait(1.0)
+                    self._received_changed.wait(1.0)
                     continue
                 value, source = self._received.pop(next(iter(self._received)))
             if self._values.offer(value, source):
@@ -123,16 +129,16 @@
         period = max(MIN_POLL_PERIOD_S, hosts / POLLS_PER_S)
         return time.monotonic() + period * random.uniform(0.5, 1.5)
 
-    def _is_needed(self, key):
-        """Tell whether this host has to reach the service for a key."""
+    def _must_read(self, key):
+        """Return whether this host must read a key from the service."""
         return self._values.get(key) is None or self.is_reader()
 
     def _read(self, key, wait, stopping):
-        """Read a key once; a reader retries until the service answers."""
+        """Read a key once; retry on failure while this host must read it."""
         retrying = tenacity.Retrying(
             retry=tenacity.retry_if_exception_type(PublicationError),
             wait=tenacity.wait_random_exponential(0.25, MAX_RETRY_DELAY_S),
-            stop=lambda state: stopping.is_set() or not self._is_needed(key),
+            stop=lambda state: stopping.is_set() or not self._must_read(key),
             sleep=tenacity.sleep_using_event(stopping),
             retry_error_callback=lambda state: None,
         )
@@ -145,12 +151,12 @@
         try:
             value = self._reader.read(key, self._values.highest_revision(key), wait)
             if value is not None and self._values.is_settled(key, value.stamp):
-                # A peer may have delivered another value of this revision first.
+                # A peer may have delivered a different value of this revision before.
                 self._values.note_stamp(key, value.stamp, "read from the service")
-                # Without this pause a service that ignores ``after`` would be
-                # asked in a loop.
-                raise StaleAnswerError(value.stamp.revision)
-        except StaleAnswerError as error:
+                # Raise to wait before the retry. A service that ignores ``after`` would
+                # otherwise be read in a loop without a pause.
+                raise StaleResponseError(value.stamp.revision)
+        except StaleResponseError as error:
             if error.revision < self._values.stamp(key).revision:
                 self._values.report_older(key, error.revision, "the service")
             raise
@@ -160,9 +166,9 @@
         return value
 
     def _push(self, value):
-        """Deliver a value read from the service to the peers that lack it."""
+        """Send a value read from the service to the peers that do not have it."""
         stamp = value.stamp
-        if len(value.text) > PUSH_BYTES:
+        if len(value.text) > MAX_PUSH_BYTES:
             self._membership.send_heartbeats()
             return
         message = Value(value.key, stamp.revision, stamp.digest, value.text)
@@ -173,23 +179,23 @@
                 self._metrics.increment("publication.pushes")
 
     def _handle_stamp(self, sender, key, stamp):
-        """Pull a value that a peer's heartbeat shows to be newer."""
+        """Pull a value if the heartbeat of a peer shows a newer one."""
         self._values.note_stamp(key, stamp, sender)
         if self._values.is_settled(key, stamp):
             return
         now = time.monotonic()
-        with self._changed:
+        with self._received_changed:
             received = self._newest_received.get(key)
             if received is not None and stamp <= received:
                 return
-            asked, deadline, _ = self._pulls.get(key, (stamp, 0.0, ""))
-            if stamp <= asked and now < deadline:
+            requested, deadline, _ = self._pulls.get(key, (stamp, 0.0, ""))
+            if stamp <= requested and now < deadline:
                 return
             if self._network.send(sender, Pull(key, stamp.revision, stamp.digest)):
                 self._pulls[key] = (stamp, now + PULL_TIMEOUT_S, sender)
                 self._metrics.increment("publication.pulls")
 
-    def _take_pull(self, sender, pull):
+    def _handle_pull(self, sender, pull):
         value = self._values.get(pull.key)
         if value is None or value.stamp < Stamp(pull.revision, pull.digest):
             return
@@ -199,7 +205,7 @@
         ):
             self._metrics.increment("publication.pulls_answered")
 
-    def _take_value(self, sender, message):
+    def _handle_value(self, sender, message):
         key = message.key
         stamp = Stamp(message.revision, message.digest)
         if key not in KEYS or len(message.text.encode()) > MAX_VALUE_BYTES:
@@ -212,13 +218,13 @@
         if make_stamp(message.revision, message.text) != stamp:
             self._metrics.increment("publication.bad_values")
             return
-        with self._changed:
+        with self._received_changed:
             newest = self._newest_received.get(key)
             if newest is not None and stamp <= newest:
                 return
-            asked = self._pulls.pop(key, None)
-            pulled = asked is not None and asked[2] == sender
+            requested = self._pulls.pop(key, None)
+            pulled = requested is not None and requested[2] == sender
             source = f"{'pulled from' if pulled else 'pushed by'} {sender}"
             self._newest_received[key] = stamp
             self._received[key] = (PublishedValue(key, stamp, message.text), source)
-            self._changed.notify()
+            self._received_changed.notify()
--- a/redwingspring/servicereader.py
+++ b/redwingspring/servicereader.py
@@ -11,17 +11,17 @@
 MAX_VALUE_BYTES = 1 << 20
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
-# Revisions travel between hosts as 64-bit numbers.
+# Hosts send revisions to each other as 64-bit numbers.
 MAX_REVISION_DIGITS = 18
 
 
-class StaleAnswerError(PublicationError):
-    """The configuration service is behind what this host knows.
+class StaleResponseError(PublicationError):
+    """Raised when the service has an older revision than this host.
 
     Parameters
     ----------
     revision : int
-        Revision that the service has.
+        Revision in the response of the service.
     """
 
     def __init__(self, revision):
@@ -30,7 +30,7 @@
 
 
 class ServiceReader:
-    """Reads and watches the configuration service.
+    """Reads and watches values of the configuration service.
 
     Parameters
     ----------
@@ -41,7 +41,7 @@
     metrics : Metrics
         Counters.
     source : str or None, default=None
-        IP number that connections come from.
+        Source IP address of the connections.
     """
 
     def __init__(self, base_url, name, metrics, source=None):
@@ -55,28 +55,28 @@
         )
 
     def read(self, key, after=0, wait=0):
-        """Return a value, or None when it has not changed.
+        """Read a value, waiting for a change if requested.
 
         Parameters
         ----------
         key : str
             ``configuration`` or ``hosts``.
         after : int, default=0
-            Revision already known.
+            Revision that this host already has.
         wait : float, default=0
             Seconds to wait for a higher revision.
 
         Returns
         -------
         PublishedValue or None
-            The value read.
+            The value, or None if it has not changed.
 
         Raises
         ------
         StaleAnswerError
             If the service has only an older revision.
         PublicationError
-            If the service gave no usable answer.
+            If the service sent no valid response.
         """
         self._metrics.increment("publication.calls")
         fields = {"after": str(after), "wait": str(wait)} if after else {}
@@ -100,7 +100,7 @@
         if response.status not in (200, 304):
             raise PublicationError(f"cannot read {key}: status {response.status}")
         if revision is not None and revision < after:
-            raise StaleAnswerError(revision)
+            raise StaleResponseError(revision)
         if response.status == 304:
             return None
         if revision is None:
@@ -120,5 +120,5 @@
         try:
             text = data.decode()
         except UnicodeDecodeError:
-            pass  # The value is refused by its stamp and not fetched again.
+            pass  # ValueStore refuses this stamp, so it is not fetched again.
     return PublishedValue(key, Stamp(revision, hashlib.sha256(data).hexdigest()), text)
