Name the tests of leases, probes, membership and distribution after what holds

Several names stated the failure as if it were the expected result, for example test_targets_that_report_to_any_host_are_probed_too for a test that no probe is sent. Comments are reworded.

--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -17,54 +17,54 @@
             lambda kind, target, progress: allow(progress, LIMITS), lambda: self.now
         )
 
-    def wait_quiet(self):
+    def pass_restart_delay(self):
         self.now += MAX_TERM_S + CLOCK_MARGIN_S
 
-    def ask(self, holder="a", number=1, slot=0):
+    def request_slot(self, holder="a", number=1, slot=0):
         return self.table.request(holder, number, COLD, TARGET, slot, 1.0)
 
-    def give_back(self, holder="a", number=1, slot=0, whole=True):
+    def release_slot(self, holder="a", number=1, slot=0, whole=True):
         self.table.release(holder, number, COLD, TARGET, slot, whole)
 
-    def test_a_restarted_grantor_could_double_a_grant_that_it_forgot(self):
-        self.assertFalse(self.ask().granted)
+    def test_a_restarted_grantor_refuses_while_a_lost_grant_may_last(self):
+        self.assertFalse(self.request_slot().granted)
         self.now += MAX_TERM_S
-        self.assertFalse(self.ask().granted)
+        self.assertFalse(self.request_slot().granted)
         self.now += CLOCK_MARGIN_S
-        self.assertTrue(self.ask().granted)
+        self.assertTrue(self.request_slot().granted)
 
-    def test_a_slot_has_one_holder_until_its_end_and_a_clock_margin(self):
-        self.wait_quiet()
-        self.assertTrue(self.ask("a").granted)
-        self.assertFalse(self.ask("b").granted)
+    def test_a_slot_has_one_holder_until_expiry_and_a_clock_margin(self):
+        self.pass_restart_delay()
+        self.assertTrue(self.request_slot("a").granted)
+        self.assertFalse(self.request_slot("b").granted)
         self.now += 1.0
-        self.assertFalse(self.ask("b").granted)
+        self.assertFalse(self.request_slot("b").granted)
         self.now += CLOCK_MARGIN_S
-        self.assertTrue(self.ask("b").granted)
+        self.assertTrue(self.request_slot("b").granted)
 
     def test_a_late_release_does_not_free_the_next_holders_slot(self):
-        self.wait_quiet()
-        self.ask("a", 1)
+        self.pass_restart_delay()
+        self.request_slot("a", 1)
         self.now += 2.0
-        self.ask("b", 2)
-        self.give_back("a", 1)
-        self.assertFalse(self.ask("c", 3).granted)
+        self.request_slot("b", 2)
+        self.release_slot("a", 1)
+        self.assertFalse(self.request_slot("c", 3).granted)
 
-    def test_slots_open_with_whole_responses_only(self):
-        self.wait_quiet()
-        self.assertFalse(self.ask(slot=1).granted)
+    def test_only_complete_responses_advance_the_ramp(self):
+        self.pass_restart_delay()
+        self.assertFalse(self.request_slot(slot=1).granted)
         for number, whole in ((1, True), (2, False), (3, True)):
-            self.ask(number=number)
-            self.give_back(number=number, whole=whole)
-        self.assertEqual(2, self.ask(number=4).slots_allowed)
-        self.assertTrue(self.ask(number=5, slot=1).granted)
+            self.request_slot(number=number)
+            self.release_slot(number=number, whole=whole)
+        self.assertEqual(2, self.request_slot(number=4).slots_allowed)
+        self.assertTrue(self.request_slot(number=5, slot=1).granted)
 
-    def test_a_target_that_turns_cold_again_starts_its_ramp_again(self):
-        self.wait_quiet()
+    def test_the_ramp_restarts_for_a_target_that_turns_cold_again(self):
+        self.pass_restart_delay()
         for number in range(6):
-            self.ask(number=number)
-            self.give_back(number=number)
-        self.assertEqual(4, self.ask(number=7).slots_allowed)
-        self.give_back(number=7, whole=False)
+            self.request_slot(number=number)
+            self.release_slot(number=number)
+        self.assertEqual(4, self.request_slot(number=7).slots_allowed)
+        self.release_slot(number=7, whole=False)
         self.table.reset_ramp(TARGET)
-        self.assertEqual(1, self.ask(number=8).slots_allowed)
+        self.assertEqual(1, self.request_slot(number=8).slots_allowed)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -25,22 +25,22 @@
 
 
 class LocalNetwork:
-    """Delivers messages between hosts of one test at once."""
+    """Delivers messages between the hosts of a test synchronously."""
 
     def __init__(self, hosts, name):
         self._hosts = hosts
         self._name = name
-        self.cut = set()
+        self.unreachable = set()
 
     def send(self, host_name, body):
-        if host_name in self.cut or host_name not in self._hosts:
+        if host_name in self.unreachable or host_name not in self._hosts:
             return False
         self._hosts[host_name].receive(self._name, body)
         return True
 
 
 class LocalHost:
-    """The lease parts of one host."""
+    """Lease client and grantor of one host."""
 
     def __init__(self, hosts, name, listed):
         self.network = LocalNetwork(hosts, name)
@@ -79,12 +79,14 @@
 
 
 class QuorumTest(RedwingspringTestCase):
-    def test_the_lease_is_no_longer_than_a_restarted_grantor_stays_quiet(self):
+    def test_the_default_lease_is_no_longer_than_a_restarted_grantor_refuses(self):
         self.assertLessEqual(KEYS["cold.lease"].default, 2.0)
 
     @settings(deadline=None)
     @given(st.integers(9, 18), st.integers(0, 4), st.randoms())
-    def test_hosts_with_different_lists_share_a_grantor(self, count, differ, rng):
+    def test_quorums_under_different_host_lists_share_a_grantor(
+        self, count, differ, rng
+    ):
         names = [f"h{n}" for n in range(count)]
         other = names[differ:] + [f"new{n}" for n in range(differ)]
         first = rank_hosts(names, ADDRESS)[:MAX_GRANTORS]
@@ -93,23 +95,25 @@
         agreed = rng.sample(first, quorum)
         self.assertTrue(set(agreed) & set(rng.sample(second, quorum)))
 
-    def test_small_fleets_need_all_or_most(self):
+    def test_a_quorum_of_few_grantors_is_all_or_most_of_them(self):
         self.assertEqual(
             [1, 2, 3, 3, 4, 7], [count_quorum(n) for n in (1, 2, 3, 4, 5, 9)]
         )
 
 
 class LeaseTest(RedwingspringTestCase):
-    def test_eighteen_hosts_that_ask_at_once_get_one_lease(self):
+    def test_concurrent_requests_of_eighteen_hosts_get_at_most_one_lease(self):
         hosts = make_hosts([f"h{n}" for n in range(18)])
         leases = []
         start = threading.Barrier(len(hosts))
 
-        def ask(host):
+        def request_lease(host):
             start.wait()
             leases.append(host.acquire())
 
-        threads = [threading.Thread(target=ask, args=(h,)) for h in hosts.values()]
+        threads = [
+            threading.Thread(target=request_lease, args=(h,)) for h in hosts.values()
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -119,28 +123,28 @@
 
     def test_hosts_with_stale_lists_do_not_both_get_a_lease(self):
         names = [f"h{n}" for n in range(15)]
-        fresh = names[3:] + ["new0", "new1", "new2"]
+        new_list = names[3:] + ["new0", "new1", "new2"]
         everyone = names + ["new0", "new1", "new2"]
-        lists = {n: (fresh if n in fresh else names) for n in everyone}
+        lists = {n: (new_list if n in new_list else names) for n in everyone}
         lists["h9"] = names
         hosts = make_hosts(everyone, lists)
         self.assertIsNotNone(hosts["h9"].acquire())
         self.assertIsNone(hosts["new0"].acquire())
 
-    def test_a_minority_gets_no_lease(self):
+    def test_a_host_that_reaches_no_quorum_gets_no_lease(self):
         names = [f"h{n}" for n in range(9)]
         hosts = make_hosts(names)
-        hosts["h0"].network.cut = set(names[1:4])
+        hosts["h0"].network.unreachable = set(names[1:4])
         self.assertIsNone(hosts["h0"].acquire())
 
-    def test_a_refused_attempt_leaves_nothing_held(self):
+    def test_a_refused_request_leaves_no_slot_held(self):
         names = [f"h{n}" for n in range(9)]
         hosts = make_hosts(names)
-        hosts["h0"].network.cut = set(names[1:4])
+        hosts["h0"].network.unreachable = set(names[1:4])
         hosts["h0"].acquire()
         self.assertIsNotNone(hosts["h8"].acquire())
 
-    def test_unfinished_work_keeps_its_slot(self):
+    def test_an_unfinished_request_keeps_its_slot(self):
         hosts = make_hosts([f"h{n}" for n in range(9)])
         lease = hosts["h0"].acquire()
         hosts["h0"].client.release_if_finished(lease, finished=False)
@@ -148,7 +152,7 @@
         hosts["h0"].client.release_if_finished(lease, finished=True, whole=True)
         self.assertIsNotNone(hosts["h1"].acquire())
 
-    def test_numbers_of_two_processes_of_one_host_differ(self):
+    def test_request_numbers_of_two_processes_of_one_host_differ(self):
         hosts = make_hosts(["h0"])
         first = hosts["h0"].client.quorum.request_numbers
         second = make_hosts(["h0"])["h0"].client.quorum.request_numbers
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -59,7 +59,9 @@
     def list_hosts(self, count):
         self.membership.apply(tuple(make_host(n) for n in range(1, count + 1)))
 
-    def hear(self, number, state="serving", echo=None, stamp=None, start_id="s"):
+    def receive_heartbeat(
+        self, number, state="serving", echo=None, stamp=None, start_id="s"
+    ):
         name = f"h{number}"
         self.network.handlers[Hello](name, make_hello(number))
         if echo is None:
@@ -82,29 +84,29 @@
         self.apply_values()
         self.list_hosts(hosts)
         for number in range(2, hosts + 1):
-            self.hear(number)
+            self.receive_heartbeat(number)
         self.assertIsNone(self.reason())
 
-    def test_a_host_does_not_serve_before_it_heard_a_majority(self):
+    def test_a_host_does_not_serve_before_it_hears_a_majority(self):
         self.apply_values()
         self.list_hosts(4)
-        self.hear(2)
+        self.receive_heartbeat(2)
         self.assertEqual("not-ready", self.reason())
-        self.hear(3)
+        self.receive_heartbeat(3)
         self.assertIsNone(self.reason())
 
     def test_a_starting_host_does_not_serve_older_values_than_its_peers(self):
         self.apply_values()
         self.list_hosts(3)
-        self.hear(2, stamp=make_stamp(2, "newer"))
-        self.hear(3)
+        self.receive_heartbeat(2, stamp=make_stamp(2, "newer"))
+        self.receive_heartbeat(3)
         self.assertEqual("not-ready", self.reason())
         self.apply_values(2)
-        self.hear(3)
-        self.hear(2, stamp=make_stamp(2, "configuration 2"))
+        self.receive_heartbeat(3)
+        self.receive_heartbeat(2, stamp=make_stamp(2, "configuration 2"))
         self.assertIsNone(self.reason())
 
-    def test_a_lone_host_serves_but_one_of_two_waits_for_the_other(self):
+    def test_one_of_two_hosts_waits_for_the_other_before_it_serves(self):
         self.apply_values()
         self.list_hosts(2)
         self.assertEqual("not-ready", self.reason())
@@ -112,58 +114,58 @@
         self.membership.update()
         self.assertIsNone(self.reason())
 
-    def test_a_silent_majority_isolates_and_its_return_ends_that(self):
+    def test_a_host_is_isolated_while_a_majority_is_silent(self):
         self.serve()
         self.now += 2.9
         self.assertIsNone(self.reason())
         self.now += 0.2
         self.assertEqual("isolated", self.reason())
-        self.hear(2)
+        self.receive_heartbeat(2)
         self.assertEqual("isolated", self.reason())
-        self.hear(3)
+        self.receive_heartbeat(3)
         self.assertIsNone(self.reason())
 
-    def test_heartbeats_that_waited_during_a_pause_do_not_count(self):
+    def test_heartbeats_buffered_during_a_pause_do_not_count(self):
         self.serve()
-        echoes = {n: self.hear(n) for n in (2, 3, 4)}
+        echoes = {n: self.receive_heartbeat(n) for n in (2, 3, 4)}
         self.now += 60.0
         for number, echo in echoes.items():
-            self.hear(number, echo=echo)
+            self.receive_heartbeat(number, echo=echo)
         self.assertEqual("isolated", self.reason())
 
-    def test_a_host_that_was_cut_off_catches_up_before_it_serves(self):
+    def test_a_host_that_was_disconnected_catches_up_before_it_serves(self):
         self.serve()
         self.now += 60.0
         newer = make_stamp(2, "newer")
         for number in (2, 3, 4):
-            self.hear(number, stamp=newer)
+            self.receive_heartbeat(number, stamp=newer)
         self.assertEqual("isolated", self.reason())
 
     def test_an_echo_meant_for_an_earlier_process_does_not_count(self):
         self.apply_values()
         self.list_hosts(3)
         for number in (2, 3):
-            self.hear(number, echo=12345)
+            self.receive_heartbeat(number, echo=12345)
         self.assertEqual("not-ready", self.reason())
 
-    def test_replaced_hosts_count_before_the_list_names_them(self):
+    def test_replacement_hosts_count_before_they_are_listed(self):
         self.apply_values()
         self.list_hosts(4)
         for number in (11, 12):
-            self.hear(number)
+            self.receive_heartbeat(number)
         self.assertIsNone(self.reason())
         names = [host.name for host in self.membership.find_addressable()]
         self.assertEqual(["h1", "h2", "h3", "h4", "h11", "h12"], names)
         self.assertEqual("127.0.0.11:2", self.network.addresses["h11"])
 
-    def test_no_caller_is_sent_to_a_host_that_leaves_by_any_route(self):
+    def test_leaving_hosts_are_not_addressable_for_callers(self):
         self.serve()
         self.membership.apply((*map(make_host, (1, 2, 3)), make_host(4, True)))
-        self.hear(2, state="leaving")
+        self.receive_heartbeat(2, state="leaving")
         self.membership.leave()
         names = [host.name for host in self.membership.find_addressable()]
         self.assertEqual(["h3"], names)
-        self.hear(2, start_id="another")
+        self.receive_heartbeat(2, start_id="another")
         self.assertEqual("leaving", self.network.sent["h2"].state)
         self.assertIn("h2", self.membership.live_names())
 
@@ -171,12 +173,12 @@
         self.list_hosts(4)
         self.assertEqual(("127.0.0.9:2",), self.network.seeds)
         self.serve()
-        self.hear(11)
+        self.receive_heartbeat(11)
         self.assertEqual((), self.network.seeds)
 
 
 class HostsTest(RedwingspringTestCase):
-    def test_every_fault_of_a_host_list_is_named(self):
+    def test_every_problem_of_a_host_list_is_reported(self):
         good = (
             "{name: a, address: '10.0.0.1:1', peer_address: '10.0.0.1:2', "
             "data_centre: x, state: live}"
@@ -197,7 +199,7 @@
 
 
 class ReadersTest(RedwingspringTestCase):
-    def test_few_hosts_read_and_a_lost_reader_moves_no_other(self):
+    def test_few_hosts_read_and_losing_one_keeps_the_others(self):
         names = [f"h{n}" for n in range(16)]
         readers = select_readers(names)
         self.assertEqual(4, len(readers))
@@ -228,7 +230,7 @@
         self.assertFalse(self.offer(2, "b"))
         self.assertEqual(["b"], self.applied)
 
-    def test_of_two_values_of_one_revision_the_same_wins_in_any_order(self):
+    def test_conflicting_values_have_the_same_winner_in_any_order(self):
         texts = sorted("ab", key=lambda text: make_stamp(1, text))
         for order in (texts, texts[::-1]):
             self.values = ValueStore(self.apply, self.audit, Metrics())
@@ -238,7 +240,7 @@
         kinds = [entry.kind for entry in self.audit.entries()]
         self.assertEqual(2, kinds.count("configuration-conflict"))
 
-    def test_a_refused_document_changes_nothing_and_is_settled(self):
+    def test_a_refused_document_is_settled_without_a_change(self):
         self.offer(1, "a")
         self.assertFalse(self.offer(2, "bad"))
         self.assertEqual("a", self.values.get(CONFIGURATION_KEY).text)
@@ -246,6 +248,6 @@
         self.assertEqual(2, self.values.highest_revision(CONFIGURATION_KEY))
         self.assertTrue(self.offer(3, "c"))
 
-    def test_bytes_that_are_no_text_are_refused(self):
+    def test_a_value_without_text_is_refused(self):
         value = PublishedValue(CONFIGURATION_KEY, make_stamp(1, ""), None)
         self.assertFalse(self.values.offer(replace(value), "test"))
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -41,7 +41,7 @@
 
 
 class Fleet:
-    """Grant tables of hosts on one simulated clock, without a network."""
+    """Grant tables of several hosts with a simulated clock and no network."""
 
     def __init__(self, budget):
         self.now = 1000.0
@@ -50,7 +50,7 @@
         self.clients = {}
         self.lists = {}
         self.members = {}
-        self.sides = {}
+        self.partitions = {}
 
     def restart(self, name, listed):
         self.tables[name] = GrantTable(lambda *args: 1, lambda: self.now)
@@ -62,7 +62,7 @@
         self.clients[name] = client
 
     def send(self, sender, to, body):
-        if self.sides.get(sender) != self.sides.get(to):
+        if self.partitions.get(sender) != self.partitions.get(to):
             return False
         if isinstance(body, LeaseRequest):
             answer = self.tables[to].request(
@@ -77,10 +77,10 @@
         return True
 
     def probe(self, name):
-        """Return whether a host gets a lease; a host without one releases."""
+        """Return whether a host acquires a lease; release a refused one."""
         client = self.clients[name]
-        lasts = self.term + CLOCK_MARGIN_S
-        if self.lists[name].find_safe_time(ADDRESS, lasts) > self.now:
+        grant_duration = self.term + CLOCK_MARGIN_S
+        if self.lists[name].find_safe_time(ADDRESS, grant_duration) > self.now:
             return False
         term_ms = math.ceil(self.term * 1000)
         request = LeaseRequest(next(client.request_numbers), PROBE, ADDRESS, 0, term_ms)
@@ -94,7 +94,7 @@
 class BudgetTest(RedwingspringTestCase):
     @settings(deadline=None, max_examples=30)
     @given(st.sampled_from([2.0, 0.5, 1 / 60, 1 / 3600]), st.integers(0, 4), SEEDS)
-    def test_probes_come_too_close_with_other_lists_partitions_or_restarts(
+    def test_probes_keep_the_budget_with_other_lists_partitions_and_restarts(
         self, budget, differ, seed
     ):
         rng = random.Random(seed)
@@ -111,14 +111,14 @@
                     fleet.restart(name, listed[name])
             if rng.random() < 0.2:
                 share = rng.choice([0.0, 0.3, 0.5])
-                fleet.sides = {n: rng.random() < share for n in listed}
+                fleet.partitions = {n: rng.random() < share for n in listed}
             for _ in range(4):
                 self.probe_somewhere(fleet, sorted(listed), budget, started, rng)
 
     @settings(deadline=None, max_examples=30)
     @given(st.sampled_from([2.0, 0.5, 1 / 60]), SEEDS)
     @example(0.5, 477486)
-    def test_probes_come_too_close_after_lists_that_share_no_grantor(
+    def test_probes_keep_the_budget_after_lists_that_share_no_grantor(
         self, budget, seed
     ):
         rng = random.Random(seed)
@@ -126,19 +126,19 @@
         for name in NAMES:
             fleet.restart(name, NAMES)
         started = [NEVER]
-        adopted = dict.fromkeys(NAMES, 0.0)
+        applied_at = dict.fromkeys(NAMES, 0.0)
         changes = []
         for _ in range(120):
             fleet.now += rng.uniform(0.0, 0.6 / budget)
             if rng.random() < 0.1:
                 hosts = list_hosts(rng.sample(NAMES, rng.randint(1, 13)))
-                # A list is in force everywhere within the promised time.
+                # A published list is in force at every host within 4 s.
                 for name in NAMES:
                     late = fleet.now + rng.uniform(0.0, 4.0)
-                    adopted[name] = max(adopted[name], late)
-                    changes.append((adopted[name], name, hosts))
-            for moment, name, hosts in changes:
-                if moment <= fleet.now:
+                    applied_at[name] = max(applied_at[name], late)
+                    changes.append((applied_at[name], name, hosts))
+            for apply_time, name, hosts in changes:
+                if apply_time <= fleet.now:
                     fleet.members[name].hosts = hosts
                     fleet.lists[name].find_safe_time(ADDRESS, 0.0)
             changes = [change for change in changes if change[0] > fleet.now]
@@ -146,11 +146,11 @@
 
     def probe_somewhere(self, fleet, names, budget, started, rng):
         if fleet.probe(rng.choice(names)):
-            # A slow host starts its probe as late as its deadline allows.
+            # A slow host may start its probe as late as the deadline allows.
             started.append(fleet.now + rng.uniform(0.0, PROBE_START_S))
             self.assertLessEqual(1 / budget, started[-1] - started[-2])
 
-    def test_a_restarted_grantor_forgets_a_probe_longer_than_cold_leases(self):
+    def test_a_restarted_grantor_refuses_probe_leases_longer_than_cold_leases(self):
         now = [0.0]
         table = GrantTable(lambda *args: 1, lambda: now[0])
         now[0] = 60.0 + CLOCK_MARGIN_S - 0.01
@@ -162,7 +162,7 @@
         self.assertTrue(table.request("b", 1, COLD, ADDRESS, 0, 1.0).granted)
         self.assertFalse(table.request("b", 2, PROBE, ADDRESS, 0, 1.0).granted)
 
-    def test_a_host_with_an_older_larger_budget_shortens_the_interval(self):
+    def test_a_host_with_an_older_larger_budget_does_not_shorten_the_interval(self):
         now = [0.0]
         table = GrantTable(lambda *args: 1, lambda: now[0], lambda address: 10.0)
         now[0] = 11.0
@@ -180,13 +180,13 @@
         self.state = TargetState(target, TargetLimits(**values))
         self.state.mark_warm("s1")
         self.prober = self.make_prober("h0")
-        self.send = mock.Mock(side_effect=self.answer)
+        self.send = mock.Mock(side_effect=self.respond)
         self.patch(probes, "send_attempt", self.send)
-        self.passed = 0.0
+        self.elapsed = 0.0
         monotonic, unix = time.monotonic, time.time
         clock = mock.Mock(
-            monotonic=lambda: monotonic() + self.passed,
-            time=lambda: unix() + self.passed,
+            monotonic=lambda: monotonic() + self.elapsed,
+            time=lambda: unix() + self.elapsed,
         )
         self.patch(probes, "time", clock)
 
@@ -204,44 +204,44 @@
             metrics=Metrics(), outcomes=mock.Mock(),
         )  # fmt: skip
 
-    def answer(self, pool, limits, attempt):
+    def respond(self, pool, limits, attempt):
         self.attempt, self.refusal = attempt, attempt.guard()
         response = mock.Mock(**{"read.return_value": b""})
         return mock.Mock(**{"is_error.return_value": False}, ok=response)
 
-    def pass_time(self, prober, seconds):
-        end = self.passed + seconds
-        while self.passed < end:
+    def advance_time(self, prober, seconds):
+        end = self.elapsed + seconds
+        while self.elapsed < end:
             prober.check_due_targets()
-            self.passed += 0.05
+            self.elapsed += 0.05
 
     def report_after(self, seconds):
-        moment = time.monotonic() + self.passed + seconds
-        report = LoadReport(0, 3, Temperature.WARM, "s1", moment)
+        received_at = time.monotonic() + self.elapsed + seconds
+        report = LoadReport(0, 3, Temperature.WARM, "s1", received_at)
         self.state.record_report(report)
 
-    def test_a_quiet_target_is_never_looked_at(self):
-        self.pass_time(self.prober, 12.0)
+    def test_a_target_without_reports_is_probed(self):
+        self.advance_time(self.prober, 12.0)
         self.assertEqual("/health", self.attempt.path)
         self.assertIsNone(self.refusal)
         self.assertRegex(self.attempt.headers["Request-Id"], "^probe-h0-[0-9]+$")
-        self.assertLess(self.attempt.deadline, time.time() + self.passed + 0.5)
+        self.assertLess(self.attempt.deadline, time.time() + self.elapsed + 0.5)
         self.prober._quorum.release.assert_not_called()
-        (news,) = self.prober._network.broadcast.call_args.args
-        self.assertTrue(news.entries[0].probed)
+        (message,) = self.prober._network.broadcast.call_args.args
+        self.assertTrue(message.entries[0].probed)
 
-    def test_targets_that_report_to_any_host_are_probed_too(self):
+    def test_targets_that_report_to_any_host_are_not_probed(self):
         for number in range(20):
             if number % 2:
                 self.report_after(0.0)
             else:
                 seen = SeenTargets((SeenTarget(ADDRESS, 0, True, False),))
                 self.prober.handle_seen_targets("h1", seen)
-            self.pass_time(self.prober, 0.5)
+            self.advance_time(self.prober, 0.5)
         self.send.assert_not_called()
         self.assertTrue(self.prober._network.broadcast.called)
 
-    def test_targets_that_take_no_work_or_are_cold_are_probed(self):
+    def test_targets_that_take_no_work_or_are_cold_are_not_probed(self):
         changes = (
             lambda s: s.mark_cold("s2"),
             lambda s: s.mark_leaving(),
@@ -256,18 +256,18 @@
             self.state.mark_warm("s1")
             limits = self.state.limits
             change(self.state)
-            self.pass_time(self.make_prober("h0"), 12.0)
+            self.advance_time(self.make_prober("h0"), 12.0)
             self.state.limits = limits
         self.send.assert_not_called()
 
-    def test_a_refused_lease_is_kept_or_used(self):
+    def test_a_refused_lease_is_released_and_not_used(self):
         prober = self.make_prober("h0", agreed=False)
-        self.pass_time(prober, 14.0)
+        self.advance_time(prober, 14.0)
         self.send.assert_not_called()
         self.assertTrue(prober._quorum.release.called)
         self.assertLess(prober._quorum.request_grants.call_count, 12)
 
-    def test_a_host_that_paused_sends_a_probe_after_its_lease(self):
+    def test_a_host_that_was_paused_sends_no_probe_after_its_lease(self):
         self.prober.check_due_targets()
         (watch,) = self.prober._watches.values()
         self.state.note_seen(NEVER, NEVER)
@@ -275,22 +275,22 @@
         refusal = self.prober._check_send(watch, deadline)
         self.assertIs(Reason.DEADLINE, refusal.reason)
 
-    def test_all_hosts_ask_for_the_same_lease_at_once(self):
-        moments = []
+    def test_hosts_request_the_same_lease_one_after_another(self):
+        due_times = []
         now = time.monotonic()
         for name in NAMES:
             prober = self.make_prober(name)
             prober._history._known_since = NEVER
             prober.check_due_targets()
             (watch,) = prober._watches.values()
-            moments.append(prober._find_due_time(watch, now + 1, now))
-        moments.sort()
-        gaps = [b - a for a, b in zip(moments, moments[1:], strict=False)]
+            due_times.append(prober._find_due_time(watch, now + 1, now))
+        due_times.sort()
+        gaps = [b - a for a, b in zip(due_times, due_times[1:], strict=False)]
         self.assertAlmostEqual(probes.RANK_DELAY_S, min(gaps), places=2)
-        self.assertNotEqual(*(self.find_first(n) for n in (1, 2)))
+        self.assertNotEqual(*(self.find_first_hosts(n) for n in (1, 2)))
 
-    def find_first(self, seed):
-        """Return which hosts go first in some intervals."""
+    def find_first_hosts(self, seed):
+        """Return the hosts of rank 0 in some intervals."""
         rng = random.Random(seed)
         keys = [f"{ADDRESS}\0probe\0{rng.randrange(1000)}" for _ in range(9)]
         return [probes.rank_hosts(NAMES, key)[0] for key in keys]
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,4 +1,4 @@
-"""Reading the configuration service while peers deliver the same key."""
+"""Test reads of the configuration service while a peer delivers the same key."""
 
 import threading
 
@@ -12,7 +12,7 @@
 from .base import RedwingspringTestCase
 
 
-class AuditList(AuditTrail):
+class RecordingAuditTrail(AuditTrail):
     def __init__(self):
         super().__init__()
         self.actions = []
@@ -42,16 +42,16 @@
 
 
 class ReaderStub:
-    """Ends the watch with its first answer, which comes after that of a peer."""
+    """Let a peer deliver its value during the first read, then end the watch."""
 
-    def __init__(self, values, from_peer, answer, stopping):
-        self.values, self.from_peer = values, from_peer
-        self.answer, self.stopping = answer, stopping
+    def __init__(self, values, peer_value, response, stopping):
+        self.values, self.peer_value = values, peer_value
+        self.response, self.stopping = response, stopping
 
     def read(self, key, after=0, wait=0):
-        self.values.offer(self.from_peer, "pushed by h2")
+        self.values.offer(self.peer_value, "pushed by h2")
         self.stopping.set()
-        return self.answer
+        return self.response
 
 
 def make_values(revision, *texts):
@@ -63,10 +63,10 @@
 
 
 class PublicationTest(RedwingspringTestCase):
-    def read_after_peer(self, from_peer, answer):
-        audit, stopping = AuditList(), threading.Event()
+    def read_after_peer_delivery(self, peer_value, response):
+        audit, stopping = RecordingAuditTrail(), threading.Event()
         self.values = ValueStore(lambda value, source: None, audit, Metrics())
-        reader = ReaderStub(self.values, from_peer, answer, stopping)
+        reader = ReaderStub(self.values, peer_value, response, stopping)
         publication = Publication(
             self.values, reader, NetworkStub(), MembershipStub(), Metrics()
         )
@@ -74,12 +74,14 @@
         return audit.actions
 
     def test_a_conflict_is_recorded_when_a_peer_delivers_the_winner_first(self):
-        """The answer of the service then changes nothing, and is the only sign."""
+        """The response of the service changes no value but shows the conflict."""
         loser, winner = make_values(2, "a: 1", "a: 2")
-        actions = self.read_after_peer(winner, loser)
+        actions = self.read_after_peer_delivery(winner, loser)
         self.assertEqual(["configuration-taken", "configuration-conflict"], actions)
         self.assertEqual(winner, self.values.get(CONFIGURATION_KEY))
 
     def test_the_same_value_from_a_peer_and_the_service_is_no_conflict(self):
         (value,) = make_values(2, "a: 1")
-        self.assertEqual(["configuration-taken"], self.read_after_peer(value, value))
+        self.assertEqual(
+            ["configuration-taken"], self.read_after_peer_delivery(value, value)
+        )
