Name the slot counts in grantors' replies for what they are

The list holds the number of allowed slots from each grantor that granted, and the other attribute the least number among the refusals.

PendingRequest._slots_granted -> _allowed_slot_counts PendingRequest.min_slots_refused -> min_slots_in_refusals

--- a/redwingspring/hosthistory.py
+++ b/redwingspring/hosthistory.py
@@ -78,7 +78,7 @@
 
 
 def quorums_intersect(first, second):
-    """Return whether every quorum of one group shares a host with those of another.
+    """Return whether each quorum of one group shares a host with each of the other.
 
     Parameters
     ----------
--- a/redwingspring/leases.py
+++ b/redwingspring/leases.py
@@ -147,8 +147,8 @@
                 self._metrics.increment("leases.acquired")
                 self._mark_warm_if_complete(state, pending.slots_allowed)
                 return lease
-        elif pending.min_slots_refused:
-            self._slots_allowed[state.target] = pending.min_slots_refused
+        elif pending.min_slots_in_refusals:
+            self._slots_allowed[state.target] = pending.min_slots_in_refusals
         self._metrics.increment("leases.refused")
         self.quorum.release(grantors, request, whole=False)
         self._not_before[state.target] = time.monotonic() + random.uniform(*BACKOFF_S)
--- a/redwingspring/probes.py
+++ b/redwingspring/probes.py
@@ -245,7 +245,7 @@
             return watch.not_before
         return time.monotonic() + after * random.uniform(*BROADCAST_FRACTIONS)
 
-    def _find_due_time(self, watch, quiet_at, now):
+    def _find_due_time(self, watch, stale_at, now):
         """Return when this host should probe a target if it sends no report."""
         if watch.budget < MIN_PROBE_BUDGET:
             return now + watch.after
@@ -255,7 +255,7 @@
         grant_duration = find_probe_term(watch.budget) + CLOCK_MARGIN_S
         safe_time = self._history.find_safe_time(watch.address, grant_duration)
         earliest = max(
-            quiet_at, watch.probed + grant_duration, watch.not_before, safe_time
+            stale_at, watch.probed + grant_duration, watch.not_before, safe_time
         )
         interval_s = max(watch.after, 1 / watch.budget)
         # All hosts compute about the same interval number without communication. The
--- a/redwingspring/quorum.py
+++ b/redwingspring/quorum.py
@@ -68,8 +68,8 @@
         self._max_refusals = grantors - self._quorum
         self._lock = threading.Lock()
         self._refusals = 0
-        self._slots_granted = []
-        self.min_slots_refused = None
+        self._allowed_slot_counts = []
+        self.min_slots_in_refusals = None
         self.replied = threading.Event()
         self.decided = threading.Event()
 
@@ -93,14 +93,14 @@
         """
         with self._lock:
             if granted:
-                self._slots_granted.append(slots_allowed)
+                self._allowed_slot_counts.append(slots_allowed)
             else:
                 self._refusals += 1
                 if (
-                    self.min_slots_refused is None
-                    or slots_allowed < self.min_slots_refused
+                    self.min_slots_in_refusals is None
+                    or slots_allowed < self.min_slots_in_refusals
                 ):
-                    self.min_slots_refused = slots_allowed
+                    self.min_slots_in_refusals = slots_allowed
             if self.agreed or self._refusals > self._max_refusals:
                 self.decided.set()
             self.replied.set()
@@ -113,12 +113,12 @@
     @property
     def agreed(self):
         """Return whether a quorum of grantors granted the request."""
-        return len(self._slots_granted) >= self._quorum
+        return len(self._allowed_slot_counts) >= self._quorum
 
     @property
     def slots_allowed(self):
         """Return the least number of slots allowed by a grantor that granted."""
-        return min(self._slots_granted, default=0)
+        return min(self._allowed_slot_counts, default=0)
 
 
 class QuorumClient:
