--- a/redwingspring/servicereader.py
+++ b/redwingspring/servicereader.py
@@ -73,7 +73,7 @@
 
         Raises
         ------
-        StaleAnswerError
+        StaleResponseError
             If the service has only an older revision.
         PublicationError
             If the service sent no valid response.
