Name the admission control of a service for what it does

"Gate", "enter" and "leave" were figurative; the class limits the concurrency of a service and queues requests. Renamed with a word-bounded replacement, all uses followed (including the patch target in tests/test_upstream.py):

ServiceGate -> ServiceAdmission GateDirectory -> AdmissionDirectory gate -> admission gates -> admissions ServiceGate.enter -> ServiceAdmission.acquire_slot ServiceGate.leave -> ServiceAdmission.release_slot ServiceGate.budget -> ServiceAdmission.retry_budget take_repeat -> take_retry record_first -> record_first_attempt MIN_TOKENS -> INITIAL_TOKENS

--- a/harness/costs.py
+++ b/harness/costs.py
@@ -12,7 +12,7 @@
 
 from redwingspring import messages
 from redwingspring.addresses import AddressAnswer, find_hosts
-from redwingspring.admission import GateDirectory
+from redwingspring.admission import AdmissionDirectory
 from redwingspring.audit import AuditTrail
 from redwingspring.configuration import parse_configuration
 from redwingspring.dispatch import Dispatcher
@@ -105,7 +105,7 @@
 
     def __init__(self):
         self.directory = TargetDirectory()
-        self.gates = GateDirectory()
+        self.admissions = AdmissionDirectory()
         self.pools = PoolDirectory()
         counter = SlotCounter(self.directory, ramps)
         self.grants = GrantTable(counter.count, clock=lambda: time.monotonic() + 10)
@@ -113,7 +113,7 @@
     def apply(self, configuration):
         """Apply a configuration as ``Entry`` does."""
         self.directory.apply(configuration)
-        self.gates.apply(self.directory.table)
+        self.admissions.apply(self.directory.table)
         addresses = {
             target.address
             for service in configuration.services.values()
@@ -247,7 +247,7 @@
     """Return the microseconds of one choice among the targets of a service."""
     parts = make_directory(targets, 1)
     dispatcher = Dispatcher(
-        directory=parts.directory, pools=parts.pools, gates=parts.gates,
+        directory=parts.directory, pools=parts.pools, admissions=parts.admissions,
         leases=None, membership=None, metrics=Metrics(), policies=policies,
         on_temperature=None, data_centre="dc-a",
     )  # fmt: skip
@@ -400,7 +400,7 @@
     return SimpleNamespace(
         settings=settings, started=Moment.now(), membership=membership,
         in_force={key: value for key in KEYS}, directory=parts.directory,
-        gates=parts.gates, requests=RequestLog(), metrics=Metrics(),
+        admissions=parts.admissions, requests=RequestLog(), metrics=Metrics(),
     )  # fmt: skip
 
 
--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -37,10 +37,10 @@
 
     may_repeat = Dispatcher._may_repeat
 
-    def repeat_doubtful(self, call, gate, failure):
+    def repeat_doubtful(self, call, admission, failure):
         if not failure.proves_not_run and call.body.repeatable:
             return True
-        return may_repeat(self, call, gate, failure)
+        return may_repeat(self, call, admission, failure)
 
     Dispatcher._may_repeat = repeat_doubtful
 
--- a/redwingspring/admission.py
+++ b/redwingspring/admission.py
@@ -27,7 +27,7 @@
 INTERVAL_WEIGHT = 0.1
 
 
-class ServiceGate:
+class ServiceAdmission:
     """Bounded admission to one service, first come first served.
 
     The limit is what the targets that take work can bear. It is lowered
@@ -52,7 +52,7 @@
     def __init__(
         self, states, queue_length=0, queue_wait=0.0, retry_share=0.0, hedge_share=0.0
     ):
-        self.budget = AttemptBudget(retry_share)
+        self.retry_budget = AttemptBudget(retry_share)
         self.hedge_budget = AttemptBudget(hedge_share)
         self._refused_budget = AttemptBudget(REFUSED_SHARE)
         self.latency = LatencyWindow()
@@ -80,7 +80,7 @@
         """Number of requests that may be in progress."""
         return min(self._capacity, self._window)
 
-    def enter(self, deadline):
+    def acquire_slot(self, deadline):
         """Wait for a place until the deadline.
 
         Parameters
@@ -162,13 +162,13 @@
             return 0.0
         return (len(self._waiting) + 1) * self._end_interval
 
-    def record_first(self):
+    def record_first_attempt(self):
         """Count a first attempt towards the retry budgets."""
-        self.budget.record_first()
-        self.hedge_budget.record_first()
-        self._refused_budget.record_first()
+        self.retry_budget.record_first_attempt()
+        self.hedge_budget.record_first_attempt()
+        self._refused_budget.record_first_attempt()
 
-    def take_repeat(self, proved_not_run):
+    def take_retry(self, proved_not_run):
         """Take one retry from the budget of its kind.
 
         Parameters
@@ -181,10 +181,10 @@
         bool
             False when the budget is used up.
         """
-        budget = self._refused_budget if proved_not_run else self.budget
+        budget = self._refused_budget if proved_not_run else self.retry_budget
         return budget.take()
 
-    def leave(self):
+    def release_slot(self):
         """Give the place to the first request that waits."""
         now = time.monotonic()
         with self._lock:
@@ -207,11 +207,11 @@
             self._end_interval += INTERVAL_WEIGHT * (gap - self._end_interval)
 
 
-class GateDirectory:
-    """The gates of all services under the configuration in force."""
+class AdmissionDirectory:
+    """The admissions of all services under the configuration in force."""
 
     def __init__(self):
-        self._gates = {}
+        self._admissions = {}
 
     def apply(self, table):
         """Take limits from a new table; requests in progress stay counted.
@@ -221,27 +221,27 @@
         table : TargetTable
             The table in force.
         """
-        gates = {}
+        admissions = {}
         for name, states in table.services.items():
 
             def value(key, name=name):
                 return table.configuration.service_value(key, name)
 
-            gate = self._gates.get(name)
-            if gate is None:
+            admission = self._admissions.get(name)
+            if admission is None:
                 shares = value("retry.share"), value("hedge.share")
-                gate = ServiceGate(states, 0, 0.0, *shares)
-            gate.states = states
-            gate.count_slots(time.monotonic())
-            gate.queue_length = value("queue.length")
-            gate.queue_wait = value("queue.wait")
-            gate.budget.share = value("retry.share")
-            gate.hedge_budget.share = value("hedge.share")
-            gates[name] = gate
-        self._gates = gates
+                admission = ServiceAdmission(states, 0, 0.0, *shares)
+            admission.states = states
+            admission.count_slots(time.monotonic())
+            admission.queue_length = value("queue.length")
+            admission.queue_wait = value("queue.wait")
+            admission.retry_budget.share = value("retry.share")
+            admission.hedge_budget.share = value("hedge.share")
+            admissions[name] = admission
+        self._admissions = admissions
 
     def find(self, service):
-        """Return the gate of a service.
+        """Return the admission of a service.
 
         Parameters
         ----------
@@ -250,10 +250,10 @@
 
         Returns
         -------
-        ServiceGate or None
+        ServiceAdmission or None
             None when a newer configuration has no such service.
         """
-        return self._gates.get(service)
+        return self._admissions.get(service)
 
     def totals(self):
         """Return requests in progress and waiting, by service.
@@ -264,6 +264,6 @@
             In progress and waiting.
         """
         return {
-            name: (gate.in_flight, gate.waiting)
-            for name, gate in sorted(self._gates.items())
+            name: (admission.in_flight, admission.waiting)
+            for name, admission in sorted(self._admissions.items())
         }
--- a/redwingspring/assembly.py
+++ b/redwingspring/assembly.py
@@ -2,7 +2,7 @@
 
 from cherrypy import _cptree
 
-from .admission import GateDirectory
+from .admission import AdmissionDirectory
 from .audit import AuditTrail
 from .dispatch import Dispatcher
 from .forwarder import Forwarder
@@ -55,7 +55,7 @@
     entry.directory = TargetDirectory()
     source = settings.address.rsplit(":", 1)[0]
     entry.pools = PoolDirectory(source)
-    entry.gates = GateDirectory()
+    entry.admissions = AdmissionDirectory()
     hello = Hello(settings.address, settings.peer_address, settings.data_centre)
     entry.values = ValueStore(entry.apply_value, entry.audit, entry.metrics)
     entry.peers = PeerNetwork(
@@ -84,7 +84,7 @@
     entry.dispatcher = Dispatcher(
         directory=entry.directory,
         pools=entry.pools,
-        gates=entry.gates,
+        admissions=entry.admissions,
         leases=entry.leases,
         membership=entry.membership,
         metrics=entry.metrics,
--- a/redwingspring/control.py
+++ b/redwingspring/control.py
@@ -112,7 +112,7 @@
     def _apply_configuration(self, value):
         configuration = parse_configuration(value.text)
         self.directory.apply(configuration, value.stamp)
-        self.gates.apply(self.directory.table)
+        self.admissions.apply(self.directory.table)
         addresses = {
             target.address
             for service in configuration.services.values()
--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -82,7 +82,7 @@
         Targets and configuration in force.
     pools : PoolDirectory
         Connections to targets.
-    gates : GateDirectory
+    admissions : AdmissionDirectory
         Admission and budgets by service.
     leases : LeaseClient
         Source of cold-start leases.
@@ -103,7 +103,7 @@
         *,
         directory,
         pools,
-        gates,
+        admissions,
         leases,
         membership,
         metrics,
@@ -113,7 +113,7 @@
     ):
         self.directory = directory
         self.pools = pools
-        self.gates = gates
+        self.admissions = admissions
         self.leases = leases
         self.membership = membership
         self.metrics = metrics
@@ -133,7 +133,7 @@
         Returns
         -------
         expression.Result
-            Ok with the ServiceGate entered, or an Error with a Failure.
+            Ok with the ServiceAdmission entered, or an Error with a Failure.
         """
         refusal = self.membership.check_serving()
         if refusal is not None:
@@ -145,20 +145,20 @@
             return Error(refuse(error.reason, str(error), error.status))
         except TimeoutError:
             return Error(refuse(Reason.DEADLINE, "the request body was late"))
-        gate = self.gates.find(call.service)
-        if gate is None:
+        admission = self.admissions.find(call.service)
+        if admission is None:
             return Error(refuse(Reason.UNKNOWN_SERVICE, "the service ended", 404))
-        return gate.enter(call.deadline).map(lambda _: gate)
+        return admission.acquire_slot(call.deadline).map(lambda _: admission)
 
-    def send(self, call, gate):
+    def send(self, call, admission):
         """Make attempts until a response begins or none is allowed.
 
         Parameters
         ----------
         call : Call
             An admitted call.
-        gate : ServiceGate
-            The gate it entered.
+        admission : ServiceAdmission
+            The admission it entered.
 
         Returns
         -------
@@ -166,24 +166,24 @@
             Ok with a Relay, or an Error with the Failure that counts: one
             without proof goes before one that proves that nothing ran.
         """
-        gate.record_first()
+        admission.record_first_attempt()
         most = self._service_value("retry.attempts", call.service)
         tried = set()
         worst = None
         for number in range(most):
-            outcome = self._hedger.attempt(call, gate, tried, number)
+            outcome = self._hedger.attempt(call, admission, tried, number)
             if outcome.is_ok():
-                gate.record_answered()
+                admission.record_answered()
                 return outcome
             failure = outcome.error
             if failure.reason is Reason.TARGET_REFUSED:
-                gate.record_refused()
+                admission.record_refused()
             # That no other target is left says less than why one failed.
             none_left = failure.reason in _CHOICE_REASONS
             if worst is None or (worst.proves_not_run and not none_left):
                 worst = failure
             last = number + 1 == most
-            if last or not self._may_repeat(call, gate, failure):
+            if last or not self._may_repeat(call, admission, failure):
                 break
         return Error(worst)
 
@@ -277,7 +277,7 @@
     def _service_value(self, key, service):
         return self.directory.table.configuration.service_value(key, service)
 
-    def _may_repeat(self, call, gate, failure):
+    def _may_repeat(self, call, admission, failure):
         """Tell whether another attempt is allowed after a failure."""
         if failure.reason in _FINAL_REASONS:
             return False
@@ -289,7 +289,7 @@
             return False
         if time.time() >= call.deadline:
             return False
-        allowed = gate.take_repeat(failure.proves_not_run)
+        allowed = admission.take_retry(failure.proves_not_run)
         self.metrics.increment("retries.sent" if allowed else "retries.over_budget")
         return allowed
 
--- a/redwingspring/forwarder.py
+++ b/redwingspring/forwarder.py
@@ -96,14 +96,14 @@
         if admitted.is_error():
             end(admitted.error.verdict)
             return self._fail(environ, start_response, call.request_id, admitted.error)
-        gate = admitted.ok
+        admission = admitted.ok
         relay = None
         try:
-            outcome = self.dispatcher.send(call, gate)
+            outcome = self.dispatcher.send(call, admission)
             relay = outcome.default_value(None)
         finally:
             if relay is None:
-                gate.leave()
+                admission.release_slot()
         if relay is None:
             end(outcome.error.verdict)
             return self._fail(environ, start_response, call.request_id, outcome.error)
@@ -113,7 +113,7 @@
         self.metrics.record_time("requests.added", added)
 
         def finish(verdict):
-            gate.leave()
+            admission.release_slot()
             self.metrics.record_time("requests.time", time.monotonic() - started)
             end(verdict)
             self.metrics.increment(f"requests.{verdict}")
--- a/redwingspring/hedges.py
+++ b/redwingspring/hedges.py
@@ -306,14 +306,14 @@
         self._discard = discard
         self._timer = HedgeTimer()
 
-    def attempt(self, call, gate, tried, number):
+    def attempt(self, call, admission, tried, number):
         """Make an attempt, with a hedge if the request may have one.
 
         Parameters
         ----------
         call : Call
             The call.
-        gate : ServiceGate
+        admission : ServiceAdmission
             Latency and hedge budget of the service.
         tried : set of TargetState
             Targets to leave out; the chosen one is added.
@@ -326,10 +326,10 @@
             Ok with a Relay, or an Error with a Failure.
         """
         started = time.monotonic()
-        delay = gate.latency.hedge_delay
+        delay = admission.latency.hedge_delay
         if (
             delay is None
-            or gate.hedge_budget.share <= 0
+            or admission.hedge_budget.share <= 0
             or not call.idempotent
             or call.body.exists
             or call.depth > 0
@@ -341,9 +341,9 @@
                 others = set(tried) if hedge else tried
                 return self._attempt(call, others, number + hedge, cancellation, hedge)
 
-            race = Race(send, self._discard, gate.hedge_budget)
+            race = Race(send, self._discard, admission.hedge_budget)
             self._timer.schedule(race, started + delay)
             outcome = race.run()
         if outcome.is_ok():
-            gate.latency.record(time.monotonic() - started)
+            admission.latency.record(time.monotonic() - started)
         return outcome
--- a/redwingspring/judgement.py
+++ b/redwingspring/judgement.py
@@ -70,13 +70,13 @@
     if not taken:
         return ServiceJudgement(service, False, reason)
     table = entry.directory.table
-    gate = entry.gates.find(service)
-    if table is None or service not in table.services or gate is None:
+    admission = entry.admissions.find(service)
+    if table is None or service not in table.services or admission is None:
         return ServiceJudgement(service, False, str(Reason.UNKNOWN_SERVICE))
     now = time.monotonic()
     if not any(state.accepts_work(now) for state in table.services[service]):
         return ServiceJudgement(service, False, str(Reason.NO_CAPACITY))
-    must_wait = gate.in_flight >= gate.limit or gate.waiting > 0
-    if must_wait and gate.waiting >= gate.queue_length:
+    must_wait = admission.in_flight >= admission.limit or admission.waiting > 0
+    if must_wait and admission.waiting >= admission.queue_length:
         return ServiceJudgement(service, False, str(Reason.QUEUE_FULL))
     return ServiceJudgement(service, True, reason)
--- a/redwingspring/retries.py
+++ b/redwingspring/retries.py
@@ -3,7 +3,7 @@
 import threading
 
 # A service with little traffic may still retry now and then.
-MIN_TOKENS = 3.0
+INITIAL_TOKENS = 3.0
 MAX_TOKENS = 100.0
 
 
@@ -19,9 +19,9 @@
     def __init__(self, share):
         self.share = share
         self._lock = threading.Lock()
-        self._tokens = MIN_TOKENS if share > 0 else 0.0
+        self._tokens = INITIAL_TOKENS if share > 0 else 0.0
 
-    def record_first(self):
+    def record_first_attempt(self):
         """Count a first attempt."""
         with self._lock:
             self._tokens = min(MAX_TOKENS, self._tokens + self.share)
--- a/redwingspring/status.py
+++ b/redwingspring/status.py
@@ -291,7 +291,7 @@
     metrics : Metrics
         Where the gauges are set.
     """
-    totals = entry.gates.totals().values()
+    totals = entry.admissions.totals().values()
     metrics.set_gauge("requests.in_flight", sum(running for running, _ in totals))
     metrics.set_gauge("requests.waiting", sum(waiting for _, waiting in totals))
     metrics.set_gauge("server.connections", entry.server.requests.count)
@@ -356,15 +356,15 @@
             "oldest-age-ms": max(0, max(ages)) if ages else "none",
         }
     )
-    gate = entry.gates.find(service)
-    if gate is not None:
+    admission = entry.admissions.find(service)
+    if admission is not None:
         facts.append(
             {
                 "load": service,
-                "in-flight": gate.in_flight,
-                "limit": gate.limit,
-                "waiting": gate.waiting,
-                "queue": gate.queue_length,
+                "in-flight": admission.in_flight,
+                "limit": admission.limit,
+                "waiting": admission.waiting,
+                "queue": admission.queue_length,
             }
         )
     return facts
--- a/tests/datapath.py
+++ b/tests/datapath.py
@@ -10,7 +10,7 @@
 
 from cherrypy import _cptree
 
-from redwingspring.admission import GateDirectory
+from redwingspring.admission import AdmissionDirectory
 from redwingspring.configuration import Configuration, Service, Target
 from redwingspring.dispatch import Dispatcher
 from redwingspring.forwarder import Forwarder
@@ -148,7 +148,7 @@
         self.requests = RequestLog()
         self.directory = TargetDirectory()
         self.pools = PoolDirectory()
-        self.gates = GateDirectory()
+        self.admissions = AdmissionDirectory()
         values = {
             "target.slots": 1000,
             "target.connections": 100_000,
@@ -164,12 +164,12 @@
                 MappingProxyType(declared),
             )
         )
-        self.gates.apply(self.directory.table)
+        self.admissions.apply(self.directory.table)
         self.refusal = None
         self.dispatcher = Dispatcher(
             directory=self.directory,
             pools=self.pools,
-            gates=self.gates,
+            admissions=self.admissions,
             leases=SimpleNamespace(select=lambda *_: (), give_up=lambda *_, **__: None),
             membership=SimpleNamespace(check_serving=lambda: self.refusal),
             metrics=self.metrics,
@@ -260,8 +260,8 @@
 
     def settle(self):
         """Wait until all requests have ended and their connections are back."""
-        gate = self.path.gates.find(SERVICE)
-        assert wait_until(lambda: gate.in_flight == 0)
+        admission = self.path.admissions.find(SERVICE)
+        assert wait_until(lambda: admission.in_flight == 0)
 
     def runs(self, request_id=None):
         """Return the runs of all targets, or those of one request."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -43,7 +43,7 @@
             directory=SimpleNamespace(table=table),
             policies=SimpleNamespace(find=lambda name: choose_least_loaded),
             **dict.fromkeys(
-                ("pools", "gates", "leases", "membership", "metrics", "outcomes")
+                ("pools", "admissions", "leases", "membership", "metrics", "outcomes")
             ),
             data_centre="akl-a",
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -186,9 +186,9 @@
         with fixture.path.connect() as sock:
             path = b"/desk/download/30000000?chunked=1"
             sock.sendall(b"GET %b HTTP/1.0\r\n\r\n" % path)
-            gate = fixture.path.gates.find("desk")
-            self.assertTrue(wait_until(lambda: gate.in_flight == 1))
-            self.assertTrue(wait_until(lambda: gate.in_flight == 0))
+            admission = fixture.path.admissions.find("desk")
+            self.assertTrue(wait_until(lambda: admission.in_flight == 1))
+            self.assertTrue(wait_until(lambda: admission.in_flight == 0))
             self.assertTrue(read_all(sock).endswith(b"<reset>"))
 
     def test_an_http_1_0_caller_sees_a_broken_body(self):
@@ -203,6 +203,8 @@
             fixture.send("POST", path, body=b"hello")
         fixture.send("HEAD", "/x")
         fixture.send("GET", f"/download/{SIZE}?fault=truncated")
-        gate = fixture.path.gates.find("desk")
+        admission = fixture.path.admissions.find("desk")
         state = fixture.path.directory.table.services["desk"][0]
-        self.assertTrue(wait_until(lambda: (gate.in_flight, state.in_flight) == (0, 0)))
+        self.assertTrue(
+            wait_until(lambda: (admission.in_flight, state.in_flight) == (0, 0))
+        )
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 from redwingspring import judgement, status
-from redwingspring.admission import GateDirectory
+from redwingspring.admission import AdmissionDirectory
 from redwingspring.configuration import parse_configuration
 from redwingspring.errors import PageError
 from redwingspring.membership import Host, HostState
@@ -63,15 +63,15 @@
     own = make_host(0, "akl-a")
     hosts = (own, make_host(1, "ham-b"), make_host(2, "ham-b", leaving=True))
     membership = MembershipStub(hosts)
-    directory, gates = TargetDirectory(), GateDirectory()
+    directory, admissions = TargetDirectory(), AdmissionDirectory()
     directory.apply(parse_configuration(DOCUMENT))
-    gates.apply(directory.table)
+    admissions.apply(directory.table)
     warm, _, leaving, ejected, _ = directory.table.services["fault-desk"]
     warm.mark_warm("s1")
     warm.record_report(LoadReport(1, 3, Temperature.WARM, "s1", 999.9))
     leaving.record_report(LoadReport(0, 3, Temperature.LEAVING, "s2", 998.0))
     ejected.ejected_until = 1001.0
-    gates.find("fault-desk").in_flight = 2
+    admissions.find("fault-desk").in_flight = 2
     metrics = Metrics()
     metrics.increment("requests.ran", 120)
     metrics.increment("failures.queue-full", 3)
@@ -87,7 +87,7 @@
         ),
         membership=membership,
         directory=directory,
-        gates=gates,
+        admissions=admissions,
         metrics=metrics,
         requests=SimpleNamespace(memory=lambda: memory),
         started=Moment(1796377235.0, 400.0),
@@ -144,8 +144,8 @@
         self.assertEqual((True, "ok"), self.judge())
         self.assertEqual((False, "no-capacity"), self.judge("bundle-store"))
         self.assertEqual((False, "unknown-service"), self.judge("nothing"))
-        gate = self.entry.gates.find("fault-desk")
-        gate.queue_length, gate.in_flight = 0, gate.limit
+        admission = self.entry.admissions.find("fault-desk")
+        admission.queue_length, admission.in_flight = 0, admission.limit
         self.assertEqual((False, "queue-full"), self.judge())
         self.entry.membership.refusal = refuse(Reason.NOT_READY, "it is starting")
         self.assertEqual((False, "not-ready"), self.judge())
@@ -162,7 +162,7 @@
 
     def test_a_host_without_configuration_has_a_page(self):
         self.entry.directory.table, self.entry.in_force = None, {}
-        self.entry.gates = GateDirectory()
+        self.entry.admissions = AdmissionDirectory()
         self.assertIn("\nconfiguration none\n", status.render_status(self.entry))
 
     def test_an_age_does_not_follow_steps_of_the_wall_clock(self):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -325,15 +325,15 @@
 
     def test_nothing_is_sent_for_a_caller_that_hung_up(self):
         fixture = DataPathFixture(self)
-        gate = fixture.path.gates.find("desk")
-        enter = gate.enter
+        admission = fixture.path.admissions.find("desk")
+        acquire_slot = admission.acquire_slot
 
-        def enter_late(deadline):
+        def acquire_slot_late(deadline):
             # As if the request had waited in the queue.
             time.sleep(0.2)
-            return enter(deadline)
+            return acquire_slot(deadline)
 
-        with mock.patch.object(gate, "enter", enter_late):
+        with mock.patch.object(admission, "acquire_slot", acquire_slot_late):
             with fixture.path.connect() as sock:
                 sock.sendall(
                     b"POST /desk/x HTTP/1.1\r\nHost: x\r\nRequest-Id: gone\r\n"
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -63,15 +63,15 @@
 
     def test_a_full_queue(self):
         fixture = self.start(defaults={"target.slots": 1, "queue.length": 0})
-        gate = fixture.path.gates.find(SERVICE)
-        gate.in_flight = gate.limit
+        admission = fixture.path.admissions.find(SERVICE)
+        admission.in_flight = admission.limit
         answer = fixture.send("POST", "/x")
         self.assert_failure(answer, 503, "not-run", "queue-full")
 
     def test_a_wait_in_the_queue_that_is_too_long(self):
         fixture = self.start(defaults={"queue.wait": 0.1})
-        gate = fixture.path.gates.find(SERVICE)
-        gate.in_flight = gate.limit
+        admission = fixture.path.admissions.find(SERVICE)
+        admission.in_flight = admission.limit
         answer = fixture.send("POST", "/x")
         self.assert_failure(answer, 503, "not-run", "no-capacity")
 
