Name target state, outlier detection and policies in usual terms

Renamed with word-bounded replacements; all uses followed, including the class attribute that harness/mutant.py replaces and the stand-ins of test_dispatch.py.

--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -103,7 +103,7 @@
     from redwingspring.targets import NEVER, TargetState
 
     never = property(lambda self: NEVER)
-    Watch.own = Watch.elsewhere = TargetState.last_reported = never
+    Watch.own = Watch.elsewhere = TargetState.latest_report_time = never
 
 
 @mutations.register("probe-lists")
@@ -178,9 +178,9 @@
 @mutations.register("news")
 def keep_news():
     """Tell no other host that a target turned cold or leaves."""
-    from redwingspring.temperatures import TemperatureNews
+    from redwingspring.temperatures import TemperatureExchange
 
-    TemperatureNews.take = lambda self, sender, news: None
+    TemperatureExchange.apply_message = lambda self, sender, news: None
 
 
 @mutations.register("clock-steps")
--- a/redwingspring/assembly.py
+++ b/redwingspring/assembly.py
@@ -31,7 +31,7 @@
 from .slots import SlotCounter
 from .status import sample_gauges
 from .targets import TargetDirectory, Temperature
-from .temperatures import TemperatureNews
+from .temperatures import TemperatureExchange
 from .upstream import PoolDirectory
 from .values import ValueStore
 
@@ -124,7 +124,7 @@
     """
     slots = SlotCounter(entry.directory, ramps)
     entry.grants = GrantTable(slots.count, find_probe_term=slots.find_probe_term)
-    entry.temperatures = TemperatureNews(
+    entry.temperatures = TemperatureExchange(
         entry.directory, entry.grants, entry.peers, entry.audit
     )
     entry.leases = LeaseClient(
@@ -139,6 +139,6 @@
     entry.peers.register(LeaseRequest, grantor.answer_request)
     entry.peers.register(LeaseRelease, grantor.take_release)
     entry.peers.register(LeaseReply, entry.leases.record_reply)
-    entry.peers.register(TargetStates, entry.temperatures.take)
-    entry.membership.on_hello = entry.temperatures.note_connection
-    entry.membership.on_heartbeat = entry.temperatures.greet
+    entry.peers.register(TargetStates, entry.temperatures.apply_message)
+    entry.membership.on_hello = entry.temperatures.reset_snapshot
+    entry.membership.on_heartbeat = entry.temperatures.send_snapshot
--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok
 
 from .hedges import Hedger
-from .policies import Choice
+from .policies import PolicyContext
 from .upstream import Attempt, CallerGone, send_attempt
 from .verdict import Reason, doubt, refuse
 
@@ -236,7 +236,7 @@
         if outcome.is_error():
             return outcome
         target_time = time.monotonic() - started
-        good = self.outcomes.record_head(state, outcome.ok)
+        good = self.outcomes.record_response_head(state, outcome.ok)
         return Ok(Relay(state, decision.lease, outcome.ok, target_time, good))
 
     def end_relay(self, relay, whole):
@@ -323,7 +323,7 @@
         now = time.monotonic()
         _, warm = self._find_candidates(call, tried, now)
         # A hedge that has to wait would only add load where it hurts.
-        idle = [s for s in warm if s.read_load(now) + 1.0 <= s.limits.slots]
+        idle = [s for s in warm if s.estimate_load(now) + 1.0 <= s.limits.slots]
         if not idle:
             return Error(refuse(Reason.NO_CAPACITY, "no target is idle"))
         return Ok(Decision(self._apply_policy(call, idle, now), None, now))
@@ -332,7 +332,7 @@
         """Return the cold targets and the warm ones with a free slot."""
         cold, warm = [], []
         states = self.directory.table.services.get(call.service, ())
-        if states and (ejected := states[0].health.review(now)):
+        if states and (ejected := states[0].outlier_detector.review(now)):
             self.metrics.increment("targets.ejected", ejected)
         for state in states:
             if state in tried:
@@ -347,17 +347,17 @@
     def _apply_policy(self, call, candidates, now):
         """Return the target that the policy chooses, within the return ramps."""
         policy = self.policies.find(self._service_value("balance.policy", call.service))
-        choice = Choice(self.data_centre, now)
-        chosen = policy(candidates, choice)
+        context = PolicyContext(self.data_centre, now)
+        chosen = policy(candidates, context)
         # The ramp counts what the policy would send. As a target that returned is
         # idle, a ramp on the candidates alone would let it have far more.
-        if chosen.returned_at is None or random.random() < chosen.read_return_share(
+        if chosen.returned_at is None or random.random() < chosen.compute_return_share(
             now
         ):
             return chosen
         others = [state for state in candidates if state.returned_at is None]
         # A return ramp protects the target less than a refusal hurts callers.
-        return policy(others, choice) if others else chosen
+        return policy(others, context) if others else chosen
 
     def _choose_cold(self, call, cold, has_warm):
         """Return a decision for a leased target in cold start, or None."""
--- a/redwingspring/ejections.py
+++ b/redwingspring/ejections.py
@@ -18,7 +18,7 @@
 JITTER = (0.75, 1.25)
 
 
-class ServiceHealth:
+class OutlierDetector:
     """Decides which targets of a service are ejected, and for how long.
 
     Parameters
@@ -107,7 +107,7 @@
         if ejected + 1 > MAX_EJECTED_SHARE * len(self.states):
             return False
         slots = sum(s.limits.slots for s in rest)
-        load = sum(s.read_load(now) for s in rest) + state.in_flight
+        load = sum(s.estimate_load(now) for s in rest) + state.in_flight
         return load <= MAX_UTILISATION * slots
 
     def _release_if_overloaded(self, now):
@@ -116,5 +116,5 @@
         if not ejected:
             return
         rest = [s for s in self.states if s.accepts_work(now)]
-        if sum(s.read_load(now) for s in rest) > sum(s.limits.slots for s in rest):
+        if sum(s.estimate_load(now) for s in rest) > sum(s.limits.slots for s in rest):
             min(ejected, key=lambda s: s.ejected_until).ejected_until = now
--- a/redwingspring/estimates.py
+++ b/redwingspring/estimates.py
@@ -75,7 +75,7 @@
             self._latency += weight * (sample - self._latency)
         self._latency_time = now
 
-    def raise_latency(self, seconds, now):
+    def record_cancelled_latency(self, seconds, now):
         """Note that an attempt was cancelled because another overtook it.
 
         Parameters
@@ -89,7 +89,7 @@
         if self._latency is None or seconds > self._latency:
             self.record_latency(seconds, now)
 
-    def record_others(self, count, now):
+    def record_other_load(self, count, now):
         """Note how many requests of other hosts are at the target.
 
         Parameters
@@ -116,7 +116,7 @@
         now : float
             Monotonic time in seconds.
         """
-        old = self.read_failing(now)
+        old = self.estimate_failure_rate(now)
         self._failing = old + FAILURE_WEIGHT * (float(failed) - old)
         self._failing_time = now
 
@@ -142,7 +142,7 @@
         gap = now - self._latency_time
         return typical + (latency - typical) * math.exp(-gap / FADE_S)
 
-    def read_others(self, now, life):
+    def estimate_other_load(self, now, life):
         """Return the expected number of requests of other hosts.
 
         Parameters
@@ -164,7 +164,7 @@
         mean = self._others_mean
         return mean + (self._others - mean) * life / (life + now - since)
 
-    def read_failing(self, now):
+    def estimate_failure_rate(self, now):
         """Return the share of attempts that fail.
 
         Parameters
@@ -181,7 +181,7 @@
             return 0.0
         return self._failing * math.exp(-(now - self._failing_time) / FADE_S)
 
-    def read_finish(self, own, slots, typical, now):
+    def estimate_finish_time(self, own, slots, typical, now):
         """Return the expected time until a new request is answered.
 
         The load at the target is this host's own requests, which are known,
@@ -217,7 +217,7 @@
         if since is not None:
             if since > now:
                 since = now
-            # As ``read_others``; a call for each target would dominate the
+            # As ``estimate_other_load``; a call for each target would dominate the
             # cost of a decision.
             mean = self._others_mean
             load += mean + (self._others - mean) * latency / (latency + now - since)
@@ -227,5 +227,5 @@
         ahead = 0.5 * (excess + math.sqrt(excess * excess + load))
         finish = latency * (1.0 + ahead / slots)
         if self._failing:
-            finish *= 1.0 + FAILURE_COST * self.read_failing(now)
+            finish *= 1.0 + FAILURE_COST * self.estimate_failure_rate(now)
         return finish
--- a/redwingspring/outcomes.py
+++ b/redwingspring/outcomes.py
@@ -35,7 +35,7 @@
         self._metrics = metrics
         self._on_temperature = on_temperature
 
-    def record_head(self, state, response):
+    def record_response_head(self, state, response):
         """Take what the head of a response tells about its target.
 
         Parameters
--- a/redwingspring/policies.py
+++ b/redwingspring/policies.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True)
-class Choice:
+class PolicyContext:
     """What a policy may use besides the candidates.
 
     Attributes
@@ -33,14 +33,14 @@
 
 
 @policies.register("random")
-def choose_random(candidates, choice):
+def choose_random(candidates, context):
     """Choose any candidate with equal probability.
 
     Parameters
     ----------
     candidates : sequence of TargetState
         At least one.
-    choice : Choice
+    context : PolicyContext
         Not used.
 
     Returns
@@ -55,14 +55,14 @@
 
 
 @policies.register("round-robin")
-def choose_in_turn(candidates, choice):
+def choose_in_turn(candidates, context):
     """Choose each candidate in turn.
 
     Parameters
     ----------
     candidates : sequence of TargetState
         At least one, in a stable order.
-    choice : Choice
+    context : PolicyContext
         Not used.
 
     Returns
@@ -75,14 +75,14 @@
 
 
 @policies.register("fewest-outstanding")
-def choose_fewest(candidates, choice):
+def choose_fewest(candidates, context):
     """Choose the candidate with the fewest requests of this host.
 
     Parameters
     ----------
     candidates : sequence of TargetState
         At least one; in-flight counts are requests.
-    choice : Choice
+    context : PolicyContext
         Not used.
 
     Returns
@@ -95,14 +95,14 @@
 
 
 @policies.register("two-choices")
-def choose_of_two(candidates, choice):
+def choose_of_two(candidates, context):
     """Choose the one of two random candidates with fewer requests of this host.
 
     Parameters
     ----------
     candidates : sequence of TargetState
         At least one; in-flight counts are requests.
-    choice : Choice
+    context : PolicyContext
         Not used.
 
     Returns
@@ -118,12 +118,12 @@
 
 
 @policies.register("expected-finish")
-def choose_expected_finish(candidates, choice):
+def choose_expected_finish(candidates, context):
     """Choose the candidate that should finish first.
 
     The expected finish time in seconds is the latency of the target, times
     the rounds of its slots that must end first, times a penalty for failures
-    (``Estimate.read_finish``). Other data centres count 1% more, which
+    (``Estimate.estimate_finish_time``). Other data centres count 1% more, which
     decides only between targets that are otherwise equal. Of equal targets
     the one that this host chose longest ago is chosen; each host begins with
     a random order, so that hosts do not move in step.
@@ -132,7 +132,7 @@
     ----------
     candidates : sequence of TargetState
         At least one.
-    choice : Choice
+    context : PolicyContext
         Data centre and monotonic time in seconds.
 
     Returns
@@ -147,11 +147,11 @@
     compared = candidates
     if len(candidates) > MAX_COMPARED:
         compared = random.sample(candidates, MAX_COMPARED)
-    now, data_centre = choice.now, choice.data_centre
-    typical = compared[0].health.typical_latency
+    now, data_centre = context.now, context.data_centre
+    typical = compared[0].outlier_detector.typical_latency
     best, best_finish = None, math.inf
     for state in compared:
-        finish = state.estimate.read_finish(
+        finish = state.estimate.estimate_finish_time(
             state.in_flight, state.limits.slots, typical, now
         )
         if state.target.data_centre != data_centre:
--- a/redwingspring/probes.py
+++ b/redwingspring/probes.py
@@ -88,7 +88,7 @@
     @property
     def elsewhere(self):
         """Monotonic time of the newest report that another host told of."""
-        return max(state.reported_elsewhere for state in self.states)
+        return max(state.peer_report_time for state in self.states)
 
     @property
     def probed(self):
@@ -187,7 +187,7 @@
             # younger and a probe comes later, never earlier.
             seen = now - entry.age_ms / 1000
             for state in watch.states:
-                state.note_seen(
+                state.update_report_times(
                     seen if entry.reported else NEVER, seen if entry.probed else NEVER
                 )
 
@@ -288,7 +288,7 @@
         self._metrics.increment("probes.sent")
         started = time.monotonic()
         for state in watch.states:
-            state.note_seen(NEVER, started)
+            state.update_report_times(NEVER, started)
         answered = self._send(watch, deadline)
         self._metrics.increment("probes.answered" if answered else "probes.failed")
         reported = watch.own >= started
@@ -316,7 +316,7 @@
                     self._outcomes.record_failure(each, outcome.error)
                 return False
             for each in watch.states:
-                self._outcomes.record_head(each, outcome.ok)
+                self._outcomes.record_response_head(each, outcome.ok)
             return _read_body(outcome.ok, deadline)
         finally:
             state.end()
--- a/redwingspring/targets.py
+++ b/redwingspring/targets.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
-from .ejections import ServiceHealth
+from .ejections import OutlierDetector
 from .estimates import Estimate
 from .limits import MIN_PROBE_BUDGET, read_limits
 from .limits import TargetLimits as TargetLimits
@@ -36,7 +36,7 @@
         self.in_flight = 0
         self.report = None
         self.estimate = Estimate()
-        self.health = ServiceHealth((self,))
+        self.outlier_detector = OutlierDetector((self,))
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
@@ -50,7 +50,7 @@
         self.warm_ms = 0
         # Monotonic times of the newest report that another host got, and of
         # the newest probe of any host.
-        self.reported_elsewhere = NEVER
+        self.peer_report_time = NEVER
         self.probed = NEVER
 
     @property
@@ -110,9 +110,9 @@
         return NEVER if self.report is None else self.report.time
 
     @property
-    def last_reported(self):
+    def latest_report_time(self):
         """Monotonic time of the newest report that this host knows of."""
-        return max(self.own_report_time, self.reported_elsewhere)
+        return max(self.own_report_time, self.peer_report_time)
 
     def needs_probe(self, now):
         """Tell whether a probe may be sent, as far as this host knows.
@@ -130,13 +130,13 @@
         """
         return (
             self.limits.probe_budget >= MIN_PROBE_BUDGET
-            and now - self.last_reported >= self.limits.probe_after
+            and now - self.latest_report_time >= self.limits.probe_after
             and self.accepts_work(now)
             # Work under leases brings the reports of a target in cold start.
             and not self.is_cold
         )
 
-    def note_seen(self, reported, probed):
+    def update_report_times(self, reported, probed):
         """Note that a host got a report or sent a probe.
 
         Parameters
@@ -147,7 +147,7 @@
             Monotonic time of a probe; ``NEVER`` without one.
         """
         with self._lock:
-            self.reported_elsewhere = max(self.reported_elsewhere, reported)
+            self.peer_report_time = max(self.peer_report_time, reported)
             self.probed = max(self.probed, probed)
 
     def begin(self):
@@ -160,7 +160,7 @@
         with self._lock:
             self.in_flight -= 1
 
-    def read_load(self, now):
+    def estimate_load(self, now):
         """Return the expected number of requests at the target.
 
         Parameters
@@ -173,8 +173,8 @@
         float
             Requests of all hosts.
         """
-        life = self.estimate.read_latency(now, self.health.typical_latency)
-        return self.in_flight + self.estimate.read_others(now, life)
+        life = self.estimate.read_latency(now, self.outlier_detector.typical_latency)
+        return self.in_flight + self.estimate.estimate_other_load(now, life)
 
     def record_report(self, report):
         """Take a load report; return the temperature if it changed.
@@ -196,7 +196,7 @@
             # The report counts this host's requests too, among them the one
             # that was just answered.
             others = max(0, report.in_flight - self.in_flight)
-            self.estimate.record_others(others, report.time)
+            self.estimate.record_other_load(others, report.time)
             was_leaving, was_cold = self.leaving, self.is_cold
             self.leaving = report.temperature is Temperature.LEAVING
             self.start_id = report.start_id
@@ -265,13 +265,13 @@
             Time until the cancellation.
         """
         with self._lock:
-            self.estimate.raise_latency(seconds, time.monotonic())
+            self.estimate.record_cancelled_latency(seconds, time.monotonic())
 
     def record_refused(self):
         """Note that the target refused a request because it is full."""
         with self._lock:
             full = max(0, self.limits.slots - self.in_flight)
-            self.estimate.record_others(full, time.monotonic())
+            self.estimate.record_other_load(full, time.monotonic())
 
     def record_failure(self, now):
         """Note a failed attempt; return True if it ejects the target.
@@ -291,9 +291,9 @@
             self.estimate.record_outcome(True, now)
             if self.failures < self.limits.eject_failures:
                 return False
-        return self.health.eject(self, now)
+        return self.outlier_detector.eject(self, now)
 
-    def read_return_share(self, now):
+    def compute_return_share(self, now):
         """Return which share of its traffic a target that returned may take.
 
         Parameters
@@ -372,10 +372,12 @@
                 state.limits = limits
                 states.append(state)
             services[name] = tuple(states)
-            health = ServiceHealth(states)
+            outlier_detector = OutlierDetector(states)
             for state in states:
-                health.typical_latency = state.health.typical_latency
-                state.health = health
+                outlier_detector.typical_latency = (
+                    state.outlier_detector.typical_latency
+                )
+                state.outlier_detector = outlier_detector
         by_address = {}
         for states in services.values():
             for state in states:
--- a/redwingspring/temperatures.py
+++ b/redwingspring/temperatures.py
@@ -11,7 +11,7 @@
 MAX_ENTRIES = 4000
 
 
-class TemperatureNews:
+class TemperatureExchange:
     """Spreads what this host learns of targets and takes what others learn.
 
     Parameters
@@ -54,7 +54,7 @@
         self._network.broadcast(TargetStates((entry,)))
         self._audit.record(f"target-{temperature}", address, "seen by this host")
 
-    def note_connection(self, host_name):
+    def reset_snapshot(self, host_name):
         """Note that a host opened a connection, and may have missed news.
 
         Parameters
@@ -64,7 +64,7 @@
         """
         self._greeted.discard(host_name)
 
-    def greet(self, host_name):
+    def send_snapshot(self, host_name):
         """Tell a host all that this host knows, once for each connection.
 
         Parameters
@@ -85,7 +85,7 @@
                 return
         self._greeted.add(host_name)
 
-    def take(self, sender, news):
+    def apply_message(self, sender, news):
         """Take what another host saw.
 
         Parameters
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -1,7 +1,7 @@
 """Targets and limits for unit tests."""
 
 from redwingspring.configuration import Target
-from redwingspring.ejections import ServiceHealth
+from redwingspring.ejections import OutlierDetector
 from redwingspring.targets import LoadReport, TargetLimits, TargetState, Temperature
 
 LIMITS = {
@@ -32,9 +32,9 @@
         state = TargetState(target, TargetLimits(**(LIMITS | limits)))
         state.mark_warm("1")
         states.append(state)
-    health = ServiceHealth(states)
+    outlier_detector = OutlierDetector(states)
     for state in states:
-        state.health = health
+        state.outlier_detector = outlier_detector
     return states
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,7 +15,7 @@
     """A warm target; one that returned is idle and has a ramp."""
 
     is_cold = False
-    health = SimpleNamespace(review=lambda now: 0)
+    outlier_detector = SimpleNamespace(review=lambda now: 0)
 
     def __init__(self, returned, load):
         self.returned_at = time.monotonic() if returned else None
@@ -24,11 +24,11 @@
     def is_ready(self, now):
         return True
 
-    def read_return_share(self, now):
+    def compute_return_share(self, now):
         return 1.0 if self.returned_at is None else RAMP_SHARE
 
 
-def choose_least_loaded(candidates, choice):
+def choose_least_loaded(candidates, context):
     """Return the less loaded of two, as the policies by load do."""
     drawn = random.sample(candidates, min(2, len(candidates)))
     return min(drawn, key=lambda state: state.load)
--- a/tests/test_ejections.py
+++ b/tests/test_ejections.py
@@ -9,7 +9,7 @@
         super().setUp()
         self.now = time.monotonic()
         self.states = make_states(6)
-        self.health = self.states[0].health
+        self.outlier_detector = self.states[0].outlier_detector
 
     def fail(self, state, times=3, now=None):
         return [state.record_failure(now or self.now) for _ in range(times)]
@@ -43,14 +43,14 @@
 
     def test_a_latency_outlier_is_ejected(self):
         self.make_slow(self.states[0])
-        self.assertEqual(1, self.health.review(time.monotonic()))
+        self.assertEqual(1, self.outlier_detector.review(time.monotonic()))
         self.assertGreater(self.states[0].ejected_until, self.now)
 
     def test_a_uniformly_slow_service_ejects_nothing(self):
         for state in self.states:
             for _ in range(5):
                 state.record_success(1.0)
-        self.assertEqual(0, self.health.review(time.monotonic()))
+        self.assertEqual(0, self.outlier_detector.review(time.monotonic()))
 
     def test_at_most_a_third_is_ejected(self):
         for state in self.states:
@@ -70,5 +70,5 @@
         for state in self.states[1:]:
             for _ in range(30):
                 state.record_report(make_report(6, later))
-        self.health.review(later)
+        self.outlier_detector.review(later)
         self.assertTrue(self.states[0].accepts_work(later))
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -1,14 +1,14 @@
 import time
 from collections import Counter
 
-from redwingspring.policies import Choice, policies
+from redwingspring.policies import PolicyContext, policies
 
 from .base import RedwingspringTestCase
 from .stubs import make_report, make_states
 
 
 def choose(name, states, data_centre="akl-a"):
-    return policies.find(name)(states, Choice(data_centre, time.monotonic()))
+    return policies.find(name)(states, PolicyContext(data_centre, time.monotonic()))
 
 
 class PoliciesTest(RedwingspringTestCase):
@@ -39,7 +39,7 @@
         for state in states:
             for _ in range(10):
                 state.record_success(seconds)
-        states[0].health.review(time.monotonic())
+        states[0].outlier_detector.review(time.monotonic())
 
     def test_equal_targets_share_the_load(self):
         states = make_states(5)
@@ -57,7 +57,7 @@
         self.learn(states[1:])
         self.learn(states[:1], 0.5)
         self.assertNotIn(states[0], self.count(states))
-        later = Choice("akl-a", time.monotonic() + 30)
+        later = PolicyContext("akl-a", time.monotonic() + 30)
         chosen = {policies.find(self.name)(states, later) for _ in range(9)}
         self.assertIn(states[0], chosen)
 
@@ -66,7 +66,7 @@
         self.learn(states[1:])
         self.learn(states[:1], 0.5)
         states[0].begin()
-        later = Choice("akl-a", time.monotonic() + 30)
+        later = PolicyContext("akl-a", time.monotonic() + 30)
         states[1].begin()
         chosen = {policies.find(self.name)(states, later) for _ in range(9)}
         self.assertEqual({states[1]}, chosen)
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -270,7 +270,7 @@
     def test_a_host_that_paused_sends_a_probe_after_its_lease(self):
         self.prober.visit_due()
         (watch,) = self.prober._watches.values()
-        self.state.note_seen(NEVER, NEVER)
+        self.state.update_report_times(NEVER, NEVER)
         deadline = time.time()
         refusal = self.prober._check_send(watch, deadline)
         self.assertIs(Reason.DEADLINE, refusal.reason)
