--- a/redwingspring/admission.py
+++ b/redwingspring/admission.py
@@ -1,4 +1,4 @@
-"""Limits on the requests of a service in progress at one host."""
+"""Admission control: concurrency limit, queue and retry budgets of each service."""
 
 import math
 import threading
@@ -11,28 +11,30 @@
 from .retries import AttemptBudget
 from .verdict import Reason, refuse
 
-# Retries after a proof that nothing ran cost a target almost nothing.
-REFUSED_SHARE = 0.5
-# Seconds after which the slots of the targets are counted again.
-REFRESH_INTERVAL_S = 0.05
-# Share of refused attempts that shows an overload; targets at 85% of their slots
-# refuse less than 3%.
-OVERLOAD_SHARE = 0.1
-REFUSED_WEIGHT = 0.05
-# One overload gives many refusals at once and lowers the limit only once.
+# Retries as a share of first attempts when the failed attempt certainly did not
+# run. The share is large because such attempts cost a target almost nothing.
+REFUSED_RETRY_SHARE = 0.5
+# Minimum time between two updates of the capacity.
+CAPACITY_REFRESH_INTERVAL_S = 0.05
+# Average share of refused attempts above which the targets are overloaded.
+# Targets that use 85% of their slots refuse less than 3%.
+OVERLOAD_REFUSAL_SHARE = 0.1
+# Weight of the latest attempt in the average share of refused attempts.
+REFUSAL_WEIGHT = 0.05
+# A single overload causes many refusals at once and must lower the limit only once.
 DECREASE_INTERVAL_S = 0.1
 DECREASE_FACTOR = 0.9
-MIN_WINDOW = 2.0
-# Weight of the latest interval between the ends of two requests.
-INTERVAL_WEIGHT = 0.1
+MIN_REDUCED_LIMIT = 2.0
+# Weight of the latest interval between two completions in their average.
+COMPLETION_INTERVAL_WEIGHT = 0.1
 
 
 class ServiceAdmission:
-    """Bounded admission to one service, first come first served.
+    """Limits the concurrent requests of one service and queues the others (FIFO).
 
-    The limit is what the targets that take work can bear. It is lowered
-    when targets refuse many attempts because other hosts use their slots,
-    and rises again with every answer (additive increase, multiplicative
+    The limit is the total number of slots of the targets that accept work. It is
+    lowered when targets refuse many attempts because other hosts use their slots,
+    and rises again with every response (additive increase, multiplicative
     decrease: Chiu and Jain, 1989).
 
     Parameters
@@ -40,9 +42,9 @@
     states : sequence of TargetState
         Targets of the service.
     queue_length : int, default=0
-        Requests that may wait.
+        Maximum number of queued requests.
     queue_wait : float, default=0.0
-        Longest wait in seconds.
+        Maximum time in the queue, in seconds.
     retry_share : float, default=0.0
         Retries as a share of first attempts.
     hedge_share : float, default=0.0
@@ -54,7 +56,7 @@
     ):
         self.retry_budget = AttemptBudget(retry_share)
         self.hedge_budget = AttemptBudget(hedge_share)
-        self._refused_budget = AttemptBudget(REFUSED_SHARE)
+        self._refused_retry_budget = AttemptBudget(REFUSED_RETRY_SHARE)
         self.latency = LatencyWindow()
         self.states = tuple(states)
         self.queue_length = queue_length
@@ -63,12 +65,12 @@
         self._waiting = deque()
         self.in_flight = 0
         self._capacity = 0
-        self._window = math.inf
-        self._refused_share = 0.0
-        self._next_refresh = 0.0
+        self._reduced_limit = math.inf
+        self._refusal_share = 0.0
+        self._next_capacity_refresh = 0.0
         self._next_decrease = 0.0
-        self._end_interval = None
-        self._last_end = 0.0
+        self._completion_interval = None
+        self._last_completion = 0.0
 
     @property
     def waiting(self):
@@ -77,11 +79,11 @@
 
     @property
     def limit(self):
-        """Number of requests that may be in progress."""
-        return min(self._capacity, self._window)
+        """Maximum number of requests in progress."""
+        return min(self._capacity, self._reduced_limit)
 
     def acquire_slot(self, deadline):
-        """Wait for a place until the deadline.
+        """Acquire a concurrency slot, waiting in the queue if necessary.
 
         Parameters
         ----------
@@ -97,7 +99,7 @@
         if remaining <= 0:
             return Error(refuse(Reason.DEADLINE, "the deadline has passed"))
         with self._lock:
-            self._refresh(time.monotonic())
+            self._refresh_capacity(time.monotonic())
             if self._capacity <= 0:
                 return Error(refuse(Reason.NO_CAPACITY, "no target takes work"))
             if self.in_flight < self.limit and not self._waiting:
@@ -105,71 +107,74 @@
                 return Ok(None)
             if len(self._waiting) >= self.queue_length:
                 return Error(refuse(Reason.QUEUE_FULL, "the service's queue is full"))
-            longest = min(self.queue_wait, remaining - (self.latency.median or 0.0))
-            if self._estimate_wait() > longest:
+            max_wait = min(self.queue_wait, remaining - (self.latency.median or 0.0))
+            if self._estimate_wait() > max_wait:
                 detail = "no target is expected to become free in time"
                 return Error(refuse(Reason.NO_CAPACITY, detail))
-            place = threading.Event()
-            self._waiting.append(place)
-        granted = place.wait(max(0.0, longest))
+            slot_granted = threading.Event()
+            self._waiting.append(slot_granted)
+        granted = slot_granted.wait(max(0.0, max_wait))
         if granted:
             return Ok(None)
         with self._lock:
-            if place.is_set():
-                # A place was handed over between the timeout and the lock.
+            if slot_granted.is_set():
+                # release_slot granted a slot after the timeout, before this lock.
                 return Ok(None)
-            self._waiting.remove(place)
+            self._waiting.remove(slot_granted)
         return Error(refuse(Reason.NO_CAPACITY, "no target became free in time"))
 
     def record_answered(self):
-        """Note that a target answered; raises a lowered limit."""
+        """Record a response of a target; raises a reduced limit."""
         with self._lock:
-            self._refused_share -= REFUSED_WEIGHT * self._refused_share
-            if self._window < self._capacity:
-                self._window += 1.0 / self._window
+            self._refusal_share -= REFUSAL_WEIGHT * self._refusal_share
+            if self._reduced_limit < self._capacity:
+                self._reduced_limit += 1.0 / self._reduced_limit
             else:
-                self._window = math.inf
+                self._reduced_limit = math.inf
 
     def record_refused(self):
-        """Note that a target refused an attempt; many lower the limit."""
+        """Record a refused attempt; reduces the limit when refusals are frequent."""
         now = time.monotonic()
         with self._lock:
-            self._refused_share += REFUSED_WEIGHT * (1.0 - self._refused_share)
-            if self._refused_share < OVERLOAD_SHARE or now < self._next_decrease:
+            self._refusal_share += REFUSAL_WEIGHT * (1.0 - self._refusal_share)
+            if (
+                self._refusal_share < OVERLOAD_REFUSAL_SHARE
+                or now < self._next_decrease
+            ):
                 return
             self._next_decrease = now + DECREASE_INTERVAL_S
             lowered = min(self.limit, self.in_flight) * DECREASE_FACTOR
-            self._window = max(MIN_WINDOW, lowered)
+            self._reduced_limit = max(MIN_REDUCED_LIMIT, lowered)
 
-    def count_slots(self, now):
-        """Count the slots of the targets that take work.
+    def update_capacity(self, now):
+        """Set the capacity to the total slots of the targets that accept work.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
         """
-        self._next_refresh = now + REFRESH_INTERVAL_S
+        self._next_capacity_refresh = now + CAPACITY_REFRESH_INTERVAL_S
         self._capacity = sum(s.limits.slots for s in self.states if s.accepts_work(now))
 
-    def _refresh(self, now):
-        if now >= self._next_refresh:
-            self.count_slots(now)
+    def _refresh_capacity(self, now):
+        if now >= self._next_capacity_refresh:
+            self.update_capacity(now)
 
     def _estimate_wait(self):
-        """Return the expected wait of one more request in seconds."""
-        if self._end_interval is None:
+        """Return the expected queueing time of a new request in seconds."""
+        if self._completion_interval is None:
             return 0.0
-        return (len(self._waiting) + 1) * self._end_interval
+        return (len(self._waiting) + 1) * self._completion_interval
 
     def record_first_attempt(self):
-        """Count a first attempt towards the retry budgets."""
+        """Add the share of a first attempt to the retry and hedge budgets."""
         self.retry_budget.record_first_attempt()
         self.hedge_budget.record_first_attempt()
-        self._refused_budget.record_first_attempt()
+        self._refused_retry_budget.record_first_attempt()
 
     def take_retry(self, proved_not_run):
-        """Take one retry from the budget of its kind.
+        """Take one retry from the budget that applies to the failed attempt.
 
         Parameters
         ----------
@@ -181,40 +186,42 @@
         bool
             False when the budget is used up.
         """
-        budget = self._refused_budget if proved_not_run else self.retry_budget
+        budget = self._refused_retry_budget if proved_not_run else self.retry_budget
         return budget.take()
 
     def release_slot(self):
-        """Give the place to the first request that waits."""
+        """Release the slot of a finished request and admit queued requests."""
         now = time.monotonic()
         with self._lock:
-            self._refresh(now)
-            self._note_end(now)
+            self._refresh_capacity(now)
+            self._record_completion(now)
             self.in_flight -= 1
-            # A limit that rose can admit more than one.
+            # Several requests can be admitted if the limit has risen.
             while self._waiting and self.in_flight < self.limit:
                 self.in_flight += 1
                 self._waiting.popleft().set()
 
-    def _note_end(self, now):
-        """Average the interval between ends while all places are taken."""
-        gap, self._last_end = now - self._last_end, now
-        if self.in_flight < self.limit or gap > self.queue_wait:
+    def _record_completion(self, now):
+        """Update the average interval between completions at the limit."""
+        interval, self._last_completion = now - self._last_completion, now
+        if self.in_flight < self.limit or interval > self.queue_wait:
             return
-        if self._end_interval is None:
-            self._end_interval = gap
+        if self._completion_interval is None:
+            self._completion_interval = interval
         else:
-            self._end_interval += INTERVAL_WEIGHT * (gap - self._end_interval)
+            self._completion_interval += COMPLETION_INTERVAL_WEIGHT * (
+                interval - self._completion_interval
+            )
 
 
 class AdmissionDirectory:
-    """The admissions of all services under the configuration in force."""
+    """Admission control of all services under the configuration in force."""
 
     def __init__(self):
         self._admissions = {}
 
     def apply(self, table):
-        """Take limits from a new table; requests in progress stay counted.
+        """Apply the limits of a new table; requests in progress remain counted.
 
         Parameters
         ----------
@@ -224,24 +231,24 @@
         admissions = {}
         for name, states in table.services.items():
 
-            def value(key, name=name):
+            def read_value(key, name=name):
                 return table.configuration.service_value(key, name)
 
             admission = self._admissions.get(name)
             if admission is None:
-                shares = value("retry.share"), value("hedge.share")
+                shares = read_value("retry.share"), read_value("hedge.share")
                 admission = ServiceAdmission(states, 0, 0.0, *shares)
             admission.states = states
-            admission.count_slots(time.monotonic())
-            admission.queue_length = value("queue.length")
-            admission.queue_wait = value("queue.wait")
-            admission.retry_budget.share = value("retry.share")
-            admission.hedge_budget.share = value("hedge.share")
+            admission.update_capacity(time.monotonic())
+            admission.queue_length = read_value("queue.length")
+            admission.queue_wait = read_value("queue.wait")
+            admission.retry_budget.share = read_value("retry.share")
+            admission.hedge_budget.share = read_value("hedge.share")
             admissions[name] = admission
         self._admissions = admissions
 
     def find(self, service):
-        """Return the admission of a service.
+        """Return the admission control of a service.
 
         Parameters
         ----------
@@ -251,17 +258,17 @@
         Returns
         -------
         ServiceAdmission or None
-            None when a newer configuration has no such service.
+            None when the configuration in force has no such service.
         """
         return self._admissions.get(service)
 
     def totals(self):
-        """Return requests in progress and waiting, by service.
+        """Return the numbers of running and queued requests by service.
 
         Returns
         -------
         dict of str to tuple of int
-            In progress and waiting.
+            Requests in progress and requests in the queue.
         """
         return {
             name: (admission.in_flight, admission.waiting)
--- a/redwingspring/hedges.py
+++ b/redwingspring/hedges.py
@@ -1,4 +1,4 @@
-"""Second attempts for idempotent requests that take unusually long."""
+"""Hedged requests: second attempts for slow idempotent requests."""
 
 import heapq
 import itertools
@@ -11,55 +11,59 @@
 
 from .verdict import Reason, doubt, refuse
 
-# Share of requests, in percent, that answer before a hedge is sent. In trials the
-# 95th percentile spent the budget on requests that take long at any target.
+# Latency percentile after which a hedge is sent. With the 95th percentile, trials
+# spent the budget on requests that are slow at every target.
 HEDGE_PERCENTILE = 99.0
-# Latencies before the first delay is known, and at most in one window.
-MIN_SAMPLES = 100
+# Minimum number of latencies in a window before its percentiles are used.
+MIN_WINDOW_SAMPLES = 100
 WINDOW_S = 1.0
-# Histogram of units of 0.1 ms up to 10 minutes.
-UNIT_S = 0.0001
-HIGHEST_UNITS = 6_000_000
+# The histogram has a resolution of 0.1 ms and a range of 10 minutes.
+HISTOGRAM_UNIT_S = 0.0001
+MAX_HISTOGRAM_UNITS = 6_000_000
 
 
 class LatencyWindow:
-    """Latency of the first attempts of one service in the latest second."""
+    """Latency percentiles of a service's requests over windows of a second or more."""
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._histogram = HdrHistogram(1, HIGHEST_UNITS, 2)
-        self._ends = 0.0
+        self._histogram = HdrHistogram(1, MAX_HISTOGRAM_UNITS, 2)
+        self._window_end = 0.0
         self.hedge_delay = None
         self.median = None
 
     def record(self, seconds):
-        """Note a latency.
+        """Add a latency to the current window.
 
         Parameters
         ----------
         seconds : float
-            Time until the response began or the attempt was given up.
+            Time until the response began.
         """
         now = time.monotonic()
         with self._lock:
             histogram = self._histogram
-            histogram.record_value(max(1, min(HIGHEST_UNITS, int(seconds / UNIT_S))))
-            if now < self._ends or histogram.total_count < MIN_SAMPLES:
+            histogram.record_value(
+                max(1, min(MAX_HISTOGRAM_UNITS, int(seconds / HISTOGRAM_UNIT_S)))
+            )
+            if now < self._window_end or histogram.total_count < MIN_WINDOW_SAMPLES:
                 return
-            self._ends = now + WINDOW_S
+            self._window_end = now + WINDOW_S
             values = histogram.get_percentile_to_value_dict((50.0, HEDGE_PERCENTILE))
-            self.median = values[50.0] * UNIT_S
-            self.hedge_delay = values[HEDGE_PERCENTILE] * UNIT_S
+            self.median = values[50.0] * HISTOGRAM_UNIT_S
+            self.hedge_delay = values[HEDGE_PERCENTILE] * HISTOGRAM_UNIT_S
             histogram.reset()
 
 
 class Cancellation:
-    """Lets another thread end an attempt by closing its connection.
+    """Lets another thread cancel an attempt by closing its connection.
+
+    It stands in for the connection pool of the attempt.
 
     Parameters
     ----------
     pool : TargetPool or None, default=None
-        Set with ``wrap``.
+        Connections to the target; set by ``wrap``.
     """
 
     def __init__(self, pool=None):
@@ -69,7 +73,7 @@
         self.cancelled = False
 
     def wrap(self, pool):
-        """Return a pool whose connection this object can close.
+        """Return a pool that tracks the connection of the attempt.
 
         Parameters
         ----------
@@ -79,20 +83,20 @@
         Returns
         -------
         Cancellation
-            This object, which offers ``take`` and ``give_back`` of a pool.
+            This object, which has the pool methods ``take`` and ``give_back``.
         """
         self._pool = pool
         return self
 
     def take(self, limits, idempotent):
-        """Take a connection from the pool and remember it.
+        """Take a connection from the pool and track it for cancellation.
 
         Parameters
         ----------
         limits : TargetLimits
             Values in force.
         idempotent : bool
-            Whether a long idle connection may be used.
+            Whether a connection that has been idle for long may be used.
 
         Returns
         -------
@@ -105,7 +109,7 @@
         return connection
 
     def give_back(self, connection):
-        """Return a connection, which can then no longer be closed from here.
+        """Return a connection to the pool and stop tracking it.
 
         Parameters
         ----------
@@ -121,12 +125,12 @@
             connection.close()
 
     def guard(self, check):
-        """Return a guard that also refuses after a cancellation.
+        """Return a check that also refuses to send after a cancellation.
 
         Parameters
         ----------
         check : callable
-            The guard of the attempt.
+            Check made just before the attempt is sent.
 
         Returns
         -------
@@ -142,7 +146,7 @@
         return _check
 
     def cancel(self):
-        """End the attempt; its thread sees a closed connection."""
+        """Cancel the attempt; its thread sees a closed connection."""
         with self._lock:
             self.cancelled = True
             sock = self._connection.sock if self._connection is not None else None
@@ -153,8 +157,8 @@
                     pass
 
 
-class Race:
-    """One attempt and the hedge that may overtake it.
+class HedgedAttempt:
+    """A first attempt and its hedge; the first response wins.
 
     Parameters
     ----------
@@ -162,9 +166,9 @@
         Called with a Cancellation and whether it is the hedge; returns the
         outcome of an attempt.
     discard : callable
-        Called with the Relay that lost.
+        Called with the Relay of the attempt that lost.
     budget : AttemptBudget
-        Bounds the hedges of the service.
+        Limits the hedges of the service.
     """
 
     def __init__(self, send, discard, budget):
@@ -172,8 +176,8 @@
         self._discard = discard
         self._budget = budget
         self._lock = threading.Lock()
-        self._first = Cancellation()
-        self._second = Cancellation()
+        self._first_cancellation = Cancellation()
+        self._hedge_cancellation = Cancellation()
         self._winner = None
         self._hedge_ended = None
         self._hedge_outcome = Error(doubt(Reason.INTERNAL, "the hedge broke off"))
@@ -181,41 +185,41 @@
         self.closed = False
 
     def run(self):
-        """Make the first attempt; return the outcome that counts.
+        """Make the first attempt; return the outcome of the request.
 
         Returns
         -------
         expression.Result
-            The first Ok of both attempts; without one the failure that
-            leaves more doubt.
+            The first Ok of the two attempts. If both failed, a failure that
+            does not prove that the request did not run is preferred.
         """
         try:
-            outcome = self._send(self._first, False)
+            outcome = self._send(self._first_cancellation, False)
         except BaseException:
             with self._lock:
                 self.closed = self._abandoned = True
-                self._second.cancel()
+                self._hedge_cancellation.cancel()
             raise
         with self._lock:
             self.closed = True
-            lost = self._winner is not None
-            if not lost and outcome.is_ok():
+            hedge_won = self._winner is not None
+            if not hedge_won and outcome.is_ok():
                 self._winner = outcome
-                self._second.cancel()
-        if lost:
+                self._hedge_cancellation.cancel()
+        if hedge_won:
             if outcome.is_ok():
                 self._discard(outcome.ok)
             return self._winner
         if outcome.is_error() and self._hedge_ended is not None:
-            # The hedge ends by itself at the deadline.
+            # The wait is bounded: the hedge ends at the deadline of the request.
             self._hedge_ended.wait()
-            hedged = self._hedge_outcome
-            if hedged.is_ok() or outcome.error.proves_not_run:
-                return hedged
+            hedge_outcome = self._hedge_outcome
+            if hedge_outcome.is_ok() or outcome.error.proves_not_run:
+                return hedge_outcome
         return outcome
 
     def start_hedge(self):
-        """Send the hedge in a thread unless it is too late or over budget."""
+        """Send the hedge in a thread if the attempt still runs and budget is left."""
         with self._lock:
             if self.closed or not self._budget.take():
                 return
@@ -224,16 +228,16 @@
 
     def _run_hedge(self):
         try:
-            outcome = self._send(self._second, True)
+            outcome = self._send(self._hedge_cancellation, True)
             if outcome.is_error() and outcome.error.reason is Reason.NO_CAPACITY:
                 self._budget.restore()
             with self._lock:
                 self._hedge_outcome = outcome
-                free = self._winner is None and not self._abandoned
-                won = free and outcome.is_ok()
+                undecided = self._winner is None and not self._abandoned
+                won = undecided and outcome.is_ok()
                 if won:
                     self._winner = outcome
-                    self._first.cancel()
+                    self._first_cancellation.cancel()
             if outcome.is_ok() and not won:
                 self._discard(outcome.ok)
         finally:
@@ -241,26 +245,26 @@
 
 
 class HedgeTimer:
-    """Starts hedges when their time has come, in one thread for all."""
+    """Starts all hedges at their due time from a single thread."""
 
     def __init__(self):
-        self._changed = threading.Condition()
+        self._heap_changed = threading.Condition()
         self._heap = []
-        self._numbers = itertools.count()
+        self._entry_numbers = itertools.count()
         self._thread = None
 
-    def schedule(self, race, due):
-        """Start the hedge of a race at a time.
+    def schedule(self, hedged_attempt, due):
+        """Schedule the hedge of an attempt.
 
         Parameters
         ----------
-        race : Race
-            The race.
+        hedged_attempt : HedgedAttempt
+            The attempt to hedge.
         due : float
-            Monotonic time in seconds.
+            Monotonic time in seconds at which the hedge is sent.
         """
-        with self._changed:
-            entry = (due, next(self._numbers), race)
+        with self._heap_changed:
+            entry = (due, next(self._entry_numbers), hedged_attempt)
             heapq.heappush(self._heap, entry)
             if self._thread is None:
                 self._thread = threading.Thread(
@@ -268,15 +272,15 @@
                 )
                 self._thread.start()
             elif self._heap[0] is entry:
-                self._changed.notify()
+                self._heap_changed.notify()
 
     def _run(self):
         while True:
             self._take_due().start_hedge()
 
     def _take_due(self):
-        """Wait for the next race whose hedge is due."""
-        with self._changed:
+        """Wait until a hedge is due and return its attempt."""
+        with self._heap_changed:
             while True:
                 while self._heap and self._heap[0][2].closed:
                     heapq.heappop(self._heap)
@@ -285,17 +289,17 @@
                     wait = self._heap[0][0] - time.monotonic()
                     if wait <= 0:
                         return heapq.heappop(self._heap)[2]
-                self._changed.wait(wait)
+                self._heap_changed.wait(wait)
 
 
 class Hedger:
-    """Makes attempts, and second ones for those that take unusually long.
+    """Makes attempts and hedges those that take unusually long.
 
     Parameters
     ----------
     attempt : callable
-        Called with a call, the targets to leave out, the number of attempts
-        before, a Cancellation or None and whether it is the hedge; returns
+        Called with a call, the targets to exclude, the number of previous
+        attempts, a Cancellation or None, and whether it is the hedge; returns
         the outcome.
     discard : callable
         Called with the Relay of an attempt that lost.
@@ -307,18 +311,18 @@
         self._timer = HedgeTimer()
 
     def attempt(self, call, admission, tried, number):
-        """Make an attempt, with a hedge if the request may have one.
+        """Make an attempt, hedged if the request is eligible.
 
         Parameters
         ----------
         call : Call
             The call.
         admission : ServiceAdmission
-            Latency and hedge budget of the service.
+            Latency percentiles and hedge budget of the service.
         tried : set of TargetState
-            Targets to leave out; the chosen one is added.
+            Targets to exclude; the chosen one is added.
         number : int
-            Attempts already made by this host.
+            Number of attempts that this host made before.
 
         Returns
         -------
@@ -338,12 +342,14 @@
         else:
 
             def send(cancellation, hedge):
-                others = set(tried) if hedge else tried
-                return self._attempt(call, others, number + hedge, cancellation, hedge)
+                excluded = set(tried) if hedge else tried
+                return self._attempt(
+                    call, excluded, number + hedge, cancellation, hedge
+                )
 
-            race = Race(send, self._discard, admission.hedge_budget)
-            self._timer.schedule(race, started + delay)
-            outcome = race.run()
+            hedged_attempt = HedgedAttempt(send, self._discard, admission.hedge_budget)
+            self._timer.schedule(hedged_attempt, started + delay)
+            outcome = hedged_attempt.run()
         if outcome.is_ok():
             admission.latency.record(time.monotonic() - started)
         return outcome
--- a/redwingspring/limits.py
+++ b/redwingspring/limits.py
@@ -1,9 +1,9 @@
-"""Configuration values in force for one target."""
+"""Resolved configuration of one target: limits, timeouts, ejection and probing."""
 
 from dataclasses import dataclass
 
-# Grants are kept for a whole probe interval, in memory, so very long intervals
-# send no probes; one a day is already of no use for finding changes.
+# Probes are disabled below this rate, about one a day. Grants are kept in memory
+# for a whole probe interval, and rarer probes are of no use for finding changes.
 MIN_PROBE_BUDGET = 1 / 86_000
 
 
@@ -14,37 +14,37 @@
     Attributes
     ----------
     slots : int
-        Requests the target runs at once.
+        Maximum number of requests that the target processes concurrently.
     connections : int
-        Connections the target bears, over all hosts.
+        Maximum number of connections to the target, over all hosts.
     connect_timeout : float
-        Seconds for a new connection.
+        Seconds to open a connection.
     idle_timeout : float
         Seconds that an unused connection is kept.
     eject_failures : int
-        Failures in a row that eject the target.
+        Consecutive failures that eject the target.
     eject_time : float
-        Seconds that an ejected target is left out.
+        Base duration of an ejection in seconds.
     eject_outlier : float
-        Multiple of the median latency that ejects a target; 0 never does.
+        Multiple of the median latency that ejects a target; 0 disables this.
     out : bool
-        True when operators took the target out.
+        True when operators took the target out of service.
     echo_required : bool
         True when responses must echo the attempt id.
     stall_timeout : float
-        Seconds a response body may pause.
+        Longest pause of a response body in seconds.
     cold_slots : int
-        Requests borne in cold start, over all hosts.
+        Concurrent requests at the beginning of a cold start, over all hosts.
     cold_lease : float
-        Longest lease in seconds.
+        Maximum term of a cold-start lease in seconds.
     return_ramp : float
-        Seconds over which a target that was out returns.
+        Seconds over which traffic to a target rises after it returns to service.
     probe_after : float
         Age in seconds of the last report after which the target is probed.
     probe_budget : float
         Probes a second, over all hosts.
     probe_path : str
-        Path that probes ask for.
+        Request path of probes.
     """
 
     slots: int
@@ -81,24 +81,24 @@
         The resolved values.
     """
 
-    def _value(key):
+    def _read_value(key):
         return configuration.target_value(key, target)
 
     return TargetLimits(
-        slots=_value("target.slots"),
-        connections=_value("target.connections"),
-        connect_timeout=_value("target.connect"),
-        idle_timeout=_value("target.idle"),
-        eject_failures=_value("eject.failures"),
-        eject_time=_value("eject.time"),
-        eject_outlier=_value("eject.outlier"),
-        out=_value("serve") == "out",
-        echo_required=_value("response.echo") == "required",
-        stall_timeout=_value("response.stall"),
-        cold_slots=_value("cold.slots"),
-        cold_lease=_value("cold.lease"),
-        return_ramp=_value("return.ramp"),
-        probe_after=_value("probe.after"),
-        probe_budget=_value("probe.budget"),
-        probe_path=_value("probe.path"),
+        slots=_read_value("target.slots"),
+        connections=_read_value("target.connections"),
+        connect_timeout=_read_value("target.connect"),
+        idle_timeout=_read_value("target.idle"),
+        eject_failures=_read_value("eject.failures"),
+        eject_time=_read_value("eject.time"),
+        eject_outlier=_read_value("eject.outlier"),
+        out=_read_value("serve") == "out",
+        echo_required=_read_value("response.echo") == "required",
+        stall_timeout=_read_value("response.stall"),
+        cold_slots=_read_value("cold.slots"),
+        cold_lease=_read_value("cold.lease"),
+        return_ramp=_read_value("return.ramp"),
+        probe_after=_read_value("probe.after"),
+        probe_budget=_read_value("probe.budget"),
+        probe_path=_read_value("probe.path"),
     )
--- a/redwingspring/loadreports.py
+++ b/redwingspring/loadreports.py
@@ -6,7 +6,7 @@
 
 
 class Temperature(StrEnum):
-    """Whether a target bears its full load."""
+    """Warm-up state of a target: cold start, full load or about to stop."""
 
     COLD = "cold"
     WARM = "warm"
@@ -18,18 +18,18 @@
 
 @dataclass(frozen=True)
 class LoadReport:
-    """What a target said of itself on a response.
+    """Load and state that a target reported on a response.
 
     Attributes
     ----------
     in_flight : int
         Requests in progress at the target.
     slots : int
-        Requests it runs at once.
+        Requests that the target processes concurrently.
     temperature : Temperature
-        What the target says of its own state.
+        State that the target reports.
     start_id : str
-        Identifies one start of the target process.
+        Identifier of one start of the target process.
     time : float
         Monotonic time of receipt, in seconds.
     """
@@ -42,14 +42,14 @@
 
 
 def parse_load_report(text, now=None):
-    """Return the report in a ``Load-Report`` header.
+    """Parse a ``Load-Report`` header.
 
     Parameters
     ----------
     text : str or None
         Value such as ``inflight=2; slots=3; state=warm; start=5f3a``.
     now : float or None, default=None
-        Monotonic time of receipt; the present when None.
+        Monotonic time of receipt in seconds; the current time when None.
 
     Returns
     -------
--- a/redwingspring/outcomes.py
+++ b/redwingspring/outcomes.py
@@ -1,12 +1,12 @@
-"""What the outcome of an attempt tells about its target."""
+"""Updates of target state from the outcomes of attempts and probes."""
 
 import time
 
 from .loadreports import parse_load_report
 from .verdict import Reason
 
-# Failures with these reasons say nothing about the target.
-_OWN_REASONS = frozenset(
+# Failures with these reasons do not count against the target.
+_NON_TARGET_REASONS = frozenset(
     (
         Reason.CALLER_GONE,
         Reason.DEADLINE,
@@ -26,7 +26,7 @@
     Parameters
     ----------
     metrics : Metrics
-        Counters.
+        Receives the number of ejections.
     on_temperature : callable
         Called with a TargetState and its new Temperature.
     """
@@ -36,7 +36,7 @@
         self._on_temperature = on_temperature
 
     def record_response_head(self, state, response):
-        """Take what the head of a response tells about its target.
+        """Apply the load report and the status of a response.
 
         Parameters
         ----------
@@ -48,7 +48,7 @@
         Returns
         -------
         bool
-            False for a status that counts as a failure.
+            False when the status counts as a failure of the target.
         """
         report = parse_load_report(response.headers.get("load-report"))
         if report is not None:
@@ -56,13 +56,13 @@
             if changed is not None:
                 self._on_temperature(state, changed)
         if response.status >= 500:
-            # A target that fails fast must not look like a lightly loaded one.
+            # Otherwise a target that fails fast would look lightly loaded.
             self.count_failure(state)
             return False
         return True
 
     def record_failure(self, state, failure):
-        """Count a failed attempt against its target.
+        """Record a failed attempt and count it if its target caused it.
 
         Parameters
         ----------
@@ -73,11 +73,11 @@
         """
         if failure.reason is Reason.TARGET_REFUSED:
             state.record_refused()
-        if failure.reason not in _OWN_REASONS:
+        if failure.reason not in _NON_TARGET_REASONS:
             self.count_failure(state)
 
     def count_failure(self, state):
-        """Count a failure; eject the target after several in a row.
+        """Count a failure; enough consecutive failures eject the target.
 
         Parameters
         ----------
--- a/redwingspring/policies.py
+++ b/redwingspring/policies.py
@@ -1,4 +1,4 @@
-"""Target choice policies."""
+"""Balancing policies, which choose the target of a request."""
 
 import itertools
 import math
@@ -9,16 +9,16 @@
 
 policies = Registry("balance policy")
 
-# Bounds the cost of a decision; services of this size or less are compared in
-# full, because a sample of 6 or 16 targets gave a longer tail.
-MAX_COMPARED = 40
-# A target in another data centre must be better by this share.
-FOREIGN_COST = 1.01
+# Limits the cost of a decision: more candidates than this are sampled. Smaller
+# samples of 6 or 16 targets gave a longer tail latency.
+MAX_COMPARED_TARGETS = 40
+# Factor on the expected finish time of targets in another data centre.
+REMOTE_DATA_CENTRE_FACTOR = 1.01
 
 
 @dataclass(frozen=True)
 class PolicyContext:
-    """What a policy may use besides the candidates.
+    """Input of a policy other than the candidates.
 
     Attributes
     ----------
@@ -34,7 +34,7 @@
 
 @policies.register("random")
 def choose_random(candidates, context):
-    """Choose any candidate with equal probability.
+    """Choose a candidate at random, all with equal probability.
 
     Parameters
     ----------
@@ -51,11 +51,11 @@
     return random.choice(candidates)
 
 
-_turns = itertools.count(random.randrange(1 << 16))
+_counter = itertools.count(random.randrange(1 << 16))
 
 
 @policies.register("round-robin")
-def choose_in_turn(candidates, context):
+def choose_round_robin(candidates, context):
     """Choose each candidate in turn.
 
     Parameters
@@ -68,15 +68,15 @@
     Returns
     -------
     TargetState
-        The chosen target. Each process begins at a random place, so that
-        hosts that start together do not move in step.
+        The chosen target. Each process begins at a random position, so that
+        hosts that start together do not choose the same target each time.
     """
-    return candidates[next(_turns) % len(candidates)]
+    return candidates[next(_counter) % len(candidates)]
 
 
 @policies.register("fewest-outstanding")
-def choose_fewest(candidates, context):
-    """Choose the candidate with the fewest requests of this host.
+def choose_fewest_outstanding(candidates, context):
+    """Choose the candidate with the fewest outstanding requests of this host.
 
     Parameters
     ----------
@@ -88,14 +88,14 @@
     Returns
     -------
     TargetState
-        The chosen target; equal ones have equal probability.
+        The chosen target; ties are broken at random.
     """
     fewest = min(state.in_flight for state in candidates)
     return random.choice([s for s in candidates if s.in_flight == fewest])
 
 
 @policies.register("two-choices")
-def choose_of_two(candidates, context):
+def choose_two_choices(candidates, context):
     """Choose the one of two random candidates with fewer requests of this host.
 
     Parameters
@@ -119,14 +119,14 @@
 
 @policies.register("expected-finish")
 def choose_expected_finish(candidates, context):
-    """Choose the candidate that should finish first.
+    """Choose the candidate with the shortest expected finish time.
 
-    The expected finish time in seconds is the latency of the target, times
-    the rounds of its slots that must end first, times a penalty for failures
-    (``Estimate.estimate_finish_time``). Other data centres count 1% more, which
-    decides only between targets that are otherwise equal. Of equal targets
-    the one that this host chose longest ago is chosen; each host begins with
-    a random order, so that hosts do not move in step.
+    The expected finish time in seconds is the latency of the target, multiplied
+    by 1 + queued requests / slots and by a penalty for failures
+    (``TargetEstimate.estimate_finish_time``). It is raised by 1% for targets in
+    other data centres, which decides only between targets that are otherwise
+    equal. Ties go to the target that this host chose least recently; each host
+    begins with a random order, so that hosts do not all choose the same target.
 
     Parameters
     ----------
@@ -139,23 +139,23 @@
     -------
     TargetState
         The chosen target. Sources: Mitzenmacher, "How useful is old
-        information?", 2000 (reports are discounted by their age, which
-        avoids herds); Suresh et al., "C3: cutting tail latency in cloud data
-        stores via adaptive replica selection", 2015 (latency times queue,
-        own requests added to the reported ones).
+        information?", 2000 (the weight of a report falls with its age, which
+        avoids herd behaviour); Suresh et al., "C3: cutting tail latency in
+        cloud data stores via adaptive replica selection", 2015 (latency times
+        queue length, own requests added to the reported ones).
     """
     compared = candidates
-    if len(candidates) > MAX_COMPARED:
-        compared = random.sample(candidates, MAX_COMPARED)
+    if len(candidates) > MAX_COMPARED_TARGETS:
+        compared = random.sample(candidates, MAX_COMPARED_TARGETS)
     now, data_centre = context.now, context.data_centre
-    typical = compared[0].outlier_detector.typical_latency
+    typical_latency = compared[0].outlier_detector.typical_latency
     best, best_finish = None, math.inf
     for state in compared:
         finish = state.estimate.estimate_finish_time(
-            state.in_flight, state.limits.slots, typical, now
+            state.in_flight, state.limits.slots, typical_latency, now
         )
         if state.target.data_centre != data_centre:
-            finish *= FOREIGN_COST
+            finish *= REMOTE_DATA_CENTRE_FACTOR
         if finish < best_finish or (
             finish == best_finish and state.chosen_at < best.chosen_at
         ):
--- a/redwingspring/ramps.py
+++ b/redwingspring/ramps.py
@@ -1,4 +1,4 @@
-"""Ramp policies: how many slots of a target in cold start may be used."""
+"""Ramp policies, which set the usable slots of a target in cold start."""
 
 from dataclasses import dataclass
 
@@ -9,14 +9,14 @@
 
 @dataclass(frozen=True)
 class RampProgress:
-    """What a grantor saw of a target since it turned cold.
+    """Responses of a target since it became cold, as seen by the lease grantor.
 
     Attributes
     ----------
     responses : int
-        Whole responses while the target did not report itself cold.
+        Complete responses on which the target did not report itself cold.
     seconds : float
-        Time since the first of them.
+        Time since the first of these responses.
     """
 
     responses: int
@@ -30,11 +30,11 @@
     Attributes
     ----------
     cold_slots : int
-        Slots at the start of the ramp.
+        Usable slots at the start of the ramp.
     slots : int
         Slots of the warm target.
     step_responses : int
-        Whole responses for each further slot.
+        Complete responses required for each additional slot.
     """
 
     cold_slots: int
@@ -44,39 +44,39 @@
 
 @ramps.register("stepwise")
 def allow_stepwise(progress, limits):
-    """Open one more slot after each group of whole responses.
+    """Allow one more slot after every ``step_responses`` complete responses.
 
     Parameters
     ----------
     progress : RampProgress
-        What the grantor saw.
+        Responses that the grantor saw.
     limits : RampLimits
         Values in force.
 
     Returns
     -------
     int
-        Slots that may be used; more than ``limits.slots`` means warm. Source:
-        additive increase as in TCP congestion avoidance, RFC 5681.
+        Usable slots; more than ``limits.slots`` means warm. Source: additive
+        increase as in TCP congestion avoidance, RFC 5681.
     """
     return limits.cold_slots + progress.responses // limits.step_responses
 
 
 @ramps.register("timed")
 def allow_timed(progress, limits):
-    """Open one more slot each second once whole responses arrive.
+    """Allow one more slot for each second after the first complete response.
 
     Parameters
     ----------
     progress : RampProgress
-        What the grantor saw.
+        Responses that the grantor saw.
     limits : RampLimits
         Values in force.
 
     Returns
     -------
     int
-        Slots that may be used; more than ``limits.slots`` means warm.
+        Usable slots; more than ``limits.slots`` means warm.
     """
     if not progress.responses:
         return limits.cold_slots
--- a/redwingspring/retries.py
+++ b/redwingspring/retries.py
@@ -1,19 +1,19 @@
-"""Budgets that keep extra attempts to a share of first attempts."""
+"""Budgets that limit retries and hedges to a share of the first attempts."""
 
 import threading
 
-# A service with little traffic may still retry now and then.
+# Lets a service with little traffic retry before first attempts fill the bucket.
 INITIAL_TOKENS = 3.0
 MAX_TOKENS = 100.0
 
 
 class AttemptBudget:
-    """Token bucket filled by first attempts.
+    """Token bucket for retries or hedges, filled by first attempts.
 
     Parameters
     ----------
     share : float
-        Extra attempts allowed for each first attempt, as a fraction.
+        Extra attempts allowed per first attempt, as a fraction.
     """
 
     def __init__(self, share):
@@ -22,12 +22,12 @@
         self._tokens = INITIAL_TOKENS if share > 0 else 0.0
 
     def record_first_attempt(self):
-        """Count a first attempt."""
+        """Add the tokens that one first attempt earns."""
         with self._lock:
             self._tokens = min(MAX_TOKENS, self._tokens + self.share)
 
     def take(self):
-        """Take one extra attempt from the budget.
+        """Take the token for one extra attempt.
 
         Returns
         -------
@@ -41,6 +41,6 @@
             return True
 
     def restore(self):
-        """Put back an extra attempt that was not sent."""
+        """Return the token of an extra attempt that was not sent."""
         with self._lock:
             self._tokens = min(MAX_TOKENS, self._tokens + 1.0)
--- a/redwingspring/slots.py
+++ b/redwingspring/slots.py
@@ -1,4 +1,4 @@
-"""Slots of a target that leases may use at present."""
+"""Number of slots of a target that leases may use."""
 
 import time
 
@@ -6,16 +6,16 @@
 
 COLD = "cold"
 PROBE = "probe"
-# A probe must start to run at its target within this time from the request for
-# its lease. Lease, connection and send take 10 ms on idle hosts.
+# Maximum time from the request for a probe's lease until the target starts to
+# process the probe. Lease, connection and send take 10 ms on idle hosts.
 PROBE_START_S = 0.5
 
 
 def find_probe_term(budget):
-    """Return how long a probe lease lasts.
+    """Return the term of a probe lease.
 
-    Two probes that start within ``PROBE_START_S`` of their requests are then at
-    least one interval apart at the target.
+    The term ensures that two probes that each start within ``PROBE_START_S`` of
+    their lease request reach the target at least one probe interval apart.
 
     Parameters
     ----------
@@ -31,7 +31,7 @@
 
 
 class SlotCounter:
-    """Counts slots from configuration and ramp.
+    """Computes the slots from the configuration and the ramp policy.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
         self._ramps = ramps
 
     def count(self, kind, address, progress):
-        """Return how many slots leases of a kind may use.
+        """Return the number of slots that leases of a kind may use.
 
         Parameters
         ----------
@@ -55,7 +55,7 @@
         address : str
             Address of the target.
         progress : RampProgress
-            What the grantor saw of the target.
+            Responses of the target that the grantor saw.
 
         Returns
         -------
@@ -73,7 +73,7 @@
         return min(self._count_cold(state.target, progress) for state in states)
 
     def find_probe_term(self, address):
-        """Return how long a probe lease of a target lasts.
+        """Return the term of a probe lease of a target.
 
         Parameters
         ----------
@@ -86,8 +86,8 @@
             Seconds; 0 for an unknown target or one that is not probed.
         """
         budgets = [s.limits.probe_budget for s in self._directory.find(address)]
-        least = min(budgets, default=0.0)
-        return find_probe_term(least) if least > 0 else 0.0
+        lowest_budget = min(budgets, default=0.0)
+        return find_probe_term(lowest_budget) if lowest_budget > 0 else 0.0
 
     def _count_cold(self, target, progress):
         configuration = self._directory.table.configuration
@@ -96,5 +96,5 @@
             slots=configuration.target_value("target.slots", target),
             step_responses=configuration.target_value("cold.step_responses", target),
         )
-        allow = self._ramps.find(configuration.target_value("cold.ramp", target))
-        return allow(progress, limits)
+        allow_slots = self._ramps.find(configuration.target_value("cold.ramp", target))
+        return allow_slots(progress, limits)
--- a/redwingspring/targets.py
+++ b/redwingspring/targets.py
@@ -1,4 +1,4 @@
-"""State of each target as one host knows it."""
+"""State of each target as this host knows it."""
 
 import random
 import threading
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 
 from .ejections import OutlierDetector
-from .estimates import Estimate
+from .estimates import TargetEstimate
 from .limits import MIN_PROBE_BUDGET, read_limits
 from .limits import TargetLimits as TargetLimits
 from .loadreports import LoadReport as LoadReport
@@ -35,7 +35,7 @@
         self._lock = threading.Lock()
         self.in_flight = 0
         self.report = None
-        self.estimate = Estimate()
+        self.estimate = TargetEstimate()
         self.outlier_detector = OutlierDetector((self,))
         self.failures = 0
         self.ejections = 0
@@ -43,20 +43,21 @@
         self.returned_at = None
         self.chosen_at = random.random()
         self.start_id = ""
-        self.warm_start_id = None
+        self.warmed_start_id = None
         self.leaving = False
-        # Unix times in milliseconds of the last news of either kind.
-        self.cold_ms = 0
-        self.warm_ms = 0
-        # Monotonic times of the newest report that another host got, and of
-        # the newest probe of any host.
+        # Unix times in milliseconds at which a host last found the target cold or
+        # warm.
+        self.cold_seen_ms = 0
+        self.warm_seen_ms = 0
+        # Monotonic times of the newest report that another host received, and
+        # of the newest probe by any host.
         self.peer_report_time = NEVER
         self.probed = NEVER
 
     @property
     def is_cold(self):
-        """Tell whether work needs a cold-start lease."""
-        return self.warm_start_id is None or self.warm_start_id != self.start_id
+        """Tell whether requests need a cold-start lease."""
+        return self.warmed_start_id is None or self.warmed_start_id != self.start_id
 
     @property
     def latency(self):
@@ -64,7 +65,7 @@
         return self.estimate.latency
 
     def is_ready(self, now):
-        """Tell whether the target is warm, takes work and has a free slot.
+        """Tell whether the target is warm, accepts work and has a free slot.
 
         Parameters
         ----------
@@ -74,11 +75,11 @@
         Returns
         -------
         bool
-            The answer of ``accepts_work``, ``is_cold`` and the slots, in one
-            call, because it is asked of every target for every request.
+            Combines ``accepts_work``, ``is_cold`` and the slot count in one
+            call, because every request checks every target.
         """
         limits = self.limits
-        warm_id = self.warm_start_id
+        warm_id = self.warmed_start_id
         return (
             self.in_flight < limits.slots
             and self.ejected_until <= now
@@ -88,7 +89,7 @@
         )
 
     def accepts_work(self, now):
-        """Tell whether the target may be given new work.
+        """Tell whether the target may receive new requests.
 
         Parameters
         ----------
@@ -98,7 +99,7 @@
         Returns
         -------
         bool
-            False when it is out, leaving, removed or ejected.
+            False when it is out of service, leaving, removed or ejected.
         """
         return not (
             self.removed or self.limits.out or self.leaving or self.ejected_until > now
@@ -106,7 +107,7 @@
 
     @property
     def own_report_time(self):
-        """Monotonic time of the newest report that this host got."""
+        """Monotonic time of the newest report that this host received."""
         return NEVER if self.report is None else self.report.time
 
     @property
@@ -115,7 +116,7 @@
         return max(self.own_report_time, self.peer_report_time)
 
     def needs_probe(self, now):
-        """Tell whether a probe may be sent, as far as this host knows.
+        """Tell whether a probe is due, as far as this host knows.
 
         Parameters
         ----------
@@ -125,24 +126,24 @@
         Returns
         -------
         bool
-            False for a target that has reported recently, takes no work, is in
-            cold start or has no budget.
+            False for a target that has reported recently, accepts no work, is
+            in cold start or has no probe budget.
         """
         return (
             self.limits.probe_budget >= MIN_PROBE_BUDGET
             and now - self.latest_report_time >= self.limits.probe_after
             and self.accepts_work(now)
-            # Work under leases brings the reports of a target in cold start.
+            # A target in cold start reports on the requests sent under leases.
             and not self.is_cold
         )
 
     def update_report_times(self, reported, probed):
-        """Note that a host got a report or sent a probe.
+        """Record when hosts received a report or sent a probe.
 
         Parameters
         ----------
         reported : float
-            Monotonic time of a report at another host; ``NEVER`` without one.
+            Monotonic time of a report to another host; ``NEVER`` without one.
         probed : float
             Monotonic time of a probe; ``NEVER`` without one.
         """
@@ -151,12 +152,12 @@
             self.probed = max(self.probed, probed)
 
     def begin(self):
-        """Count a request in progress."""
+        """Count a request that starts."""
         with self._lock:
             self.in_flight += 1
 
     def end(self):
-        """Count a request as no longer in progress."""
+        """Count a request that ended."""
         with self._lock:
             self.in_flight -= 1
 
@@ -171,37 +172,39 @@
         Returns
         -------
         float
-            Requests of all hosts.
+            Requests of all hosts at the target.
         """
-        life = self.estimate.read_latency(now, self.outlier_detector.typical_latency)
-        return self.in_flight + self.estimate.estimate_other_load(now, life)
+        half_life = self.estimate.estimate_latency(
+            now, self.outlier_detector.typical_latency
+        )
+        return self.in_flight + self.estimate.estimate_other_load(now, half_life)
 
     def record_report(self, report):
-        """Take a load report; return the temperature if it changed.
+        """Apply a load report; return the temperature if it became cold or leaving.
 
         Parameters
         ----------
         report : LoadReport
-            The report of a response.
+            The report on a response.
 
         Returns
         -------
         Temperature or None
-            The new temperature when this report changed it.
+            COLD or LEAVING when this report changed the temperature to it.
         """
         with self._lock:
             if self.report is not None and self.report.time > report.time:
                 return None
             self.report = report
-            # The report counts this host's requests too, among them the one
-            # that was just answered.
-            others = max(0, report.in_flight - self.in_flight)
-            self.estimate.record_other_load(others, report.time)
+            # The report includes this host's requests and the one that was just
+            # answered.
+            other_load = max(0, report.in_flight - self.in_flight)
+            self.estimate.record_other_load(other_load, report.time)
             was_leaving, was_cold = self.leaving, self.is_cold
             self.leaving = report.temperature is Temperature.LEAVING
             self.start_id = report.start_id
             if report.temperature is Temperature.COLD:
-                self.warm_start_id = None
+                self.warmed_start_id = None
             if self.leaving and not was_leaving:
                 return Temperature.LEAVING
             if self.is_cold and not was_cold:
@@ -209,36 +212,36 @@
             return None
 
     def mark_warm(self, start_id):
-        """Note that one start of the target bears full load.
+        """Record that a start of the target process can take full load.
 
         Parameters
         ----------
         start_id : str
-            The start that is warm.
+            Identifier of the warm start.
         """
         with self._lock:
             self.start_id = start_id
-            self.warm_start_id = start_id
+            self.warmed_start_id = start_id
 
     def mark_cold(self, start_id):
-        """Note that a peer saw the target in cold start.
+        """Record that a peer saw the target in cold start.
 
         Parameters
         ----------
         start_id : str
-            The start that is cold.
+            Identifier of the cold start.
         """
         with self._lock:
             self.start_id = start_id
-            self.warm_start_id = None
+            self.warmed_start_id = None
 
     def mark_leaving(self):
-        """Note that a peer saw the target leave."""
+        """Record that a peer saw the target leaving."""
         with self._lock:
             self.leaving = True
 
     def record_success(self, seconds):
-        """Note a whole response.
+        """Record a complete response.
 
         Parameters
         ----------
@@ -248,16 +251,17 @@
         now = time.monotonic()
         with self._lock:
             self.failures = 0
-            report, factor = self.report, 1.0
+            report, queue_factor = self.report, 1.0
             if report is not None and report.slots > 0:
-                # Requests beyond the slots waited; that is load, not speed.
+                # Requests in excess of the slots were queued. Their waiting time
+                # shows the load of the target, not its speed.
                 waiting = max(0, report.in_flight - report.slots)
-                factor += waiting / report.slots
-            self.estimate.record_latency(seconds, now, factor)
+                queue_factor += waiting / report.slots
+            self.estimate.record_latency(seconds, now, queue_factor)
             self.estimate.record_outcome(False, now)
 
     def record_cancelled(self, seconds):
-        """Note that this host gave up an attempt that took too long.
+        """Record an attempt that was cancelled because it took too long.
 
         Parameters
         ----------
@@ -268,13 +272,13 @@
             self.estimate.record_cancelled_latency(seconds, time.monotonic())
 
     def record_refused(self):
-        """Note that the target refused a request because it is full."""
+        """Record that the target refused a request because its slots were used."""
         with self._lock:
-            full = max(0, self.limits.slots - self.in_flight)
-            self.estimate.record_other_load(full, time.monotonic())
+            other_load = max(0, self.limits.slots - self.in_flight)
+            self.estimate.record_other_load(other_load, time.monotonic())
 
     def record_failure(self, now):
-        """Note a failed attempt; return True if it ejects the target.
+        """Record a failed attempt; return True if it ejects the target.
 
         Parameters
         ----------
@@ -294,7 +298,7 @@
         return self.outlier_detector.eject(self, now)
 
     def compute_return_share(self, now):
-        """Return which share of its traffic a target that returned may take.
+        """Return the share of its traffic that a target may receive after its return.
 
         Parameters
         ----------
@@ -336,14 +340,14 @@
 
 
 class TargetDirectory:
-    """Holds the table in force and carries state over to the next one."""
+    """Holds the table in force and keeps target states across configurations."""
 
     def __init__(self):
         self.table = None
         self._by_address = {}
 
     def apply(self, configuration, stamp=None):
-        """Put a configuration in force.
+        """Apply a configuration.
 
         Parameters
         ----------
@@ -365,8 +369,8 @@
                 state = old.pop(target, None)
                 if state is None:
                     state = TargetState(target, limits)
-                # The guard reads limits last, so a change acts on requests
-                # that were decided under the former configuration.
+                # The check just before a send reads the limits again, so a change
+                # applies to requests decided under the previous configuration.
                 if state.limits.out and not limits.out:
                     state.returned_at = time.monotonic()
                 state.limits = limits
--- a/tests/test_ejections.py
+++ b/tests/test_ejections.py
@@ -19,17 +19,17 @@
             for _ in range(5):
                 other.record_success(0.05 * (factor if other is state else 1))
 
-    def test_failures_in_a_row_eject_once(self):
+    def test_consecutive_failures_eject_a_target_once(self):
         state = self.states[0]
         self.assertEqual([False, False, True, False], self.fail(state, 4))
         self.assertFalse(state.accepts_work(self.now))
 
-    def test_a_success_between_failures_keeps_the_target(self):
+    def test_a_success_resets_the_count_of_consecutive_failures(self):
         self.fail(self.states[0], 2)
         self.states[0].record_success(0.05)
         self.assertEqual([False, False], self.fail(self.states[0], 2))
 
-    def test_hosts_do_not_return_together_and_repeats_wait_longer(self):
+    def test_ejections_have_jitter_and_repeated_ones_last_longer(self):
         ends = set()
         for _ in range(5):
             state = make_states(6)[0]
@@ -46,24 +46,24 @@
         self.assertEqual(1, self.outlier_detector.review(time.monotonic()))
         self.assertGreater(self.states[0].ejected_until, self.now)
 
-    def test_a_uniformly_slow_service_ejects_nothing(self):
+    def test_no_target_is_ejected_when_all_are_equally_slow(self):
         for state in self.states:
             for _ in range(5):
                 state.record_success(1.0)
         self.assertEqual(0, self.outlier_detector.review(time.monotonic()))
 
-    def test_at_most_a_third_is_ejected(self):
+    def test_at_most_a_third_of_the_targets_is_ejected(self):
         for state in self.states:
             self.fail(state)
         self.assertEqual(4, sum(s.accepts_work(self.now) for s in self.states))
 
-    def test_the_rest_must_bear_the_load(self):
+    def test_no_target_is_ejected_when_the_others_cannot_serve_the_load(self):
         for state in self.states:
             state.record_report(make_report(3, self.now))
         self.fail(self.states[0])
         self.assertTrue(self.states[0].accepts_work(self.now))
 
-    def test_an_ejected_target_returns_when_the_load_grows(self):
+    def test_an_ejection_ends_early_when_the_others_are_overloaded(self):
         self.make_slow(None)
         self.fail(self.states[0])
         later = time.monotonic()
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -5,7 +5,7 @@
 
 from harness.benchfleet import BenchFleet, render_ratio
 from harness.fleet import TargetSpec
-from redwingspring.hedges import Cancellation, HedgeTimer, LatencyWindow, Race
+from redwingspring.hedges import Cancellation, HedgedAttempt, HedgeTimer, LatencyWindow
 from redwingspring.retries import AttemptBudget
 from redwingspring.verdict import Reason, doubt, refuse
 
@@ -38,21 +38,21 @@
         self.idle.append(connection)
 
 
-class RaceTest(RedwingspringTestCase):
+class HedgedAttemptTest(RedwingspringTestCase):
     def setUp(self):
         super().setUp()
         self.discarded = []
         self.budget = AttemptBudget(0.1)
 
-    def run_race(self, first, second, hedge_after=0.0):
-        """Run a race; attempts are functions of their cancellation."""
+    def run_hedged(self, first, second, hedge_after=0.0):
+        """Run a hedged attempt; both attempts are functions of their cancellation."""
 
         def send(cancellation, hedge):
             return (second if hedge else first)(cancellation)
 
-        race = Race(send, self.discarded.append, self.budget)
-        HedgeTimer().schedule(race, time.monotonic() + hedge_after)
-        return race.run()
+        hedged_attempt = HedgedAttempt(send, self.discarded.append, self.budget)
+        HedgeTimer().schedule(hedged_attempt, time.monotonic() + hedge_after)
+        return hedged_attempt.run()
 
     @staticmethod
     def wait_for_cancel(cancellation):
@@ -61,25 +61,25 @@
             time.sleep(0.001)
         return Error(doubt(Reason.RESET, "closed"))
 
-    def test_the_hedge_wins_and_cancels_the_first(self):
-        outcome = self.run_race(self.wait_for_cancel, lambda _: Ok("hedge"))
+    def test_a_response_to_the_hedge_cancels_the_first_attempt(self):
+        outcome = self.run_hedged(self.wait_for_cancel, lambda _: Ok("hedge"))
         self.assertEqual("hedge", outcome.ok)
 
-    def test_a_late_answer_of_the_loser_never_reaches_the_caller(self):
+    def test_a_late_response_of_the_cancelled_attempt_is_discarded(self):
         def first(cancellation):
             self.wait_for_cancel(cancellation)
             return Ok("first")
 
-        outcome = self.run_race(first, lambda _: Ok("hedge"))
+        outcome = self.run_hedged(first, lambda _: Ok("hedge"))
         self.assertEqual(("hedge", ["first"]), (outcome.ok, self.discarded))
 
-    def test_an_answer_before_the_delay_sends_no_hedge(self):
+    def test_no_hedge_is_sent_after_a_response_within_the_delay(self):
         sent = []
-        outcome = self.run_race(lambda _: Ok("first"), sent.append, 0.05)
+        outcome = self.run_hedged(lambda _: Ok("first"), sent.append, 0.05)
         time.sleep(0.1)
         self.assertEqual(("first", []), (outcome.ok, sent))
 
-    def test_doubt_of_one_attempt_is_not_hidden_by_proof_of_the_other(self):
+    def test_a_failure_that_may_have_run_takes_precedence_over_one_that_did_not(self):
         hedged = threading.Event()
         failed = Error(doubt(Reason.RESET, "reset"))
         refused = Error(refuse(Reason.TARGET_REFUSED, "busy"))
@@ -98,9 +98,9 @@
                 lambda _, run=run, outcome=outcome: run(outcome)
                 for run, outcome in zip((first, second), pair, strict=True)
             ]
-            self.assertFalse(self.run_race(*attempts).error.proves_not_run)
+            self.assertFalse(self.run_hedged(*attempts).error.proves_not_run)
 
-    def test_a_broken_first_attempt_leaves_no_answer_of_the_hedge_behind(self):
+    def test_the_hedge_response_is_discarded_when_the_first_attempt_raises(self):
         def first(_):
             time.sleep(0.05)
             raise RuntimeError
@@ -109,13 +109,13 @@
             self.wait_for_cancel(cancellation)
             return Ok("hedge")
 
-        self.assertRaises(RuntimeError, self.run_race, first, second)
+        self.assertRaises(RuntimeError, self.run_hedged, first, second)
         end = time.monotonic() + 5
         while not self.discarded and time.monotonic() < end:
             time.sleep(0.001)
         self.assertEqual(["hedge"], self.discarded)
 
-    def test_hedges_stop_at_their_budget(self):
+    def test_no_hedge_is_sent_when_the_budget_is_used_up(self):
         while self.budget.take():
             pass
         sent = []
@@ -124,12 +124,12 @@
             time.sleep(0.05)
             return Ok("first")
 
-        self.assertEqual("first", self.run_race(first, sent.append).ok)
+        self.assertEqual("first", self.run_hedged(first, sent.append).ok)
         self.assertEqual([], sent)
 
 
 class CancellationTest(RedwingspringTestCase):
-    def test_a_connection_given_back_is_not_closed_under_its_next_user(self):
+    def test_a_cancellation_does_not_close_a_connection_that_was_given_back(self):
         cancellation, pool = Cancellation(), _Pool()
         connection = cancellation.wrap(pool).take(None, True)
         cancellation.give_back(connection)
@@ -148,7 +148,7 @@
 
 
 class LatencyWindowTest(RedwingspringTestCase):
-    def test_the_delay_follows_the_latency_of_the_service(self):
+    def test_the_hedge_delay_follows_the_latency_percentile_of_the_service(self):
         window = LatencyWindow()
         for number in range(100):
             self.assertIsNone(window.hedge_delay)
@@ -180,7 +180,7 @@
             self.assertEqual(200, response.status)
             self.assertEqual(request_id, response.headers["Request-Id"])
 
-    def test_only_idempotent_requests_are_hedged_and_the_loser_is_cancelled(self):
+    def test_only_idempotent_requests_are_hedged_and_the_slower_is_cancelled(self):
         self.send("POST", 150)
         self.fleet.change_target(0, slowness=100)
         self.send("POST", 9)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -18,7 +18,7 @@
                 states = make_states(count)
                 self.assertIn(choose(name, states), states, name)
 
-    def test_baselines_follow_their_rules(self):
+    def test_simple_policies_choose_by_turn_and_outstanding_requests(self):
         states = make_states(3)
         turns = [choose("round-robin", states) for _ in range(6)]
         self.assertEqual(3, len(set(turns[:3])))
@@ -35,7 +35,7 @@
     def count(self, states, times=200, data_centre="akl-a"):
         return Counter(choose(self.name, states, data_centre) for _ in range(times))
 
-    def learn(self, states, seconds=0.05):
+    def record_latency(self, states, seconds=0.05):
         for state in states:
             for _ in range(10):
                 state.record_success(seconds)
@@ -45,7 +45,7 @@
         states = make_states(5)
         self.assertEqual([40] * 5, list(self.count(states).values()))
 
-    def test_hosts_with_the_same_view_do_not_start_on_one_target(self):
+    def test_hosts_with_equal_state_do_not_all_start_with_the_same_target(self):
         firsts = Counter()
         for _ in range(60):
             states = make_states(6)
@@ -54,8 +54,8 @@
 
     def test_a_slow_target_is_avoided_and_tried_again_later(self):
         states = make_states(3)
-        self.learn(states[1:])
-        self.learn(states[:1], 0.5)
+        self.record_latency(states[1:])
+        self.record_latency(states[:1], 0.5)
         self.assertNotIn(states[0], self.count(states))
         later = PolicyContext("akl-a", time.monotonic() + 30)
         chosen = {policies.find(self.name)(states, later) for _ in range(9)}
@@ -63,40 +63,40 @@
 
     def test_a_target_that_was_slow_is_tried_with_one_request_at_a_time(self):
         states = make_states(2)
-        self.learn(states[1:])
-        self.learn(states[:1], 0.5)
+        self.record_latency(states[1:])
+        self.record_latency(states[:1], 0.5)
         states[0].begin()
         later = PolicyContext("akl-a", time.monotonic() + 30)
         states[1].begin()
         chosen = {policies.find(self.name)(states, later) for _ in range(9)}
         self.assertEqual({states[1]}, chosen)
 
-    def test_latency_within_the_usual_variance_moves_no_load(self):
+    def test_a_latency_within_the_usual_variance_does_not_move_load(self):
         states = make_states(2)
-        self.learn(states[1:])
-        self.learn(states[:1], 0.07)
+        self.record_latency(states[1:])
+        self.record_latency(states[:1], 0.07)
         self.assertEqual([100, 100], list(self.count(states).values()))
 
     def test_a_target_that_fails_fast_never_looks_lightly_loaded(self):
         states = make_states(4)
-        self.learn(states)
+        self.record_latency(states)
         for state in states[1:]:
             state.begin()
             state.begin()
         states[0].record_failure(time.monotonic())
         self.assertNotIn(states[0], self.count(states))
 
-    def test_a_report_loses_value_with_its_age(self):
+    def test_a_load_report_loses_weight_with_its_age(self):
         now = time.monotonic()
         states = make_states(2)
-        self.learn(states)
+        self.record_latency(states)
         for state in states:
             for _ in range(30):
                 state.record_report(make_report(1, now - 60))
         states[0].record_report(make_report(6, now))
         self.assertEqual({states[1]}, set(self.count(states)))
         states = make_states(2)
-        self.learn(states)
+        self.record_latency(states)
         for state in states:
             for _ in range(30):
                 state.record_report(make_report(1, now - 60))
@@ -107,24 +107,25 @@
 
     def test_a_refusal_counts_as_a_full_target(self):
         states = make_states(2)
-        self.learn(states)
+        self.record_latency(states)
         states[0].record_refused()
         self.assertIs(states[1], choose(self.name, states))
 
-    def test_the_own_data_centre_is_preferred_only_among_equals(self):
+    def test_the_local_data_centre_is_preferred_only_among_equal_targets(self):
         states = make_states(2) + make_states(2, "ham-b")
         self.assertEqual(set(states[:2]), set(self.count(states)))
         for state in states[:2]:
             state.begin()
         self.assertEqual(set(states[2:]), set(self.count(states)))
 
-    def test_a_decision_among_35_targets_stays_within_its_budget(self):
+    def test_a_decision_among_35_targets_stays_within_its_time_budget(self):
         states = make_states(35)
-        self.learn(states)
+        self.record_latency(states)
         times = []
         for _ in range(200):
             started = time.perf_counter()
             choose(self.name, states)
             times.append(time.perf_counter() - started)
-        # The aim is 50 microseconds; a busy machine may need several times that.
+        # The goal is 50 microseconds; the bound is higher because a busy machine may
+        # need several times as long.
         self.assertLess(sorted(times)[100], 200e-6)
