--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -37,10 +37,10 @@
 
     may_repeat = Dispatcher._may_repeat
 
-    def repeat_doubtful(self, call, gate, failure):
+    def repeat_doubtful(self, call, admission, failure):
         if not failure.proves_not_run and call.body.repeatable:
             return True
-        return may_repeat(self, call, gate, failure)
+        return may_repeat(self, call, admission, failure)
 
     Dispatcher._may_repeat = repeat_doubtful
 
@@ -103,7 +103,9 @@
     from redwingspring.targets import NEVER, TargetState
 
     never = property(lambda self: NEVER)
-    Watch.own_report_time = Watch.peer_report_time = TargetState.last_reported = never
+    Watch.own_report_time = Watch.peer_report_time = TargetState.latest_report_time = (
+        never
+    )
 
 
 @mutations.register("probe-lists")
@@ -178,9 +180,9 @@
 @mutations.register("news")
 def keep_news():
     """Tell no other host that a target turned cold or leaves."""
-    from redwingspring.temperatures import TemperatureNews
+    from redwingspring.temperatures import TemperatureExchange
 
-    TemperatureNews.take = lambda self, sender, news: None
+    TemperatureExchange.apply_message = lambda self, sender, news: None
 
 
 @mutations.register("clock-steps")
