Rename the module of parsed header values to metadata

"Terms" does not say what the module holds: the metadata that the header parser returns.

terms -> metadata RequestTerms -> RequestMetadata ResponseTerms -> ResponseMetadata local variables terms -> metadata

--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -206,17 +206,17 @@
             Ok with an Answer, or an Error with a Failure.
         """
         try:
-            response, terms = self._read_own_response(attempt)
+            response, metadata = self._read_own_response(attempt)
         except _FAULTS as error:
             self._fail(explain_fault(self.connection, error))
             return Error(self.failure)
         self._note_answered()
-        if terms.load is not None and terms.request_id == attempt.attempt_id:
-            self.end_sample = terms.load
+        if metadata.load is not None and metadata.request_id == attempt.attempt_id:
+            self.end_sample = metadata.load
             # A target counts the request that it answers.
-            load = terms.load if terms.not_run else terms.load.end_one()
+            load = metadata.load if metadata.not_run else metadata.load.end_one()
             self.state.record_load(replace(load, time=self._clock()))
-        failure = self._judge(response, terms, attempt)
+        failure = self._judge(response, metadata, attempt)
         if failure is None:
             return self._read_body(response, attempt)
         if failure.proves_not_run:
@@ -268,23 +268,23 @@
     def _read_probe(self):
         self.connection.extend_deadline(self._clock() + PROBE_READ_S)
         try:
-            response, terms = self._read_probe_response()
+            response, metadata = self._read_probe_response()
             failed = self._skip_body(response)
         except _FAULTS as error:
             self._fail(refuse(Reason.CONNECT, f"no answer to a probe: {error}"))
             return
         now = self._clock()
         expected = self.state.instance.id
-        if terms.instance_id not in (None, expected):
-            detail = f"instance {terms.instance_id} has the address now"
+        if metadata.instance_id not in (None, expected):
+            detail = f"instance {metadata.instance_id} has the address now"
             self._fail(refuse(Reason.WRONG_INSTANCE, detail))
             return
         healthy = response.status == 200
-        load = terms.load
+        load = metadata.load
         if load is None:
             self.state.tells_load = False
             load = LoadSample(0, 0, self.state.instance.slots)
-        sample = replace(load, cold_s=terms.cold_s, time=now, healthy=healthy)
+        sample = replace(load, cold_s=metadata.cold_s, time=now, healthy=healthy)
         self.state.record_sample(sample)
         self.sample = self.state.sample
         if failed:
@@ -294,23 +294,23 @@
 
     def _read_probe_response(self):
         """Return the response to the probe; skip one to an earlier request."""
-        return self._skip_strays(lambda terms: not terms.signed)
+        return self._skip_strays(lambda metadata: not metadata.signed)
 
     def _read_own_response(self, attempt):
         """Return the response to the request; skip one to an earlier request."""
         own = (None, attempt.attempt_id)
-        return self._skip_strays(lambda terms: terms.request_id in own)
+        return self._skip_strays(lambda metadata: metadata.request_id in own)
 
     def _skip_strays(self, is_own):
         """Return the first response that is wanted, or the last one allowed."""
         response = self._read_response(first=True)
-        terms = self._dialect.read_response(response.headers)
+        metadata = self._dialect.read_response(response.headers)
         strays = 0
-        while not is_own(terms) and strays < MAX_STRAY_RESPONSES:
+        while not is_own(metadata) and strays < MAX_STRAY_RESPONSES:
             response = self._read_next(response)
-            terms = self._dialect.read_response(response.headers)
+            metadata = self._dialect.read_response(response.headers)
             strays += 1
-        return response, terms
+        return response, metadata
 
     def _read_next(self, stray):
         """Return the response that follows one of an earlier request."""
@@ -329,12 +329,12 @@
         # Until a stall time is set, reads are bound to the deadline.
         return TargetResponse(connection, self.state.pool, raw, None)
 
-    def _judge(self, response, terms, attempt):
+    def _judge(self, response, metadata, attempt):
         """Return why a response cannot be passed on, or None."""
-        if terms.request_id not in (None, attempt.attempt_id):
-            detail = f"the response belongs to request {terms.request_id}"
+        if metadata.request_id not in (None, attempt.attempt_id):
+            detail = f"the response belongs to request {metadata.request_id}"
             return doubt(Reason.CROSSED, detail)
-        if terms.not_run and response.status in REFUSAL_STATUSES:
+        if metadata.not_run and response.status in REFUSAL_STATUSES:
             if response.status == MISDIRECTED:
                 return refuse(Reason.WRONG_INSTANCE, "another instance has the address")
             return refuse(Reason.TARGET_REFUSED, "the target refused the request")
@@ -342,7 +342,7 @@
             return refuse(Reason.WRONG_INSTANCE, "another instance has the address")
         if response.status < 200:
             return doubt(Reason.NO_ANSWER, "an unexpected interim response")
-        if response.status < 300 and not terms.signed:
+        if response.status < 300 and not metadata.signed:
             return doubt(Reason.CROSSED, "a success without a signature")
         if response.headers.get("content-encoding") is not None:
             return doubt(Reason.CROSSED, "the body is not as the target made it")
--- /dev/null
+++ b/redwingspring/metadata.py
@@ -0,0 +1,47 @@
+"""Request and response metadata, parsed from the headers of the platform."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class RequestMetadata:
+    """Metadata in the headers of a caller's request.
+
+    Attributes
+    ----------
+    request_id : str or None
+        Identifier of one attempt of the caller; None if missing or too long.
+    time_left_s : float or None
+        Seconds until the caller times out.
+    """
+
+    request_id: str | None
+    time_left_s: float | None
+
+
+@dataclass(frozen=True)
+class ResponseMetadata:
+    """Metadata in the headers of a target's response.
+
+    Attributes
+    ----------
+    request_id : str or None
+        Request that the response answers; None if the target does not state it.
+    signed : bool
+        Whether the response has the target's signature.
+    not_run : bool
+        Whether the target states that it did not run the request.
+    instance_id : str or None
+        Instance that responds; None if it does not state its id.
+    load : LoadSample or None
+        Load of the target; None if it does not report it.
+    cold_s : float
+        Seconds until the target has warmed up.
+    """
+
+    request_id: str | None
+    signed: bool
+    not_run: bool
+    instance_id: str | None
+    load: object
+    cold_s: float
--- a/redwingspring/platform/headers.py
+++ b/redwingspring/platform/headers.py
@@ -1,7 +1,7 @@
 """Headers of requests and responses on the platform."""
 
 from ..loadsamples import LoadSample
-from ..terms import RequestTerms, ResponseTerms
+from ..metadata import RequestMetadata, ResponseMetadata
 
 REQUEST_ID = "Request-Id"
 TIME_LEFT = "Deadline-Ms"
@@ -40,7 +40,7 @@
 
     Returns
     -------
-    RequestTerms
+    RequestMetadata
         Values that cannot be read are None.
     """
     request_id = environ.get("HTTP_REQUEST_ID") or None
@@ -48,7 +48,7 @@
         request_id = None
     # The value is the time that is left, not a point in time.
     left_ms = _read_number(environ.get("HTTP_DEADLINE_MS"))
-    return RequestTerms(request_id, None if left_ms is None else left_ms / 1000)
+    return RequestMetadata(request_id, None if left_ms is None else left_ms / 1000)
 
 
 def render_request(request_id, time_left_s, instance_id):
@@ -85,11 +85,11 @@
 
     Returns
     -------
-    ResponseTerms
+    ResponseMetadata
         Values that cannot be read are None or 0.
     """
     cold_ms = _read_number(headers.get(COLD))
-    return ResponseTerms(
+    return ResponseMetadata(
         request_id=headers.get(REQUEST_ID),
         signed=bool(headers.get(SIGNATURE)),
         not_run=headers.get(NOT_RUN) is not None,
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -102,12 +102,12 @@
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
             return Error(Rejection(failure, NO_TABLE_RETURN_S))
-        terms = self.dialect.read_request(environ)
+        metadata = self.dialect.read_request(environ)
         path = environ.get("REQUEST_URI") or environ["PATH_INFO"]
         route = table.find_route(environ.get("HTTP_HOST", ""), path)
         if route is None:
             return Error(self._reject_unknown_route())
-        if terms.request_id is None:
+        if metadata.request_id is None:
             failure = refuse(Reason.MALFORMED, "the request has no id", 400)
             return Error(Rejection(failure))
         length = read_length(environ)
@@ -116,8 +116,8 @@
             failure = refuse(Reason.TOO_LARGE, "the request body is too large", 413)
             return Error(Rejection(failure))
         left = route.timeout_s
-        if terms.time_left_s is not None:
-            left = min(left, terms.time_left_s)
+        if metadata.time_left_s is not None:
+            left = min(left, metadata.time_left_s)
         deadline = received + left
         connection = environ.get("redwingspring.connection")
         body = RequestBody(
@@ -138,7 +138,7 @@
         service = table.services[self._rotation.choose(route)]
         return Ok(
             RoutedCall(
-                request_id=terms.request_id,
+                request_id=metadata.request_id,
                 route=route,
                 service=service,
                 method=environ["REQUEST_METHOD"],
@@ -149,7 +149,7 @@
                 deadline=deadline,
                 socket=connection.socket if connection else None,
                 earlier_s=self.dispatcher.caller_timeouts.note(
-                    route, terms.time_left_s
+                    route, metadata.time_left_s
                 ),
             )
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -129,12 +129,14 @@
 
 class HeadersTest(RedwingspringTestCase):
     def test_the_load_is_read_with_its_slowness(self):
-        terms = headers.read_response({"Server-Load": "3,1,8,250", "Warmup-Ms": "900"})
-        load = terms.load
+        metadata = headers.read_response(
+            {"Server-Load": "3,1,8,250", "Warmup-Ms": "900"}
+        )
+        load = metadata.load
         self.assertEqual(
             (3, 1, 8, 2.5), (load.running, load.waiting, load.slots, load.slowness)
         )
-        self.assertEqual(0.9, terms.cold_s)
+        self.assertEqual(0.9, metadata.cold_s)
 
     def test_a_load_that_cannot_be_read_is_no_load(self):
         for text in ("", "1,2", "a,b,c", "1,2,nan", "-1,0,3", "1,2,3,x"):
