Rename instance, exchange and route identifiers to usual terms

Answer -> UpstreamResponse Answer.rest -> UpstreamResponse.stream Exchange.read_answer -> receive_response Exchange.begin_plain -> begin_without_probe Exchange.ends_at_once -> needs_no_io InstanceState.park -> add_pending_probe InstanceState.take_parked -> take_pending_probes InstanceState.is_silent -> has_pending_probe InstanceState.tells_load -> reports_load InstanceState.record_sample -> record_probe_load InstanceState.record_load -> record_response_load Instance.born_ms -> started_unix_ms ColdShare.select_own -> select_owned HostCount.note -> record_count ServiceShare -> WeightedService ShareRotation -> WeightedRoundRobin Route.shares -> weighted_services RoutedService.cold_per_s -> cold_rate_per_s StoreStandIn.silent, oldest, page -> hangs, oldest_revision, page_size StoreStandIn.forget_history -> compact_history InstanceStandIn.answer_sound, answer_mute, answer_cut, answer_stray -> answer_normal, answer_probe_hang, answer_truncated, answer_stale_response

--- a/harness/soakfleet.py
+++ b/harness/soakfleet.py
@@ -25,7 +25,7 @@
 class SoakTarget(InstanceStandIn):
     """A target whose answers name the request that they belong to."""
 
-    def answer_sound(self, handler, request_id):
+    def answer_normal(self, handler, request_id):
         """Answer with a body of this request only."""
         body = make_body(request_id)
         self.send_head(handler, request_id, len(body))
--- a/harness/soaktroubles.py
+++ b/harness/soaktroubles.py
@@ -93,7 +93,7 @@
 def break_store(fleet, rng, seconds):
     """Let the store fail or lose its history."""
     if rng.random() < 0.3:
-        fleet.store.forget_history()
+        fleet.store.compact_history()
         return
     fleet.store.status = rng.choice((503, 429))
     time.sleep(seconds)
@@ -112,10 +112,19 @@
 def mislead(fleet, rng, seconds):
     """Let a target fail in one of its ways."""
     target = rng.choice(fleet.targets)
-    modes = ("shed", "error", "cut", "reset", "garbage", "hang", "stray", "unsigned")
+    modes = (
+        "shed",
+        "error",
+        "truncated",
+        "reset",
+        "garbage",
+        "hang",
+        "stale_response",
+        "unsigned",
+    )
     target.mode = rng.choice(modes)
     time.sleep(seconds)
-    target.mode = "sound"
+    target.mode = "normal"
 
 
 @troubles.register("reuse")
--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -54,7 +54,7 @@
         Returns
         -------
         expression.Result
-            Ok with an Answer, or an Error with the Failure that counts.
+            Ok with an UpstreamResponse, or an Error with the Failure that counts.
         """
         while True:
             placed = self._search.find()
@@ -161,7 +161,7 @@
     def _finish(self, exchange, attempt, racing):
         """Read the answer of an exchange, which then no longer takes part."""
         racing.remove((exchange, attempt))
-        outcome = exchange.read_answer(attempt)
+        outcome = exchange.receive_response(attempt)
         state = exchange.state
         state.end()
         self._dispatcher.lines.find(self._call.service.name).note_load()
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True)
-class Answer:
+class UpstreamResponse:
     """A response that can be passed on to the caller.
 
     Attributes
@@ -58,8 +58,8 @@
     headers : tuple of (str, str)
         All headers.
     body : bytes
-        The whole body, or its beginning when ``rest`` is given.
-    rest : TargetResponse or None
+        The whole body, or its beginning when ``stream`` is given.
+    stream : TargetResponse or None
         Where the rest of a long body is read from.
     length : int or None
         Declared length of the body.
@@ -69,7 +69,7 @@
     reason: str
     headers: tuple
     body: bytes
-    rest: object
+    stream: object
     length: int | None
 
 
@@ -119,7 +119,7 @@
         return select.POLLIN
 
     @property
-    def ends_at_once(self):
+    def needs_no_io(self):
         """Tell whether the exchange has nothing to wait for."""
         return self.stage in (Stage.READY, Stage.CLOSED)
 
@@ -144,7 +144,7 @@
             return
         self.stage = Stage.CONNECTING
 
-    def begin_plain(self, sample=None):
+    def begin_without_probe(self, sample=None):
         """Take a connection without asking for the load.
 
         Parameters
@@ -192,7 +192,7 @@
         self.sent_at = self._clock()
         return None
 
-    def read_answer(self, attempt):
+    def receive_response(self, attempt):
         """Read the response to the request.
 
         Parameters
@@ -203,7 +203,7 @@
         Returns
         -------
         expression.Result
-            Ok with an Answer, or an Error with a Failure.
+            Ok with an UpstreamResponse, or an Error with a Failure.
         """
         try:
             response, metadata = self._read_own_response(attempt)
@@ -215,7 +215,7 @@
             self.end_sample = metadata.load
             # A target counts the request that it answers.
             load = metadata.load if metadata.not_run else metadata.load.end_one()
-            self.state.record_load(replace(load, time=self._clock()))
+            self.state.record_response_load(replace(load, time=self._clock()))
         failure = self._judge(response, metadata, attempt)
         if failure is None:
             return self._read_body(response, attempt)
@@ -282,10 +282,10 @@
         healthy = response.status == 200
         load = metadata.load
         if load is None:
-            self.state.tells_load = False
+            self.state.reports_load = False
             load = LoadSample(0, 0, self.state.instance.slots)
         sample = replace(load, cold_s=metadata.cold_s, time=now, healthy=healthy)
-        self.state.record_sample(sample)
+        self.state.record_probe_load(sample)
         self.sample = self.state.sample
         if failed:
             # The load is known, but the connection is of no more use.
@@ -355,7 +355,7 @@
         self._note_keep_alive(response)
         parts = []
         size = 0
-        rest = None
+        stream = None
         empty = attempt.method == "HEAD" or response.status in (204, 304)
         try:
             while not empty:
@@ -365,27 +365,27 @@
                 parts.append(data)
                 size += len(data)
                 if size >= BUFFERED_BYTES:
-                    rest = response
-                    rest.set_stall(STREAM_STALL_S)
+                    stream = response
+                    stream.set_stall(STREAM_STALL_S)
                     break
-            if rest is None and not empty and response.length not in (None, size):
+            if stream is None and not empty and response.length not in (None, size):
                 raise ResponseBroken(f"{size} of {response.length} bytes arrived")
         except ResponseBroken as broken:
             response.abort()
             self.stage = Stage.CLOSED
             self.failure = doubt(Reason.TRUNCATED, str(broken))
             return Error(self.failure)
-        if rest is None:
+        if stream is None:
             response.finish()
         self.stage = Stage.CLOSED
         return Ok(
-            Answer(
+            UpstreamResponse(
                 response.status,
                 response.reason or "Status",
                 tuple(response.headers.items()),
                 b"".join(parts),
-                rest,
-                response.length if rest is not None else size,
+                stream,
+                response.length if stream is not None else size,
             )
         )
 
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -39,7 +39,7 @@
         True when it takes no new requests.
     cold_s : float
         Seconds that it stayed cold when the entry was written.
-    born_ms : int
+    started_unix_ms : int
         Unix milliseconds of its start; 0 when the entry does not tell.
     """
 
@@ -50,7 +50,7 @@
     slots: int
     leaving: bool = False
     cold_s: float = 0.0
-    born_ms: int = 0
+    started_unix_ms: int = 0
 
 
 class InstanceState:
@@ -72,7 +72,7 @@
         self.in_flight = 0
         self.unanswered = 0
         self.sample = None
-        self.tells_load = True
+        self.reports_load = True
         self.listed_at = now
         self.cold_until = now + instance.cold_s
         self.probed_at = float("-inf")
@@ -82,11 +82,11 @@
         self._lock = threading.Lock()
 
     @property
-    def is_silent(self):
+    def has_pending_probe(self):
         """Tell whether a probe is still unanswered."""
         return bool(self._unanswered)
 
-    def park(self, exchange):
+    def add_pending_probe(self, exchange):
         """Keep an exchange whose probe is still unanswered.
 
         Parameters
@@ -97,7 +97,7 @@
         with self._lock:
             self._unanswered.append(exchange)
 
-    def take_parked(self):
+    def take_pending_probes(self):
         """Return the parked exchanges, each of them to one caller only.
 
         Returns
@@ -122,7 +122,7 @@
         self.instance = instance
         self.cold_until = now + instance.cold_s
 
-    def record_sample(self, sample):
+    def record_probe_load(self, sample):
         """Note the load that the instance told.
 
         Parameters
@@ -139,7 +139,7 @@
         elif sample.time < self.cold_until:
             self.cold_until = sample.time
 
-    def record_load(self, sample):
+    def record_response_load(self, sample):
         """Note the load that the instance told in the response to a request.
 
         Unlike the response to a probe it says nothing of a cold start, or of
@@ -294,7 +294,10 @@
         with self._lock:
             now = self._clock()
             known = self._states.get(instance.id)
-            if known is not None and instance.born_ms < known.instance.born_ms:
+            if (
+                known is not None
+                and instance.started_unix_ms < known.instance.started_unix_ms
+            ):
                 return False
             if known is not None and _is_same_start(known.instance, instance):
                 known.update(instance, now)
@@ -383,7 +386,7 @@
 
 def _is_same_start(known, instance):
     return (
-        known.born_ms == instance.born_ms
+        known.started_unix_ms == instance.started_unix_ms
         and known.address == instance.address
         and known.service == instance.service
     )
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -333,7 +333,7 @@
     poor = False
     if sample is not None and query.now - sample.time < SAMPLE_USE_S:
         poor = predict_factor(sample) > 2 or not sample.healthy
-    return (poor or state.is_silent, rng.random())
+    return (poor or state.has_pending_probe, rng.random())
 
 
 def is_health_useless(states):
--- a/redwingspring/placesearch.py
+++ b/redwingspring/placesearch.py
@@ -154,15 +154,15 @@
         if recent is not None:
             return recent
         service = self._call.service.name
-        tells_load = any(state.tells_load for state in states)
+        reports_load = any(state.reports_load for state in states)
         probes = 0
-        if tells_load:
+        if reports_load:
             probes = self._dispatcher.probes.take(service, len(states), CANDIDATES)
         query = self._build_query(wait, probes or CANDIDATES)
         if probes:
             chosen = candidate_policies.find("fresh-load")(usable, query)
             return self._select(self._probe(chosen, accepts), accepts)
-        if tells_load and not self._dispatcher.may_send_blindly(states):
+        if reports_load and not self._dispatcher.may_send_blindly(states):
             return None
         return self._take_plain(
             candidate_policies.find("least-requests")(usable, query)
@@ -199,7 +199,7 @@
         cold = [s.instance.id for s in states if s.is_cold(now)]
         if not cold:
             return states
-        foreign = set(cold) - self._dispatcher.cold.select_own(cold)
+        foreign = set(cold) - self._dispatcher.cold.select_owned(cold)
         return [s for s in states if s.instance.id not in foreign]
 
     def _take_plain(self, chosen):
@@ -209,7 +209,7 @@
         because nothing shows what the other hosts send.
         """
         for state in chosen:
-            if state.tells_load and state.in_flight:
+            if state.reports_load and state.in_flight:
                 continue
             if self._may_use_cold(state):
                 return self._open_plain(state, None)
@@ -218,7 +218,7 @@
     def _open_plain(self, state, sample):
         """Return an exchange that is ready to send without a probe."""
         exchange = Exchange(state, self._dispatcher.dialect)
-        exchange.begin_plain(sample)
+        exchange.begin_without_probe(sample)
         return exchange
 
     def _probe(self, chosen, accepts):
@@ -235,13 +235,13 @@
             ready, _ = poll_exchanges(pending, left)
             for exchange in ready:
                 exchange.advance()
-                if exchange.ends_at_once:
+                if exchange.needs_no_io:
                     pending.remove(exchange)
                     self._sort_exchange(exchange, pending, answered)
             if any(accepts(exchange.sample) for exchange in answered):
                 end = min(end, self._clock() + PROBE_GRACE_S)
         for exchange in pending:
-            exchange.state.park(exchange)
+            exchange.state.add_pending_probe(exchange)
         return answered
 
     def _sort_exchange(self, exchange, pending, answered):
@@ -259,7 +259,7 @@
     def _collect_unanswered(self, state):
         """Read late answers to probes of an instance; give up on old ones."""
         now = self._clock()
-        for exchange in state.take_parked():
+        for exchange in state.take_pending_probes():
             ready, _ = poll_exchanges([exchange], 0)
             if ready:
                 exchange.advance()
@@ -275,7 +275,7 @@
                 self._metrics.increment(f"probes.failed.{failure.reason}")
                 self._dispatcher.record_failure(state, failure)
             else:
-                state.park(exchange)
+                state.add_pending_probe(exchange)
 
     def _select(self, answered, accepts):
         """Return the best acceptable exchange; release the others."""
@@ -294,7 +294,7 @@
         """Tell whether an instance is warm, or this host may use it while cold."""
         if not state.is_cold(self._clock()):
             return True
-        rate = self._call.service.cold_per_s
+        rate = self._call.service.cold_rate_per_s
         if self._dispatcher.cold.take(state.instance.id, rate):
             return True
         self._metrics.increment("cold.over_share")
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -12,7 +12,7 @@
     InstanceGone,
     TableChange,
 )
-from ..routes import CallerLimits, Route, RoutedService, ServiceShare, build_table
+from ..routes import CallerLimits, Route, RoutedService, WeightedService, build_table
 from ..units import check_address
 
 CONFIGURATION_KEY = "op/config"
@@ -169,8 +169,8 @@
 
 
 def _build_route(route):
-    shares = tuple(
-        ServiceShare(share.service, share.weight)
+    weighted_services = tuple(
+        WeightedService(share.service, share.weight)
         for share in route.traffic_split
         if share.weight
     )
@@ -178,7 +178,7 @@
         name=route.name,
         prefix=route.prefix,
         # A single service takes the place of a split.
-        shares=shares or (ServiceShare(route.service, 1.0),),
+        weighted_services=weighted_services or (WeightedService(route.service, 1.0),),
         # Downloads are long responses to idempotent requests.
         idempotent=route.type != "non_idempotent",
         attempts=route.max_attempts,
@@ -222,7 +222,7 @@
         slots=entry.info.max_concurrency,
         leaving=entry.status.state == "draining",
         cold_s=entry.status.warmup_left_s,
-        born_ms=entry.born,
+        started_unix_ms=entry.born,
     )
 
 
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -47,7 +47,7 @@
     )
     entry.follower = StoreFollower(entry.sources, entry.knowledge, entry.mirror)
     hosts = HostCount()
-    entry.gossip.on_count = hosts.note
+    entry.gossip.on_count = hosts.record_count
     entry.dispatcher = RouteDispatcher(
         directory=entry.directory,
         dialect=headers,
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -150,7 +150,7 @@
         Returns
         -------
         expression.Result
-            Ok with an Answer, or an Error with a Rejection.
+            Ok with an UpstreamResponse, or an Error with a Rejection.
         """
         self.retries.record_request(call.service.name)
         outcome = Delivery(self, call).run()
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -6,7 +6,7 @@
 from .calls import HOP_BY_HOP_HEADERS, read_headers, read_length
 from .clock import read_clock
 from .routedispatch import Rejection, RoutedCall
-from .routes import ShareRotation
+from .routes import WeightedRoundRobin
 from .targetconnection import ResponseBroken
 from .upstream import CallerGone
 from .verdict import Reason, refuse
@@ -66,7 +66,7 @@
         self.decisions = decisions
         self.latencies = latencies
         self._clock = clock
-        self._rotation = ShareRotation()
+        self._round_robin = WeightedRoundRobin()
 
     def __call__(self, environ, start_response):
         """Serve one request.
@@ -135,7 +135,7 @@
         except TimeoutError:
             late = refuse(Reason.DEADLINE, "the request body was late")
             return Error(Rejection(late))
-        service = table.services[self._rotation.choose(route)]
+        service = table.services[self._round_robin.choose(route)]
         return Ok(
             RoutedCall(
                 request_id=metadata.request_id,
@@ -176,7 +176,7 @@
         self.metrics.increment("requests.answered")
         if call.method == "HEAD":
             return []
-        if answer.rest is None:
+        if answer.stream is None:
             return [answer.body]
         return _StreamedBody(answer, lambda: self._break(environ, call))
 
@@ -240,7 +240,7 @@
         data, self._next = self._next, None
         try:
             if data is None:
-                data = self._answer.rest.read()
+                data = self._answer.stream.read()
             if self._left is not None:
                 self._left -= len(data)
                 if not data and self._left:
@@ -251,7 +251,7 @@
         if data:
             return data
         self._ended = True
-        self._answer.rest.finish()
+        self._answer.stream.finish()
         raise StopIteration
 
     def close(self):
@@ -259,5 +259,5 @@
         if self._ended:
             return
         self._ended = True
-        self._answer.rest.abort()
+        self._answer.stream.abort()
         self._on_broken()
--- a/redwingspring/routes.py
+++ b/redwingspring/routes.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(frozen=True)
-class ServiceShare:
+class WeightedService:
     """Part of a route's requests that goes to one service.
 
     Attributes
@@ -33,7 +33,7 @@
         Name of the route.
     prefix : str
         Beginning of the paths; begins and ends with a slash.
-    shares : tuple of ServiceShare
+    weighted_services : tuple of WeightedService
         Services that answer, at least one.
     idempotent : bool
         Whether a request may run more than once.
@@ -51,7 +51,7 @@
 
     name: str
     prefix: str
-    shares: tuple
+    weighted_services: tuple
     idempotent: bool
     attempts: int
     timeout_s: float
@@ -74,7 +74,7 @@
         Connections that each target accepts from all hosts together.
     cold_s : float
         Seconds that a target stays cold after its start.
-    cold_per_s : float
+    cold_rate_per_s : float
         Requests a second that a cold target tolerates from all hosts together.
     """
 
@@ -82,7 +82,7 @@
     health_path: str
     max_connections: int
     cold_s: float
-    cold_per_s: float
+    cold_rate_per_s: float
 
 
 @dataclass(frozen=True)
@@ -185,7 +185,7 @@
     )
 
 
-class ShareRotation:
+class WeightedRoundRobin:
     """Deals the requests of split routes to their services by weight.
 
     Each route's next request goes to the service that is furthest behind its
@@ -208,15 +208,19 @@
         str
             Name of the service.
         """
-        if len(route.shares) == 1:
-            return route.shares[0].service
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
         debts = self._debts.get(route.name)
-        if debts is None or debts.keys() != {s.service for s in route.shares}:
-            debts = {share.service: 0.0 for share in route.shares}
+        if debts is None or debts.keys() != {
+            s.service for s in route.weighted_services
+        }:
+            debts = {share.service: 0.0 for share in route.weighted_services}
             self._debts[route.name] = debts
-        total = sum(share.weight for share in route.shares)
-        for share in route.shares:
+        total = sum(share.weight for share in route.weighted_services)
+        for share in route.weighted_services:
             debts[share.service] += share.weight / total
-        chosen = max(route.shares, key=lambda share: debts[share.service]).service
+        chosen = max(
+            route.weighted_services, key=lambda share: debts[share.service]
+        ).service
         debts[chosen] -= 1.0
         return chosen
--- a/redwingspring/shares.py
+++ b/redwingspring/shares.py
@@ -42,7 +42,7 @@
         self._seen = deque()
         self._lock = threading.Lock()
 
-    def note(self, count):
+    def record_count(self, count):
         """Take the number of hosts known now.
 
         Parameters
@@ -212,7 +212,7 @@
         self._hosts = ()
         self._owned = {}
 
-    def select_own(self, instance_ids):
+    def select_owned(self, instance_ids):
         """Return the cold instances that belong to this host.
 
         Load pattern: when a data centre returns, all its targets are cold at once,
@@ -260,7 +260,7 @@
         bool
             False when this host may not send now.
         """
-        if not self.select_own((instance_id,)):
+        if not self.select_owned((instance_id,)):
             return False
         with self._lock:
             now = self._clock()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -54,10 +54,10 @@
         self.items = {}
         self.events = []
         self.revision = 1
-        self.oldest = 1
+        self.oldest_revision = 1
         self.status = 200
-        self.silent = False
-        self.page = 500
+        self.hangs = False
+        self.page_size = 500
         self.calls = 0
         self.changed = threading.Condition()
         stand_in = self
@@ -94,9 +94,9 @@
             del self.items[key]
             self._note({"key": key, "revision": self.revision, "deleted": True})
 
-    def forget_history(self):
+    def compact_history(self):
         with self.changed:
-            self.oldest = self.revision + 1
+            self.oldest_revision = self.revision + 1
             self.events.clear()
             self.changed.notify_all()
 
@@ -106,7 +106,7 @@
 
     def serve(self, handler):
         self.calls += 1
-        if self.silent:
+        if self.hangs:
             time.sleep(30)
         if self.status != 200:
             handler.answer(self.status, {"error": "no"})
@@ -124,7 +124,7 @@
     def read_range(self, query):
         with self.changed:
             keys = sorted(k for k in self.items if k > query.get("after", ""))
-            page = keys[: self.page]
+            page = keys[: self.page_size]
             return {
                 "items": [self.items[key] for key in page],
                 "has_more": len(keys) > len(page),
@@ -136,7 +136,7 @@
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.changed:
             while True:
-                if after + 1 < self.oldest:
+                if after + 1 < self.oldest_revision:
                     return 410, {"error": "history lost"}
                 events = [e for e in self.events if e["revision"] > after]
                 left = end - time.monotonic()
@@ -154,7 +154,7 @@
         self.warmup_ms = None
         self.healthy = True
         self.work_s = 0.0
-        self.mode = "sound"
+        self.mode = "normal"
         self.body = b"whole body"
         self.runs = []
         self.arrivals = []
@@ -212,7 +212,7 @@
 
     def serve_probe(self, handler):
         self.probes += 1
-        if self.mode == "mute":
+        if self.mode == "probe_hang":
             time.sleep(30)
         handler.send_response(200 if self.healthy else 503)
         handler.send_header("Instance-Id", self.id)
@@ -252,11 +252,11 @@
             handler.send_header("Content-Length", str(length))
         handler.end_headers()
 
-    def answer_sound(self, handler, request_id):
+    def answer_normal(self, handler, request_id):
         self.send_head(handler, request_id, len(self.body))
         handler.wfile.write(self.body)
 
-    answer_mute = answer_sound
+    answer_probe_hang = answer_normal
 
     def answer_error(self, handler, request_id):
         self.send_head(handler, request_id, 3, status=500)
@@ -266,7 +266,7 @@
         self.send_head(handler, request_id, len(self.body), signed=False)
         handler.wfile.write(self.body)
 
-    def answer_cut(self, handler, request_id):
+    def answer_truncated(self, handler, request_id):
         self.send_head(handler, request_id, len(self.body) + 5)
         handler.wfile.write(self.body)
         self.end(handler)
@@ -284,13 +284,13 @@
         handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.end(handler)
 
-    def answer_stray(self, handler, request_id):
+    def answer_stale_response(self, handler, request_id):
         """Send a second response to an earlier request first."""
         self.send_head(handler, "earlier", 5)
         handler.wfile.write(b"stray")
         handler.wfile.flush()
         time.sleep(0.02)
-        self.answer_sound(handler, request_id)
+        self.answer_normal(handler, request_id)
 
     def answer_garbage(self, handler, request_id):
         """Send bytes that are no response."""
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -100,10 +100,10 @@
         self.assertEqual({"a"}, self.ids)
 
     def test_a_start_under_the_same_id_begins_with_nothing_known(self):
-        self.list_instance("a", 1, born_ms=1000)
+        self.list_instance("a", 1, started_unix_ms=1000)
         [state] = self.directory.view.services["desk"]
         state.record_failure(self.now)
-        self.list_instance("a", 2, born_ms=2000)
+        self.list_instance("a", 2, started_unix_ms=2000)
         [again] = self.directory.view.services["desk"]
         self.assertIsNot(state, again)
         self.assertFalse(self.directory.accepts(state))
--- a/tests/test_misleading.py
+++ b/tests/test_misleading.py
@@ -15,7 +15,7 @@
 class MisleadingTargetTest(RedwingspringTestCase):
     """Each test has one sound target beside the misleading one."""
 
-    def start(self, mode="sound", **attributes):
+    def start(self, mode="normal", **attributes):
         self.host = HostFixture(self, instances=2)
         self.bad, self.sound = self.host.instances
         self.bad.mode = mode
@@ -63,7 +63,7 @@
         """Flapping: it fails for a while and is then as good as the other."""
         self.start("error")
         self.post(6)
-        self.bad.mode = "sound"
+        self.bad.mode = "normal"
         self.sound.load = "3,0,3,100"
         before = len(self.bad.runs)
         wait_until(lambda: self.post(1) and len(self.bad.runs) > before, 5)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -86,8 +86,8 @@
         """In a burst probes find full targets; responses tell of free slots."""
         pick = candidate_policies.find("recent-load")
         state = self.near[0]
-        state.record_sample(LoadSample(3, 0, 3, time=9.7))
-        state.record_load(LoadSample(3, 0, 3, time=9.995).end_one())
+        state.record_probe_load(LoadSample(3, 0, 3, time=9.7))
+        state.record_response_load(LoadSample(3, 0, 3, time=9.995).end_one())
         self.assertEqual([state], pick(self.near, query()))
         self.assertEqual(2, state.sample.running)
         state.begin()
@@ -98,23 +98,23 @@
         """Responses to requests go on as usual while a target is cold again."""
         pick = candidate_policies.find("recent-load")
         state = self.near[0]
-        state.record_load(LoadSample(2, 0, 3, time=9.995))
+        state.record_response_load(LoadSample(2, 0, 3, time=9.995))
         self.assertEqual([], pick(self.near, query()))
-        state.record_sample(LoadSample(2, 0, 3, time=9.4))
-        state.record_load(LoadSample(2, 0, 3, time=9.995))
+        state.record_probe_load(LoadSample(2, 0, 3, time=9.4))
+        state.record_response_load(LoadSample(2, 0, 3, time=9.995))
         self.assertEqual([], pick(self.near, query()))
 
     def test_a_response_does_not_end_a_cold_start(self):
         state = self.near[0]
-        state.record_sample(LoadSample(0, 0, 3, cold_s=2.0, time=10.0))
-        state.record_load(LoadSample(1, 0, 3, time=10.5))
+        state.record_probe_load(LoadSample(0, 0, 3, cold_s=2.0, time=10.0))
+        state.record_response_load(LoadSample(1, 0, 3, time=10.5))
         self.assertTrue(state.is_cold(10.6))
         self.assertTrue(state.sample.cold_s > 0)
 
     def test_requests_of_this_host_fill_the_slots_and_then_the_queue(self):
         """A burst sent up to three requests beyond the slots by one response."""
         state = self.near[0]
-        state.record_sample(LoadSample(2, 0, 3, time=9.99))
+        state.record_probe_load(LoadSample(2, 0, 3, time=9.99))
         wait = Wait(0.02, 0.7, 0.25, 0.09)
         accepted = 0
         while accepts_place(state.sample, wait, 1.0):
@@ -127,8 +127,8 @@
     def test_a_response_does_not_make_an_unhealthy_target_healthy(self):
         """A target that is leaving answers what it runs, and must get no more."""
         state = self.near[0]
-        state.record_sample(LoadSample(2, 0, 3, time=9.99, healthy=False))
-        state.record_load(LoadSample(1, 0, 3, time=9.995))
+        state.record_probe_load(LoadSample(2, 0, 3, time=9.99, healthy=False))
+        state.record_response_load(LoadSample(1, 0, 3, time=9.995))
         wait = Wait(0.02, 0.7, 0.25, 0.09)
         self.assertFalse(accepts_place(state.sample, wait, 1.0))
 
@@ -136,20 +136,20 @@
         """A hanging target says that it is idle and would draw all work."""
         state = self.near[0]
         state.count_unanswered(4)
-        state.record_sample(LoadSample(0, 0, 3, time=9.99))
+        state.record_probe_load(LoadSample(0, 0, 3, time=9.99))
         self.assertEqual((3, 1), (state.sample.running, state.sample.waiting))
-        state.record_sample(LoadSample(2, 3, 3, time=9.99))
+        state.record_probe_load(LoadSample(2, 3, 3, time=9.99))
         self.assertEqual((2, 3), (state.sample.running, state.sample.waiting))
         state.count_unanswered(-1)
-        state.record_load(LoadSample(0, 0, 3, time=9.995))
+        state.record_response_load(LoadSample(0, 0, 3, time=9.995))
         self.assertEqual((3, 0), (state.sample.running, state.sample.waiting))
 
     def test_health_is_of_use_while_one_target_may_be_well(self):
         for state in self.near:
-            state.record_sample(LoadSample(0, 0, 3, time=9.99, healthy=False))
+            state.record_probe_load(LoadSample(0, 0, 3, time=9.99, healthy=False))
         self.assertTrue(is_health_useless(self.near))
         self.assertFalse(is_health_useless([*self.near, build_state(9)]))
-        self.near[0].record_sample(LoadSample(0, 0, 3, time=9.99))
+        self.near[0].record_probe_load(LoadSample(0, 0, 3, time=9.99))
         self.assertFalse(is_health_useless(self.near))
 
     def test_a_queue_at_a_target_keeps_its_slots_full_when_a_request_ends(self):
@@ -422,19 +422,19 @@
 
         def collect():
             for _ in range(2000):
-                for exchange in state.take_parked():
+                for exchange in state.take_pending_probes():
                     taken.append(exchange)
-                    state.park(exchange)
+                    state.add_pending_probe(exchange)
                     taken.pop()
 
         for number in range(3):
-            state.park(number)
+            state.add_pending_probe(number)
         threads = [threading.Thread(target=collect) for _ in range(4)]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        self.assertEqual([0, 1, 2], sorted(state.take_parked()))
+        self.assertEqual([0, 1, 2], sorted(state.take_pending_probes()))
 
 
 class EjectionTest(RedwingspringTestCase):
@@ -455,7 +455,7 @@
 
     def test_a_target_that_turns_cold_again_is_noticed(self):
         state = build_state(1)
-        state.record_sample(LoadSample(0, 0, 3, cold_s=2.0, time=10.0))
+        state.record_probe_load(LoadSample(0, 0, 3, cold_s=2.0, time=10.0))
         self.assertTrue(state.is_cold(11.0))
-        state.record_sample(LoadSample(0, 0, 3, cold_s=0.0, time=11.5))
+        state.record_probe_load(LoadSample(0, 0, 3, cold_s=0.0, time=11.5))
         self.assertFalse(state.is_cold(11.6))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,7 +98,7 @@
         self.assertEqual(
             (7, True, False), (table.version, read.idempotent, post.idempotent)
         )
-        self.assertEqual(["desk"], [share.service for share in read.shares])
+        self.assertEqual(["desk"], [share.service for share in read.weighted_services])
         self.assertEqual(
             (3.0, 15.0), (table.limits.header_timeout_s, table.limits.idle_timeout_s)
         )
@@ -164,7 +164,7 @@
         self.client = store.StoreClient(self.stand_in.address, Metrics())
 
     def test_all_pages_are_read(self):
-        self.stand_in.page = 3
+        self.stand_in.page_size = 3
         for number in range(8):
             self.stand_in.put(f"servers/{number}", b"x")
         snapshot = self.client.read_all()
@@ -181,14 +181,14 @@
 
     def test_each_trouble_of_the_store_has_an_error_of_its_own(self):
         self.stand_in.put("servers/1", b"x")
-        self.stand_in.forget_history()
+        self.stand_in.compact_history()
         self.assertRaises(HistoryLost, self.client.watch, 1, 0.1)
         for status, error in ((429, StoreBusy), (503, StoreBusy), (500, StoreError)):
             self.stand_in.status = status
             self.assertRaises(error, self.client.read_all)
 
     def test_a_silent_store_is_noticed(self):
-        self.stand_in.silent = True
+        self.stand_in.hangs = True
         self.patch(store, "WATCH_MARGIN_S", 0.1)
         self.assertRaises(StoreError, self.client.watch, 1, 0.1)
 
--- a/tests/test_routedpath.py
+++ b/tests/test_routedpath.py
@@ -134,7 +134,7 @@
         self.assertEqual(1, len(host.runs))
 
     def test_a_read_whose_answer_breaks_off_is_sent_again(self):
-        for mode in ("cut", "reset", "unsigned", "error"):
+        for mode in ("truncated", "reset", "unsigned", "error"):
             host = HostFixture(self, instances=2)
             host.instances[0].mode = mode
             for _ in range(4):
@@ -142,7 +142,7 @@
                 self.assertEqual((200, b"whole body"), (status, body), mode)
 
     def test_an_answer_without_signature_or_end_is_no_success(self):
-        for mode in ("cut", "unsigned"):
+        for mode in ("truncated", "unsigned"):
             host = HostFixture(self, instances=1)
             host.instances[0].mode = mode
             status, _, _ = host.ask("POST", POSTS, body=b"x")
@@ -157,7 +157,7 @@
 
     def test_a_late_second_response_is_not_taken_for_the_answer(self):
         host = HostFixture(self, instances=1)
-        host.instances[0].mode = "stray"
+        host.instances[0].mode = "stale_response"
         status, _, body = host.ask("POST", POSTS, body=b"x")
         self.assertEqual((200, b"whole body"), (status, body))
         self.assertEqual(1, len(host.runs))
@@ -180,7 +180,7 @@
 
     def test_a_mute_target_does_not_hold_a_request_up(self):
         host = HostFixture(self, instances=2)
-        host.instances[0].mode = "mute"
+        host.instances[0].mode = "probe_hang"
         started = time.monotonic()
         for _ in range(5):
             self.assertEqual(200, host.ask()[0])
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -2,17 +2,17 @@
     CallerLimits,
     Route,
     RoutedService,
-    ServiceShare,
-    ShareRotation,
+    WeightedRoundRobin,
+    WeightedService,
     build_table,
 )
 
 from .base import RedwingspringTestCase
 
 
-def build_route(name, prefix, *shares):
-    shares = shares or (ServiceShare("desk", 1.0),)
-    return Route(name, prefix, shares, True, 2, 1.0, 0.3, 1)
+def build_route(name, prefix, *weighted_services):
+    weighted_services = weighted_services or (WeightedService("desk", 1.0),)
+    return Route(name, prefix, weighted_services, True, 2, 1.0, 0.3, 1)
 
 
 class RoutingTableTest(RedwingspringTestCase):
@@ -45,18 +45,25 @@
         self.assertEqual(None, self.find("a.example", "/xy/1"))
 
 
-class ShareRotationTest(RedwingspringTestCase):
+class WeightedRoundRobinTest(RedwingspringTestCase):
     def test_few_requests_already_follow_the_weights(self):
-        shares = (ServiceShare("desk", 90.0), ServiceShare("store", 10.0))
-        route = build_route("split", "/x/", *shares)
-        rotation = ShareRotation()
-        chosen = [rotation.choose(route) for _ in range(20)]
+        weighted_services = (
+            WeightedService("desk", 90.0),
+            WeightedService("store", 10.0),
+        )
+        route = build_route("split", "/x/", *weighted_services)
+        round_robin = WeightedRoundRobin()
+        chosen = [round_robin.choose(route) for _ in range(20)]
         self.assertEqual(18, chosen.count("desk"))
 
     def test_changed_shares_begin_anew(self):
-        rotation = ShareRotation()
-        before = build_route("s", "/x/", ServiceShare("a", 1), ServiceShare("b", 1))
-        rotation.choose(before)
-        after = build_route("s", "/x/", ServiceShare("a", 1), ServiceShare("c", 3))
-        chosen = [rotation.choose(after) for _ in range(8)]
+        round_robin = WeightedRoundRobin()
+        before = build_route(
+            "s", "/x/", WeightedService("a", 1), WeightedService("b", 1)
+        )
+        round_robin.choose(before)
+        after = build_route(
+            "s", "/x/", WeightedService("a", 1), WeightedService("c", 3)
+        )
+        chosen = [round_robin.choose(after) for _ in range(8)]
         self.assertEqual(6, chosen.count("c"))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -45,7 +45,7 @@
         shares = []
         for count in counts:
             hosts = HostCount(clock)
-            hosts.note(count)
+            hosts.record_count(count)
             shares.append(RetryShare(RATIO, SLACK, WINDOW_S, hosts, clock))
         source = random.Random(3)
         requests, extras = [], []
@@ -75,12 +75,12 @@
     def test_a_cut_does_not_deal_the_slack_out_again(self):
         clock = Clock()
         hosts = HostCount(clock)
-        hosts.note(HOSTS)
+        hosts.record_count(HOSTS)
         clock.now += 5
-        hosts.note(2)
+        hosts.record_count(2)
         self.assertEqual(HOSTS, hosts.value)
         clock.now += 60
-        hosts.note(2)
+        hosts.record_count(2)
         self.assertEqual(2, hosts.value)
 
     def test_hedges_leave_a_part_for_retries(self):
@@ -125,8 +125,8 @@
         share = ColdShare("host-3", lambda: list(names), Clock())
         ids = [f"i-{n}" for n in range(55)]
         with mock.patch.object(shares, "rank_hosts", wraps=rank_hosts) as ranked:
-            own = share.select_own(ids)
-            self.assertEqual(own, share.select_own(ids))
+            own = share.select_owned(ids)
+            self.assertEqual(own, share.select_owned(ids))
             self.assertEqual(len(ids), ranked.call_count)
         expected = {name for name in ids if rank_hosts(names, name)[0] == "host-3"}
         self.assertEqual(expected, own)
@@ -135,16 +135,16 @@
         names = [f"host-{n}" for n in range(HOSTS)]
         share = ColdShare("host-3", lambda: names, Clock())
         ids = [f"i-{n}" for n in range(55)]
-        share.select_own(ids)
+        share.select_owned(ids)
         del names[4:]
         expected = {name for name in ids if rank_hosts(names, name)[0] == "host-3"}
-        self.assertEqual(expected, share.select_own(ids))
+        self.assertEqual(expected, share.select_owned(ids))
 
 
 class BlindShareTest(RedwingspringTestCase):
     def test_hosts_without_probes_together_do_not_fill_the_queues_of_targets(self):
         hosts = HostCount()
-        hosts.note(18)
+        hosts.record_count(18)
         sent = 0
         for _ in range(18):
             dispatcher = build_dispatcher(hosts)
--- a/tests/test_waitinglines.py
+++ b/tests/test_waitinglines.py
@@ -150,7 +150,7 @@
     def test_the_sum_over_hosts_stays_within_the_rate(self):
         now = [100.0]
         hosts = HostCount(lambda: now[0])
-        hosts.note(18)
+        hosts.record_count(18)
         shares = [ProbeShare(60.0, hosts, lambda: now[0]) for _ in range(18)]
         sent = 0
         for _ in range(3200):
@@ -161,7 +161,7 @@
 
     def test_a_burst_may_use_what_calm_seconds_left(self):
         hosts = HostCount(lambda: 100.0)
-        hosts.note(18)
+        hosts.record_count(18)
         share = ProbeShare(60.0, hosts, lambda: 100.0)
         self.assertTrue(sum(share.take("desk", 34, 2) for _ in range(600)) > 650)
 
