--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -1,4 +1,4 @@
-"""Attempts to have one routed call answered: send, hedge, try again."""
+"""Attempts to get a response to one routed call: sends, hedges and retries."""
 
 from expression import Error
 
@@ -8,33 +8,33 @@
 from .upstream import Attempt
 from .verdict import Reason, doubt, refuse
 
-# Share of the target latency after which an idempotent request is sent to a
-# second target.
-HEDGE_SHARE = 0.5
-# A second target is chosen only if it is fast.
-HEDGE_FACTOR = 1.6
-HEDGE_AGAIN_S = 0.03
-# Part of the extra arrivals that hedges may use; the rest is for retries.
-HEDGE_PART = 0.85
-# A failure of a target gives way to another attempt while this share of the target
-# latency is left.
-REPLACE_SHARE = 0.4
-# An attempt that takes this many times as long as expected counts as silent.
-SILENT_FACTOR = 1.8
-# A decision rests on load of that moment; after a pause of the process it is
-# made again.
+# An idempotent request is hedged after this fraction of its target latency.
+HEDGE_DELAY_FRACTION = 0.5
+# A target whose predicted time relative to the usual time exceeds this gets no hedge.
+MAX_HEDGE_FACTOR = 1.6
+HEDGE_INTERVAL_S = 0.03
+# Fraction of the retry budget that hedges may use; the rest is kept for retries.
+HEDGE_BUDGET_FRACTION = 0.85
+# An error response of a target is replaced by another attempt only while this
+# fraction of the target latency is left_s.
+MIN_REPLACEMENT_FRACTION = 0.4
+# A cancelled attempt that took longer than this multiple of the expected time
+# counts as a failure of its target.
+UNRESPONSIVE_FACTOR = 1.8
+# A placement uses the load at that moment, so it is made again if the process
+# pauses before the send.
 MAX_DECISION_AGE_S = 0.1
-# Failures after which another attempt is of no use.
+# Failures that no further attempt can remedy.
 _FINAL_REASONS = frozenset((Reason.CALLER_GONE, Reason.DEADLINE, Reason.MALFORMED))
 
 
 class Delivery:
-    """The attempts to have one call answered.
+    """All attempts for one call.
 
     Parameters
     ----------
     dispatcher : RouteDispatcher
-        Shares, history and instances.
+        Host shares, service history and instances.
     call : RoutedCall
         The call.
     """
@@ -45,35 +45,39 @@
         self._clock = dispatcher.clock
         self._metrics = dispatcher.metrics
         self._search = PlaceSearch(dispatcher, call)
-        self._arrivals = 0
-        self._worst = None
+        self._sends = 0
+        self._reported_failure = None
 
     def run(self):
-        """Make attempts until one is answered or none is allowed.
+        """Make attempts until one succeeds or no further one is allowed.
 
         Returns
         -------
         expression.Result
-            Ok with an UpstreamResponse, or an Error with the Failure that counts.
+            Ok with an UpstreamResponse, or an Error with the Failure to report.
         """
         while True:
-            placed = self._search.find()
-            if placed.is_error():
-                self._note_failure(placed.error)
-                return Error(self._worst)
-            outcome = self._deliver(placed.ok)
+            found = self._search.find()
+            if found.is_error():
+                self._keep_failure(found.error)
+                return Error(self._reported_failure)
+            outcome = self._deliver(found.ok)
             if outcome.is_ok():
                 return outcome
-            self._note_failure(outcome.error)
-            if not self._may_repeat(outcome.error):
-                return Error(self._worst)
+            self._keep_failure(outcome.error)
+            if not self._may_retry(outcome.error):
+                return Error(self._reported_failure)
 
-    def _note_failure(self, failure):
-        """Keep the failure that says most: doubt goes before proof."""
-        if self._worst is None or self._worst.proves_not_run:
-            self._worst = failure
+    def _keep_failure(self, failure):
+        """Keep the failure to report.
 
-    def _may_repeat(self, failure):
+        The first failure after which the request may have run stays; one that
+        proves that it did not run is replaced by the next failure.
+        """
+        if self._reported_failure is None or self._reported_failure.proves_not_run:
+            self._reported_failure = failure
+
+    def _may_retry(self, failure):
         call = self._call
         if failure.reason in _FINAL_REASONS:
             return False
@@ -81,86 +85,86 @@
             return False
         if not call.body.repeatable or self._clock() >= call.deadline:
             return False
-        if self._arrivals >= call.route.attempts:
+        if self._sends >= call.route.attempts:
             return False
-        if self._arrivals == 0:
+        if self._sends == 0:
             return True
         allowed = self._dispatcher.retries.take(call.service.name)
         self._metrics.increment("retries.sent" if allowed else "retries.over_budget")
         return allowed
 
     def _deliver(self, first):
-        """Send to a first instance and perhaps a second; return the outcome."""
-        racing = []
+        """Send to an instance, hedge if allowed, and return the outcome."""
+        pending = []
         try:
-            failure = self._launch(first, racing)
+            failure = self._send_attempt(first, pending)
             if failure is not None:
                 return Error(failure)
-            return self._await_answer(racing)
+            return self._await_response(pending)
         finally:
-            for exchange, _ in racing:
+            for exchange, _ in pending:
                 exchange.abort()
                 exchange.state.end()
-                self._note_cancelled(exchange)
+                self._record_cancellation(exchange)
 
-    def _note_cancelled(self, exchange):
-        """Count an attempt that this host ended, also against a silent target."""
+    def _record_cancellation(self, exchange):
+        """Count a cancelled attempt, and a failure if its target was unresponsive."""
         self._metrics.increment("attempts.cancelled")
         sample = exchange.sample
         if sample is None:
             return
         work_s = self._dispatcher.history.expect_work(self._call.route)
         expected_s = work_s * predict_factor(sample)
-        if self._clock() - exchange.sent_at > SILENT_FACTOR * expected_s:
-            silent = doubt(Reason.NO_ANSWER, "no response for long")
-            self._dispatcher.record_failure(exchange.state, silent)
+        if self._clock() - exchange.sent_at > UNRESPONSIVE_FACTOR * expected_s:
+            unresponsive = doubt(Reason.NO_ANSWER, "no response for long")
+            self._dispatcher.record_failure(exchange.state, unresponsive)
 
-    def _launch(self, exchange, racing):
-        """Send the call; return a Failure if that did not work."""
+    def _send_attempt(self, exchange, pending):
+        """Send the call to an instance; return a Failure if that fails."""
         attempt = self._build_attempt(exchange)
         state = exchange.state
         self._search.tried.add(state.instance.id)
         state.begin()
         failure = exchange.send(attempt)
         if exchange.connection.started:
-            self._arrivals += 1
+            self._sends += 1
             self._metrics.increment("attempts.sent")
-        self._log_choice(exchange, failure)
+        self._log_attempt(exchange, failure)
         if failure is not None:
             state.end()
             self._dispatcher.record_failure(state, failure)
             return failure
-        racing.append((exchange, attempt))
+        pending.append((exchange, attempt))
         return None
 
-    def _await_answer(self, racing):
-        """Return the first good answer, or the failure of the last attempt."""
+    def _await_response(self, pending):
+        """Return the first successful response, or the failure of the last attempt."""
         call = self._call
-        hedge_at = call.received + HEDGE_SHARE * call.route.target_latency_s
+        hedge_at = call.received + HEDGE_DELAY_FRACTION * call.route.target_latency_s
         outcome = None
-        while racing:
+        while pending:
             now = self._clock()
             if now >= call.deadline:
                 return Error(doubt(Reason.DEADLINE, "no response in time", 504))
-            may_hedge = self._may_hedge(racing)
+            may_hedge = self._may_hedge(pending)
             until = min(call.deadline, hedge_at) if may_hedge else call.deadline
-            exchanges = [exchange for exchange, _ in racing]
-            ready, gone = poll_exchanges(exchanges, until - now, call.socket)
-            for exchange, attempt in [r for r in racing if r[0] in ready]:
-                outcome = self._finish(exchange, attempt, racing)
+            exchanges = [exchange for exchange, _ in pending]
+            ready, caller_closed = poll_exchanges(exchanges, until - now, call.socket)
+            for exchange, attempt in [r for r in pending if r[0] in ready]:
+                outcome = self._receive_response(exchange, attempt, pending)
                 if outcome.is_ok():
                     return outcome
-                self._note_failure(outcome.error)
-            if gone and not ready:
+                self._keep_failure(outcome.error)
+            if caller_closed and not ready:
                 return Error(doubt(Reason.CALLER_GONE, "the caller hung up"))
             if may_hedge and self._clock() >= hedge_at:
-                self._hedge(racing)
-                hedge_at = self._clock() + HEDGE_AGAIN_S
+                self._hedge(pending)
+                hedge_at = self._clock() + HEDGE_INTERVAL_S
         return outcome
 
-    def _finish(self, exchange, attempt, racing):
-        """Read the answer of an exchange, which then no longer takes part."""
-        racing.remove((exchange, attempt))
+    def _receive_response(self, exchange, attempt, pending):
+        """Read the response of an exchange and remove it from the pending ones."""
+        pending.remove((exchange, attempt))
         outcome = exchange.receive_response(attempt)
         state = exchange.state
         state.end()
@@ -172,15 +176,15 @@
             self._dispatcher.record_failure(
                 state, doubt(Reason.TARGET_FAILED, f"status {outcome.ok.status}")
             )
-            if self._replaces_failure(racing):
+            if self._may_replace_failure(pending):
                 return Error(doubt(Reason.TARGET_FAILED, "the target failed"))
         else:
             state.record_success()
-            self._learn(exchange, outcome.ok)
+            self._record_outcome(exchange, outcome.ok)
         return outcome
 
-    def _learn(self, exchange, answer):
-        """Let later choices know how the request went."""
+    def _record_outcome(self, exchange, response):
+        """Record the duration and load of the request for later placements."""
         call = self._call
         seconds = self._clock() - exchange.sent_at
         self._dispatcher.history.record(
@@ -189,48 +193,48 @@
                 call.service.name,
                 exchange.sample,
                 seconds,
-                answer.length,
+                response.length,
                 exchange.end_sample,
             )
         )
 
-    def _replaces_failure(self, racing):
-        """Tell whether a target's own failure gives way to another attempt."""
+    def _may_replace_failure(self, pending):
+        """Tell whether another attempt replaces an error response of a target."""
         call = self._call
-        if racing:
+        if pending:
             return True
-        left = call.deadline - self._clock()
+        left_s = call.deadline - self._clock()
         return (
             call.route.idempotent
-            and self._arrivals < call.route.attempts
-            and left > REPLACE_SHARE * call.route.target_latency_s
+            and self._sends < call.route.attempts
+            and left_s > MIN_REPLACEMENT_FRACTION * call.route.target_latency_s
         )
 
-    def _may_hedge(self, racing):
+    def _may_hedge(self, pending):
         call = self._call
         return (
             call.route.idempotent
             and call.body.repeatable
-            and len(racing) == 1
-            and self._arrivals < call.route.attempts
-            # While others wait for a place, a second one would be theirs.
+            and len(pending) == 1
+            and self._sends < call.route.attempts
+            # A hedge would take a slot that queued requests wait for.
             and not self._dispatcher.lines.find(call.service.name)
         )
 
-    def _hedge(self, racing):
-        """Send the call to a second instance if one is fast and allowed."""
+    def _hedge(self, pending):
+        """Send the call to a second instance if a fast one and the budget allow it."""
         call = self._call
         wait = self._dispatcher.describe_wait(call)
         states = self._dispatcher.find_instances(call)
         exchange = self._search.look(states, wait, _accepts_hedge)
         if exchange is None:
             return
-        if not self._dispatcher.retries.take(call.service.name, HEDGE_PART):
+        if not self._dispatcher.retries.take(call.service.name, HEDGE_BUDGET_FRACTION):
             self._metrics.increment("hedges.over_budget")
             exchange.release()
             return
         self._metrics.increment("hedges.sent")
-        failure = self._launch(exchange, racing)
+        failure = self._send_attempt(exchange, pending)
         if failure is not None:
             self._metrics.increment("hedges.failed")
 
@@ -259,10 +263,10 @@
         )
 
     def _check_send(self, exchange, decided_at):
-        """Return why the first byte must not be sent, or None."""
+        """Return the failure that forbids the send, or None."""
         if not self._dispatcher.directory.accepts(exchange.state):
             return refuse(Reason.STALE_DECISION, "the target stopped taking work")
-        # The clock is read last, so that a pause before this point counts.
+        # The clock is read last, so that it includes a pause before this point.
         now = self._clock()
         if now - decided_at > MAX_DECISION_AGE_S:
             return refuse(Reason.STALE_DECISION, "the decision was too old to act on")
@@ -270,7 +274,7 @@
             return refuse(Reason.DEADLINE, "the deadline passed before the send")
         return None
 
-    def _log_choice(self, exchange, failure):
+    def _log_attempt(self, exchange, failure):
         sample = exchange.sample
         self._dispatcher.decisions.record(
             "request sent" if failure is None else "request not sent",
@@ -282,18 +286,18 @@
             slowness=sample.slowness if sample else None,
             load_age_ms=_to_ms(self._clock() - sample.time) if sample else None,
             waited_ms=_to_ms(self._clock() - self._call.received),
-            attempt=self._arrivals,
+            attempt=self._sends,
             reason=str(failure.reason) if failure else None,
         )
 
 
 def _accepts_hedge(sample):
-    """Tell whether a second attempt goes to a target with this load."""
+    """Tell whether a hedge may go to a target with this load."""
     return (
         sample.healthy
         and not sample.waiting
         and not is_nearly_full(sample)
-        and predict_factor(sample) <= HEDGE_FACTOR
+        and predict_factor(sample) <= MAX_HEDGE_FACTOR
     )
 
 
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -1,4 +1,4 @@
-"""Exchanges with instances: a probe, then perhaps a request on its connection."""
+"""HTTP exchanges with instances: an optional probe, then a request."""
 
 import re
 import select
@@ -19,24 +19,24 @@
 from .upstream import Attempt, explain_fault, send_request
 from .verdict import Reason, doubt, refuse
 
-# Longest time for the head of a probe's response once its first byte is there.
-PROBE_READ_S = 0.05
-# Responses up to this size are read whole before the caller gets their head, so
-# that one that breaks off can still be replaced.
-BUFFERED_BYTES = 256 << 10
-# Longest pause within the rest of a long response.
-STREAM_STALL_S = 15.0
-# A late second response may stand before the one that is waited for.
-MAX_STRAY_RESPONSES = 2
-PROBE_BODY_BYTES = 64 << 10
+# Timeout for sending a probe, and again for reading its response once that begins.
+PROBE_READ_TIMEOUT_S = 0.05
+# Bodies up to this size are read completely before the head goes to the caller, so
+# that a truncated response can still be replaced by another attempt.
+BUFFERED_BODY_BYTES = 256 << 10
+# Longest pause while the rest of a long response is streamed.
+STREAM_STALL_TIMEOUT_S = 15.0
+# Late responses to earlier requests that are skipped before the expected one.
+MAX_STALE_RESPONSES = 2
+MAX_SKIPPED_BODY_BYTES = 64 << 10
 REFUSAL_STATUSES = (400, 421, 429, 503)
-MISDIRECTED = 421
+MISDIRECTED_STATUS = 421
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
-_FAULTS = (OSError, HTTPException, HTTPError, ValueError, SendRefused)
+_TRANSPORT_ERRORS = (OSError, HTTPException, HTTPError, ValueError, SendRefused)
 
 
 class Stage(Enum):
-    """How far an exchange has come."""
+    """Progress of an exchange from connecting to the response."""
 
     CONNECTING = "connecting"
     PROBING = "probing"
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True)
 class UpstreamResponse:
-    """A response that can be passed on to the caller.
+    """A response that can be relayed to the caller.
 
     Attributes
     ----------
@@ -56,11 +56,11 @@
     reason : str
         Reason phrase.
     headers : tuple of (str, str)
-        All headers.
+        All headers of the response.
     body : bytes
-        The whole body, or its beginning when ``stream`` is given.
+        The whole body, or its beginning if ``stream`` is given.
     stream : TargetResponse or None
-        Where the rest of a long body is read from.
+        Source of the rest of a long body.
     length : int or None
         Declared length of the body.
     """
@@ -73,8 +73,8 @@
     length: int | None
 
 
-class _NoBody:
-    """The body of a probe."""
+class _EmptyBody:
+    """The empty body of a probe."""
 
     exists = False
     length = 0
@@ -88,7 +88,7 @@
     state : InstanceState
         The instance.
     dialect : module
-        Reads and writes the headers that targets understand.
+        Parses and renders the headers that targets use.
     clock : callable, default=read_clock
         Returns seconds.
     """
@@ -104,7 +104,7 @@
         self.connection = None
         self._dialect = dialect
         self._clock = clock
-        self._probe = None
+        self._probe_path = None
         self._is_unanswered = False
 
     def fileno(self):
@@ -113,25 +113,25 @@
 
     @property
     def events(self):
-        """Poll events that let the exchange go on."""
+        """Poll events that the exchange waits for."""
         if self.stage is Stage.CONNECTING:
             return select.POLLOUT
         return select.POLLIN
 
     @property
     def needs_no_io(self):
-        """Tell whether the exchange has nothing to wait for."""
+        """Tell whether the exchange waits for no event on its connection."""
         return self.stage in (Stage.READY, Stage.CLOSED)
 
     def begin_probe(self, path):
-        """Ask the instance for its load; return without waiting.
+        """Start a probe of the health and load; return without waiting.
 
         Parameters
         ----------
         path : str
-            Path that tells health and load.
+            Path of the health endpoint.
         """
-        self._probe = path
+        self._probe_path = path
         self.connection = self.state.pool.take_idle()
         if self.connection is not None:
             self._send_probe()
@@ -145,19 +145,19 @@
         self.stage = Stage.CONNECTING
 
     def begin_without_probe(self, sample=None):
-        """Take a connection without asking for the load.
+        """Take a connection without a probe.
 
         Parameters
         ----------
         sample : LoadSample or None, default=None
-            The load that the choice of the instance rests on.
+            Load for which the instance was chosen.
         """
         self.connection = self.state.pool.take_idle() or self.state.pool.open()
         self.sample = sample
         self.stage = Stage.READY
 
     def advance(self):
-        """Go on after the descriptor became ready, until the load is known."""
+        """Continue the probe after the descriptor has become ready."""
         if self.stage is Stage.CONNECTING:
             error = self.connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
@@ -173,19 +173,19 @@
         Parameters
         ----------
         attempt : Attempt
-            What to send.
+            Request to send.
 
         Returns
         -------
         Failure or None
-            None when the response is to be waited for.
+            None if the request was sent and a response is expected.
         """
         self.connection.prepare(attempt)
         self._is_unanswered = True
         self.state.count_unanswered(1)
         try:
             send_request(self.connection, attempt)
-        except _FAULTS as error:
+        except _TRANSPORT_ERRORS as error:
             self._fail(explain_fault(self.connection, error))
             return self.failure
         self.stage = Stage.SENT
@@ -198,7 +198,7 @@
         Parameters
         ----------
         attempt : Attempt
-            What was sent.
+            Request that was sent.
 
         Returns
         -------
@@ -207,16 +207,16 @@
         """
         try:
             response, metadata = self._read_own_response(attempt)
-        except _FAULTS as error:
+        except _TRANSPORT_ERRORS as error:
             self._fail(explain_fault(self.connection, error))
             return Error(self.failure)
-        self._note_answered()
+        self._mark_answered()
         if metadata.load is not None and metadata.request_id == attempt.attempt_id:
             self.end_sample = metadata.load
-            # A target counts the request that it answers.
+            # The load that a target reports includes the request that it answers.
             load = metadata.load if metadata.not_run else metadata.load.end_one()
             self.state.record_response_load(replace(load, time=self._clock()))
-        failure = self._judge(response, metadata, attempt)
+        failure = self._check_response(response, metadata, attempt)
         if failure is None:
             return self._read_body(response, attempt)
         if failure.proves_not_run:
@@ -228,7 +228,7 @@
         return Error(failure)
 
     def release(self):
-        """Give the connection back when it carries nothing, else close it."""
+        """Return the connection to the pool if it is idle, else close it."""
         if self.stage is Stage.READY and self.connection.sock is not None:
             self.state.pool.give_back(self.connection)
         elif self.connection is not None:
@@ -237,13 +237,13 @@
 
     def abort(self):
         """Close the connection, which cancels the work at the target."""
-        self._note_answered()
+        self._mark_answered()
         if self.connection is not None:
             self.connection.close()
         self.stage = Stage.CLOSED
 
-    def _note_answered(self):
-        """Count a request as answered, or as ended without an answer, once."""
+    def _mark_answered(self):
+        """Stop counting the request as unanswered, once."""
         if self._is_unanswered:
             self._is_unanswered = False
             self.state.count_unanswered(-1)
@@ -253,24 +253,32 @@
         self.abort()
 
     def _send_probe(self):
-        deadline = self._clock() + PROBE_READ_S
+        deadline = self._clock() + PROBE_READ_TIMEOUT_S
         attempt = Attempt(
-            "GET", self._probe, {}, _NoBody(), "", deadline, _allow, None, True
+            "GET",
+            self._probe_path,
+            {},
+            _EmptyBody(),
+            "",
+            deadline,
+            _allow_send,
+            None,
+            True,
         )
         self.connection.prepare(attempt)
         try:
             send_request(self.connection, attempt)
-        except _FAULTS as error:
+        except _TRANSPORT_ERRORS as error:
             self._fail(refuse(Reason.CONNECT, f"no probe: {error}"))
             return
         self.stage = Stage.PROBING
 
     def _read_probe(self):
-        self.connection.extend_deadline(self._clock() + PROBE_READ_S)
+        self.connection.extend_deadline(self._clock() + PROBE_READ_TIMEOUT_S)
         try:
             response, metadata = self._read_probe_response()
             failed = self._skip_body(response)
-        except _FAULTS as error:
+        except _TRANSPORT_ERRORS as error:
             self._fail(refuse(Reason.CONNECT, f"no answer to a probe: {error}"))
             return
         now = self._clock()
@@ -288,57 +296,59 @@
         self.state.record_probe_load(sample)
         self.sample = self.state.sample
         if failed:
-            # The load is known, but the connection is of no more use.
+            # The load is valid, but the connection cannot be reused.
             self.connection = self.state.pool.open()
         self.stage = Stage.READY
 
     def _read_probe_response(self):
-        """Return the response to the probe; skip one to an earlier request."""
-        return self._skip_strays(lambda metadata: not metadata.signed)
+        """Return the response to the probe; skip responses to earlier requests."""
+        return self._skip_stale_responses(lambda metadata: not metadata.signed)
 
     def _read_own_response(self, attempt):
-        """Return the response to the request; skip one to an earlier request."""
-        own = (None, attempt.attempt_id)
-        return self._skip_strays(lambda metadata: metadata.request_id in own)
+        """Return the response to the request; skip responses to earlier ones."""
+        expected_ids = (None, attempt.attempt_id)
+        return self._skip_stale_responses(
+            lambda metadata: metadata.request_id in expected_ids
+        )
 
-    def _skip_strays(self, is_own):
-        """Return the first response that is wanted, or the last one allowed."""
-        response = self._read_response(first=True)
+    def _skip_stale_responses(self, is_expected):
+        """Return the first expected response, or the one after the last skipped."""
+        response = self._read_response(is_first=True)
         metadata = self._dialect.read_response(response.headers)
-        strays = 0
-        while not is_own(metadata) and strays < MAX_STRAY_RESPONSES:
-            response = self._read_next(response)
+        skipped = 0
+        while not is_expected(metadata) and skipped < MAX_STALE_RESPONSES:
+            response = self._read_after_stale(response)
             metadata = self._dialect.read_response(response.headers)
-            strays += 1
+            skipped += 1
         return response, metadata
 
-    def _read_next(self, stray):
-        """Return the response that follows one of an earlier request."""
-        while stray.read():
+    def _read_after_stale(self, stale):
+        """Return the response that follows a stale one."""
+        while stale.read():
             pass
-        if not stray.ended_cleanly:
+        if not stale.ended_cleanly:
             raise ResponseBroken("bytes of another request on the connection")
-        return self._read_response(first=False)
+        return self._read_response(is_first=False)
 
-    def _read_response(self, first):
+    def _read_response(self, is_first):
         connection = self.connection
-        if first:
+        if is_first:
             raw = connection.getresponse()
         else:
-            raw = _read_another(connection)
-        # Until a stall time is set, reads are bound to the deadline.
+            raw = _begin_next_response(connection)
+        # Reads are bound to the deadline until a stall timeout is set.
         return TargetResponse(connection, self.state.pool, raw, None)
 
-    def _judge(self, response, metadata, attempt):
-        """Return why a response cannot be passed on, or None."""
+    def _check_response(self, response, metadata, attempt):
+        """Return the failure that forbids relaying a response, or None."""
         if metadata.request_id not in (None, attempt.attempt_id):
             detail = f"the response belongs to request {metadata.request_id}"
             return doubt(Reason.CROSSED, detail)
         if metadata.not_run and response.status in REFUSAL_STATUSES:
-            if response.status == MISDIRECTED:
+            if response.status == MISDIRECTED_STATUS:
                 return refuse(Reason.WRONG_INSTANCE, "another instance has the address")
             return refuse(Reason.TARGET_REFUSED, "the target refused the request")
-        if response.status == MISDIRECTED:
+        if response.status == MISDIRECTED_STATUS:
             return refuse(Reason.WRONG_INSTANCE, "another instance has the address")
         if response.status < 200:
             return doubt(Reason.NO_ANSWER, "an unexpected interim response")
@@ -351,24 +361,24 @@
         return None
 
     def _read_body(self, response, attempt):
-        """Return the answer with its body, or with the beginning of a long one."""
-        self._note_keep_alive(response)
-        parts = []
+        """Return the response with its body, or with the beginning of a long one."""
+        self._record_keep_alive(response)
+        chunks = []
         size = 0
         stream = None
-        empty = attempt.method == "HEAD" or response.status in (204, 304)
+        bodiless = attempt.method == "HEAD" or response.status in (204, 304)
         try:
-            while not empty:
-                data = response.read()
-                if not data:
+            while not bodiless:
+                chunk = response.read()
+                if not chunk:
                     break
-                parts.append(data)
-                size += len(data)
-                if size >= BUFFERED_BYTES:
+                chunks.append(chunk)
+                size += len(chunk)
+                if size >= BUFFERED_BODY_BYTES:
                     stream = response
-                    stream.set_stall(STREAM_STALL_S)
+                    stream.set_stall(STREAM_STALL_TIMEOUT_S)
                     break
-            if stream is None and not empty and response.length not in (None, size):
+            if stream is None and not bodiless and response.length not in (None, size):
                 raise ResponseBroken(f"{size} of {response.length} bytes arrived")
         except ResponseBroken as broken:
             response.abort()
@@ -383,38 +393,38 @@
                 response.status,
                 response.reason or "Status",
                 tuple(response.headers.items()),
-                b"".join(parts),
+                b"".join(chunks),
                 stream,
                 response.length if stream is not None else size,
             )
         )
 
     def _skip_body(self, response):
-        """Read a short body; return True when the connection is of no more use."""
-        self._note_keep_alive(response)
-        left = PROBE_BODY_BYTES
+        """Discard a short body; return True if the connection cannot be reused."""
+        self._record_keep_alive(response)
+        left_bytes = MAX_SKIPPED_BODY_BYTES
         try:
-            while data := response.read():
-                left -= len(data)
-                if left < 0:
+            while chunk := response.read():
+                left_bytes -= len(chunk)
+                if left_bytes < 0:
                     raise ResponseBroken("the body is too long")
         except ResponseBroken:
             response.abort()
             return True
         return not response.finish_for(self.stage is Stage.PROBING)
 
-    def _note_keep_alive(self, response):
+    def _record_keep_alive(self, response):
         match = _KEEP_ALIVE.search(response.headers.get("keep-alive", ""))
         timeout = float(match[1]) if match else DEFAULT_KEEP_ALIVE_S
         self.connection.keep_alive_s = timeout
 
 
-def _allow():
-    """Let a probe be sent; return None as a guard without objection does."""
+def _allow_send():
+    """Guard of a probe: return None, which always allows the send."""
 
 
-def _read_another(connection):
-    """Return one more response on a connection, without its body."""
+def _begin_next_response(connection):
+    """Return the next response on a connection before its body is read."""
     method = connection.response.method_of_request
     raw = StrictResponse(connection.sock, connection.deadline, method, connection.clock)
     raw.begin()
--- a/redwingspring/instancepool.py
+++ b/redwingspring/instancepool.py
@@ -1,19 +1,19 @@
-"""Connections to one instance, and those of them that wait for use."""
+"""Pool of idle connections to one instance."""
 
 from .clock import read_clock
 from .targetconnection import TargetConnection
 from .upstream import TargetPool
 
-# A new connection that takes longer than this goes to a dead instance.
+# An instance that does not accept a connection within this time is treated as down.
 CONNECT_TIMEOUT_S = 0.25
 DEFAULT_KEEP_ALIVE_S = 5.0
-# Part of the announced idle time after which a connection is not used again.
-KEEP_ALIVE_SHARE = 0.7
-MAX_IDLE = 6
+# A connection is not reused after this fraction of the announced keep-alive time.
+KEEP_ALIVE_FRACTION = 0.7
+MAX_IDLE_CONNECTIONS = 6
 
 
 class InstanceConnection(TargetConnection):
-    """Connection to an instance whose deadlines include suspended time."""
+    """Connection to an instance; its deadlines include time in suspend."""
 
     clock = staticmethod(read_clock)
     keep_alive_s = DEFAULT_KEEP_ALIVE_S
@@ -27,20 +27,20 @@
     address : str
         ``ip:port`` of the instance.
     source : str or None, default=None
-        IP number that connections come from.
+        Source IP address of the connections.
     """
 
     def __init__(self, address, source=None):
         super().__init__(address, source)
-        self._max_idle = MAX_IDLE
+        self._max_idle = MAX_IDLE_CONNECTIONS
 
     def take_idle(self):
-        """Return an idle connection that should still be open.
+        """Return an idle connection that is expected to be open still.
 
         Returns
         -------
         InstanceConnection or None
-            None when there is none.
+            None if no idle connection is usable.
         """
         while True:
             with self._lock:
@@ -48,23 +48,23 @@
             if connection is None:
                 return None
             age = connection.clock() - connection.idle_since
-            fresh = age < connection.keep_alive_s * KEEP_ALIVE_SHARE
-            if fresh and connection.is_connected:
+            is_usable = age < connection.keep_alive_s * KEEP_ALIVE_FRACTION
+            if is_usable and connection.is_connected:
                 return connection
             connection.close()
 
     def open(self):
-        """Return a connection that is not yet open.
+        """Return a new connection that is not yet connected.
 
         Returns
         -------
         InstanceConnection
-            A connection used by nobody else.
+            A connection that is not in the pool.
         """
         return InstanceConnection(self.address, CONNECT_TIMEOUT_S, self._source)
 
     def give_back(self, connection):
-        """Keep a connection whose last response was read whole.
+        """Return a connection whose last response was read completely to the pool.
 
         Parameters
         ----------
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -1,4 +1,4 @@
-"""Instances of targets that discovery lists, and what this host knows of them."""
+"""Directory of target instances with the state that this host keeps of each."""
 
 import threading
 from dataclasses import dataclass, field, replace
@@ -6,41 +6,42 @@
 from .clock import read_clock
 from .instancepool import InstancePool
 
-# Load that a target told within this time still holds: nobody else has sent to it.
-RECENT_LOAD_S = 0.01
-# Responses to requests do not tell that a target turned cold, so a probe must have
-# asked it within this time.
-PROBE_VALID_S = 0.5
+# Load that a target reported within this time is still valid, because no other host
+# has sent to it since.
+MAX_LOAD_AGE_S = 0.01
+# Responses to requests do not show that a target has become cold, so its last probe
+# must not be older than this.
+MAX_PROBE_AGE_S = 0.5
 
-# An instance is left out for a while after failures of this weight in a row. Each
-# host sends a target about one request a second, so one lost answer must do.
-EJECT_WEIGHT = 1.0
+# An instance is ejected after consecutive failures of this total weight. Each host
+# sends a target only about one request per second, so one failure is enough.
+EJECT_THRESHOLD = 1.0
 EJECT_S = 1.2
 MAX_EJECT_S = 6.0
 
 
 @dataclass(frozen=True)
 class Instance:
-    """One start of a target, as discovery lists it.
+    """One run of a target process, as service discovery lists it.
 
     Attributes
     ----------
     id : str
-        Identifies the instance.
+        Identifier of the instance.
     service : str
         Name of its service.
     address : str
         ``ip:port`` of the target; it may later belong to another instance.
     data_centre : str
-        Where it is.
+        Its data centre.
     slots : int
-        Requests that it runs at once.
+        Number of requests that it runs concurrently.
     leaving : bool
-        True when it takes no new requests.
+        True if it is draining and takes no new requests.
     cold_s : float
-        Seconds that it stayed cold when the entry was written.
+        Seconds until it is warm, as of the time when the entry was written.
     started_unix_ms : int
-        Unix milliseconds of its start; 0 when the entry does not tell.
+        Start time in Unix milliseconds; 0 if the entry does not state it.
     """
 
     id: str
@@ -54,16 +55,16 @@
 
 
 class InstanceState:
-    """What this host knows of one instance.
+    """State that this host keeps of one instance.
 
     Parameters
     ----------
     instance : Instance
-        The entry of discovery.
+        Its entry in service discovery.
     pool : InstancePool
         Connections to it.
     now : float
-        Present time on the clock of this host.
+        Current time on the clock of this host.
     """
 
     def __init__(self, instance, pool, now):
@@ -78,60 +79,60 @@
         self.probed_at = float("-inf")
         self.ejected_until = 0.0
         self.failures = 0.0
-        self._unanswered = []
+        self._pending_probes = []
         self._lock = threading.Lock()
 
     @property
     def has_pending_probe(self):
-        """Tell whether a probe is still unanswered."""
-        return bool(self._unanswered)
+        """Tell whether a probe has no response yet."""
+        return bool(self._pending_probes)
 
     def add_pending_probe(self, exchange):
-        """Keep an exchange whose probe is still unanswered.
+        """Keep an exchange whose probe has no response yet.
 
         Parameters
         ----------
         exchange : Exchange
-            Nobody else uses it.
+            The exchange; nothing else may use it.
         """
         with self._lock:
-            self._unanswered.append(exchange)
+            self._pending_probes.append(exchange)
 
     def take_pending_probes(self):
-        """Return the parked exchanges, each of them to one caller only.
+        """Remove and return all exchanges with pending probes.
 
         Returns
         -------
         list of Exchange
-            They are no longer parked.
+            Each exchange is returned to one thread only.
         """
         with self._lock:
-            taken, self._unanswered = self._unanswered, []
+            taken, self._pending_probes = self._pending_probes, []
             return taken
 
     def update(self, instance, now):
-        """Take a newer entry of the same start.
+        """Apply a newer entry of the same run.
 
         Parameters
         ----------
         instance : Instance
             The entry.
         now : float
-            Present time.
+            Current time.
         """
         self.instance = instance
         self.cold_until = now + instance.cold_s
 
     def record_probe_load(self, sample):
-        """Note the load that the instance told.
+        """Record the load in the response to a probe.
 
         Parameters
         ----------
         sample : LoadSample
             The load.
         """
-        # An instance that hangs says that it is idle, and requests on the way to it
-        # are not in its count yet.
+        # An instance that hangs reports that it is idle, and its count does not
+        # include requests that have not reached it yet.
         self.sample = sample.count_at_least(self.unanswered)
         self.probed_at = sample.time
         if sample.cold_s > 0:
@@ -140,10 +141,10 @@
             self.cold_until = sample.time
 
     def record_response_load(self, sample):
-        """Note the load that the instance told in the response to a request.
+        """Record the load in the response to a request.
 
-        Unlike the response to a probe it says nothing of a cold start, or of
-        whether the instance takes new requests.
+        Unlike the response to a probe, it does not show whether the instance is cold
+        or takes new requests.
 
         Parameters
         ----------
@@ -156,37 +157,37 @@
         self.sample = sample.count_at_least(self.unanswered)
 
     def has_recent_load(self, now):
-        """Tell whether the instance told its load a moment ago.
+        """Tell whether the last reported load is recent enough to use.
 
         Parameters
         ----------
         now : float
-            Present time.
+            Current time.
 
         Returns
         -------
         bool
-            True when a request can be placed without a probe.
+            True if a request can be placed without a probe.
         """
-        if now - self.probed_at > PROBE_VALID_S:
+        if now - self.probed_at > MAX_PROBE_AGE_S:
             return False
-        return now - self.sample.time <= RECENT_LOAD_S
+        return now - self.sample.time <= MAX_LOAD_AGE_S
 
     def begin(self):
         """Count a request that is sent to the instance."""
         with self._lock:
             self.in_flight += 1
             if self.sample is not None:
-                # The next request must not find the same slot free.
+                # Otherwise the next request would be placed in the same free slot.
                 self.sample = self.sample.begin_one()
 
     def count_unanswered(self, change):
-        """Count requests whose response has not begun.
+        """Adjust the number of requests whose response has not begun.
 
         Parameters
         ----------
         change : int
-            1 before a request is sent, -1 once its response begins or it ends.
+            1 before a request is sent; -1 when its response begins or the request ends.
         """
         with self._lock:
             self.unanswered += change
@@ -197,28 +198,28 @@
             self.in_flight -= 1
 
     def record_success(self):
-        """Note that a request or probe went well."""
+        """Record a successful request or probe."""
         self.failures = 0.0
 
     def record_failure(self, now, weight=1.0):
-        """Note a failed request or probe; eject after enough of them.
+        """Record a failed request or probe; eject the instance at the threshold.
 
         Parameters
         ----------
         now : float
-            Present time.
+            Current time.
         weight : float, default=1.0
-            How much the failure says; 1 is enough for an ejection.
+            Weight of the failure as evidence; 1 is enough for an ejection.
 
         Returns
         -------
         bool
-            True when the instance is ejected by this failure.
+            True if this failure ejects the instance.
         """
         self.failures += weight
-        if self.failures < EJECT_WEIGHT:
+        if self.failures < EJECT_THRESHOLD:
             return False
-        doublings = min(self.failures - EJECT_WEIGHT, 4)
+        doublings = min(self.failures - EJECT_THRESHOLD, 4)
         ejected = now >= self.ejected_until
         self.ejected_until = now + min(MAX_EJECT_S, EJECT_S * 2**doublings)
         return ejected
@@ -229,26 +230,26 @@
         Parameters
         ----------
         now : float
-            Present time.
+            Current time.
 
         Returns
         -------
         bool
-            True while it bears only few requests a second.
+            True while it tolerates only few requests per second.
         """
         return now < self.cold_until
 
 
 @dataclass(frozen=True)
 class InstanceView:
-    """The instances in use at one moment.
+    """Snapshot of the instances in use.
 
     Attributes
     ----------
     services : dict of str to tuple of InstanceState
         Instances that take requests, by service.
     evacuated : frozenset of str
-        Data centres that get no requests.
+        Data centres whose targets get no requests.
     """
 
     services: dict = field(default_factory=dict)
@@ -261,7 +262,7 @@
     Parameters
     ----------
     source : str or None, default=None
-        IP number that connections come from.
+        Source IP address of the connections.
     clock : callable, default=read_clock
         Returns seconds.
     """
@@ -275,21 +276,21 @@
 
     @property
     def view(self):
-        """The instances in use, as of now."""
+        """The current snapshot of the instances in use."""
         return self._view
 
     def put(self, instance):
-        """Take the entry of an instance.
+        """Add or update an instance.
 
         Parameters
         ----------
         instance : Instance
-            The entry.
+            Its entry.
 
         Returns
         -------
         bool
-            False when the entry is older than the known one.
+            False if the known entry is newer.
         """
         with self._lock:
             now = self._clock()
@@ -306,32 +307,32 @@
                 self._states[instance.id] = InstanceState(instance, pool, now)
                 if known is not None:
                     known.pool.close()
-            self._rebuild(self._view.evacuated)
+            self._rebuild_view(self._view.evacuated)
             return True
 
     def remove(self, instance_id):
-        """Forget an instance.
+        """Remove an instance and close its connections.
 
         Parameters
         ----------
         instance_id : str
-            Its id.
+            Id of the instance.
 
         Returns
         -------
         bool
-            False when it was not known.
+            False if it was not known.
         """
         with self._lock:
             known = self._states.pop(instance_id, None)
             if known is None:
                 return False
             known.pool.close()
-            self._rebuild(self._view.evacuated)
+            self._rebuild_view(self._view.evacuated)
             return True
 
     def set_evacuated(self, data_centres):
-        """Set the data centres that get no requests.
+        """Set the data centres whose targets get no requests.
 
         Parameters
         ----------
@@ -339,7 +340,7 @@
             Their names.
         """
         with self._lock:
-            self._rebuild(frozenset(data_centres))
+            self._rebuild_view(frozenset(data_centres))
 
     def list_ids(self):
         """Return the ids of all known instances.
@@ -347,7 +348,7 @@
         Returns
         -------
         set of str
-            Those of leaving instances included.
+            Ids, those of leaving instances included.
         """
         with self._lock:
             return set(self._states)
@@ -363,7 +364,7 @@
         Returns
         -------
         bool
-            False when it leaves, is gone or its data centre is evacuated.
+            False if it is leaving or removed, or its data centre is evacuated.
         """
         instance = state.instance
         return (
@@ -372,8 +373,8 @@
             and instance.data_centre not in self._view.evacuated
         )
 
-    def _rebuild(self, evacuated):
-        """Compute the view; the lock is held."""
+    def _rebuild_view(self, evacuated):
+        """Rebuild the snapshot of the instances in use; the lock is held."""
         services = {}
         for state in self._states.values():
             instance = state.instance
--- a/redwingspring/mappings.py
+++ b/redwingspring/mappings.py
@@ -1,15 +1,15 @@
 """Mappings that hold a bounded number of entries."""
 
 
-def drop_oldest(mapping, most):
-    """Drop the entries that were added first while there are too many.
+def drop_oldest(mapping, max_entries):
+    """Drop the oldest entries until at most a given number is left.
 
     Parameters
     ----------
     mapping : dict
-        Its entries stand in the order in which they were added.
-    most : int
-        Entries that may stay.
+        Mapping to shorten; its order is the order of insertion.
+    max_entries : int
+        Highest number of entries to keep.
     """
-    while len(mapping) > most:
+    while len(mapping) > max_entries:
         del mapping[next(iter(mapping))]
--- a/redwingspring/routes.py
+++ b/redwingspring/routes.py
@@ -1,22 +1,22 @@
-"""Routes: which service answers a request, and under which limits."""
+"""Routes from requests to services, and the limits that apply to them."""
 
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
-# Routes of which requests are remembered, those of earlier configurations included.
+# Bound on per-route statistics, which also include routes of earlier configurations.
 MAX_ROUTES = 5000
 
 
 @dataclass(frozen=True)
 class WeightedService:
-    """Part of a route's requests that goes to one service.
+    """A service of a route with its weight.
 
     Attributes
     ----------
     service : str
         Name of the service.
     weight : float
-        Part of the requests, relative to the other shares of the route.
+        Share of the requests, relative to the other weights of the route.
     """
 
     service: str
@@ -25,26 +25,26 @@
 
 @dataclass(frozen=True)
 class Route:
-    """Requests of one virtual host whose path begins with one prefix.
+    """Rule for the requests of one virtual host whose path has a given prefix.
 
     Attributes
     ----------
     name : str
         Name of the route.
     prefix : str
-        Beginning of the paths; begins and ends with a slash.
+        Path prefix; begins and ends with a slash.
     weighted_services : tuple of WeightedService
-        Services that answer, at least one.
+        Services that get the requests; at least one.
     idempotent : bool
-        Whether a request may run more than once.
+        Whether a request may be executed more than once.
     attempts : int
-        Most targets that one request may be sent to.
+        Maximum number of times that one request may be sent.
     timeout_s : float
-        Longest time in seconds that a caller is kept waiting.
+        Timeout of a request in seconds.
     target_latency_s : float
-        Seconds within which a response has its full use for the caller.
+        Latency in seconds up to which a response is of full value to the caller.
     priority : int
-        Rank; 0 is the highest.
+        Priority; 0 is the highest.
     regions : tuple of str
         Regions whose targets may run the requests; empty allows all.
     """
@@ -62,20 +62,20 @@
 
 @dataclass(frozen=True)
 class RoutedService:
-    """What the configuration says of one service.
+    """Configuration of one service.
 
     Attributes
     ----------
     name : str
         Name of the service.
     health_path : str
-        Path that tells a target's health and load.
+        Path of the health endpoint, which also reports the load.
     max_connections : int
-        Connections that each target accepts from all hosts together.
+        Connections that each target accepts from all hosts in total.
     cold_s : float
         Seconds that a target stays cold after its start.
     cold_rate_per_s : float
-        Requests a second that a cold target tolerates from all hosts together.
+        Requests per second that a cold target tolerates from all hosts in total.
     """
 
     name: str
@@ -87,18 +87,18 @@
 
 @dataclass(frozen=True)
 class CallerLimits:
-    """Bounds on what a caller may send.
+    """Limits on requests and connections of callers.
 
     Attributes
     ----------
     header_bytes : int
-        Largest head of a request.
+        Maximum size of a request head.
     body_bytes : int
-        Largest body of a request.
+        Maximum size of a request body.
     header_timeout_s : float
-        Seconds within which the head must have arrived.
+        Seconds within which the whole head must arrive.
     idle_timeout_s : float
-        Seconds that an unused connection is kept.
+        Seconds after which an idle connection is closed.
     """
 
     header_bytes: int = 16 << 10
@@ -114,13 +114,13 @@
     Attributes
     ----------
     version : int
-        Grows with each change.
+        Version number; increases with each change.
     hosts : mapping of str to tuple of Route
         Routes by virtual host, the longest prefix first.
     services : mapping of str to RoutedService
         Services by name.
     limits : CallerLimits
-        Bounds on callers.
+        Limits on callers.
     """
 
     version: int
@@ -129,19 +129,19 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
 
     def find_route(self, host, path):
-        """Return the route of a request.
+        """Return the route that matches a request.
 
         Parameters
         ----------
         host : str
-            Value of the ``Host`` header; a port in it does not matter.
+            Value of the ``Host`` header; a port in it is ignored.
         path : str
-            Path with or without a query.
+            Path; a query in it is ignored.
 
         Returns
         -------
         Route or None
-            The route with the longest prefix that begins the path.
+            The matching route with the longest prefix.
         """
         routes = self.hosts.get(host) or self.hosts.get(host.partition(":")[0], ())
         path = path.partition("?")[0]
@@ -152,23 +152,23 @@
 
 
 def build_table(version, routes, services, limits):
-    """Return a routing table.
+    """Build a routing table.
 
     Parameters
     ----------
     version : int
         Version of the configuration.
     routes : iterable of tuple of (str, Route)
-        Each route with its virtual host.
+        Pairs of a virtual host and a route.
     services : iterable of RoutedService
         All services.
     limits : CallerLimits
-        Bounds on callers.
+        Limits on callers.
 
     Returns
     -------
     RoutingTable
-        The table, with the routes in the order in which they are searched.
+        Table with the routes of each virtual host in search order.
     """
     hosts = {}
     for host, route in routes:
@@ -186,17 +186,17 @@
 
 
 class WeightedRoundRobin:
-    """Deals the requests of split routes to their services by weight.
+    """Smooth weighted round-robin over the services of routes with a traffic split.
 
-    Each route's next request goes to the service that is furthest behind its
-    weight, so that also a small number of requests follows the weights.
+    The next request of a route goes to the service that is furthest below its
+    share, so that even a small number of requests follows the weights.
     """
 
     def __init__(self):
-        self._debts = {}
+        self._deficits = {}
 
     def choose(self, route):
-        """Return the service for the next request of a route.
+        """Choose the service for the next request of a route.
 
         Parameters
         ----------
@@ -210,17 +210,17 @@
         """
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
-        debts = self._debts.get(route.name)
-        if debts is None or debts.keys() != {
+        deficits = self._deficits.get(route.name)
+        if deficits is None or deficits.keys() != {
             s.service for s in route.weighted_services
         }:
-            debts = {share.service: 0.0 for share in route.weighted_services}
-            self._debts[route.name] = debts
+            deficits = {share.service: 0.0 for share in route.weighted_services}
+            self._deficits[route.name] = deficits
         total = sum(share.weight for share in route.weighted_services)
         for share in route.weighted_services:
-            debts[share.service] += share.weight / total
+            deficits[share.service] += share.weight / total
         chosen = max(
-            route.weighted_services, key=lambda share: debts[share.service]
+            route.weighted_services, key=lambda share: deficits[share.service]
         ).service
-        debts[chosen] -= 1.0
+        deficits[chosen] -= 1.0
         return chosen
--- a/redwingspring/shares.py
+++ b/redwingspring/shares.py
@@ -1,4 +1,4 @@
-"""A host's share of limits that are summed over all hosts."""
+"""Shares of one host in limits that apply to all hosts together."""
 
 import threading
 from collections import deque
@@ -6,30 +6,30 @@
 from .clock import read_clock
 from .rendezvous import rank_hosts
 
-# Part of a summed limit that is dealt out; the rest covers hosts whose views of
-# the membership differ for a while.
-DEALT_PART = 0.6
-# Part of the ratio of extra arrivals that is used; each host counts its own
-# requests, so views of the membership do not matter.
-RATIO_PART = 0.9
-# Each host sends to the cold targets that rendezvous hashing gives it, at most
-# at this part of the rate that one target tolerates.
-COLD_RATE_PART = 0.8
-# Owners of more instances than this are forgotten, those of instances gone included.
-MAX_OWNERS = 4096
-# The fewest hosts over this time count, so that hosts that are cut off from each
-# other do not each take the shares of the others.
-HOST_COUNT_MEMORY_S = 30.0
-
-
-# The bound on probes is one over a long time, so a burst may use what calm seconds
-# left, and only hosts that do not know each other add to the sum.
-PROBE_PART = 0.75
+# Fraction of a common limit that is divided among the hosts; the rest is a reserve
+# for periods in which their views of the membership differ.
+ALLOTTED_FRACTION = 0.6
+# Fraction of the retry ratio that is used. Each host counts its own requests, so
+# differing views of the membership do not matter here.
+RATIO_FRACTION = 0.9
+# Rendezvous hashing assigns each cold target to one host, which sends at most this
+# fraction of the rate that the target tolerates.
+COLD_RATE_FRACTION = 0.8
+# The cached owners are dropped when there are more than this, because the cache
+# also holds instances that no longer exist.
+MAX_CACHED_OWNERS = 4096
+# The highest number of hosts within this time is used, so that after a network
+# partition neither side takes over the shares of the other at once.
+HOST_COUNT_WINDOW_S = 30.0
+# The probe limit is an average over a long time, so a burst may use the tokens that
+# quiet seconds left unused. Only hosts that do not know of each other can exceed
+# it together.
+PROBE_RATE_FRACTION = 0.75
 PROBE_BURST_S = 8.0
 
 
 class HostCount:
-    """Number of hosts that share a limit: the most that were known recently.
+    """Number of hosts that share a limit: the highest that was known recently.
 
     Parameters
     ----------
@@ -39,11 +39,11 @@
 
     def __init__(self, clock=read_clock):
         self._clock = clock
-        self._seen = deque()
+        self._counts = deque()
         self._lock = threading.Lock()
 
     def record_count(self, count):
-        """Take the number of hosts known now.
+        """Record the number of hosts that are known now.
 
         Parameters
         ----------
@@ -52,28 +52,28 @@
         """
         now = self._clock()
         with self._lock:
-            while self._seen and self._seen[-1][1] <= count:
-                self._seen.pop()
-            self._seen.append((now, count))
-            while now - self._seen[0][0] > HOST_COUNT_MEMORY_S:
-                self._seen.popleft()
+            while self._counts and self._counts[-1][1] <= count:
+                self._counts.pop()
+            self._counts.append((now, count))
+            while now - self._counts[0][0] > HOST_COUNT_WINDOW_S:
+                self._counts.popleft()
 
     @property
     def value(self):
         """The number to divide by, at least 1."""
         with self._lock:
-            return max([1, *(count for _, count in self._seen)])
+            return max([1, *(count for _, count in self._counts)])
 
 
 class RetryShare:
-    """Share of one host in the arrivals beyond the first of each request.
+    """Share of one host in the retry budget: all sends of a request but its first.
 
     Parameters
     ----------
     ratio : float
-        Extra arrivals for each request, over all hosts.
+        Extra sends for each request, over all hosts.
     slack : float
-        Extra arrivals in each window beside those, over all hosts.
+        Further extra sends in each window, over all hosts.
     window_s : float
         Length of the window in seconds.
     hosts : HostCount
@@ -90,10 +90,10 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._requests = {}
-        self._extras = {}
+        self._extra_sends = {}
 
     def record_request(self, service):
-        """Count a request of a caller.
+        """Count a request that a caller sent.
 
         Parameters
         ----------
@@ -103,15 +103,15 @@
         with self._lock:
             self._requests.setdefault(service, deque()).append(self._clock())
 
-    def take(self, service, part=1.0):
-        """Take one extra arrival from the share.
+    def take(self, service, fraction=1.0):
+        """Take one extra send from the budget.
 
         Parameters
         ----------
         service : str
-            The service that gets it.
-        part : float, default=1.0
-            Part of the share that may be used up for this purpose.
+            The service that it goes to.
+        fraction : float, default=1.0
+            Fraction of the share that this purpose may use up.
 
         Returns
         -------
@@ -120,19 +120,19 @@
         """
         with self._lock:
             now = self._clock()
-            requests = self._trim(self._requests, service, now)
-            extras = self._trim(self._extras, service, now)
-            # Requests are counted here and there is one host for each, so the
-            # ratio needs no division; the slack is dealt out evenly.
-            slack = DEALT_PART * self._slack / self._hosts.value
-            allowed = RATIO_PART * self._ratio * requests + slack
-            if extras + 1 > allowed * part:
+            requests = self._count_recent(self._requests, service, now)
+            extra_sends = self._count_recent(self._extra_sends, service, now)
+            # Each request is counted by exactly one host, so the ratio is not
+            # divided among the hosts; the slack is divided evenly.
+            slack = ALLOTTED_FRACTION * self._slack / self._hosts.value
+            allowed = RATIO_FRACTION * self._ratio * requests + slack
+            if extra_sends + 1 > allowed * fraction:
                 return False
-            self._extras[service].append(now)
+            self._extra_sends[service].append(now)
             return True
 
-    def _trim(self, times, service, now):
-        """Return how many times lie within the window; drop the others."""
+    def _count_recent(self, times, service, now):
+        """Return the number of times within the window; drop the others."""
         recent = times.setdefault(service, deque())
         while recent and now - recent[0] > self._window_s:
             recent.popleft()
@@ -140,65 +140,65 @@
 
 
 class ProbeShare:
-    """Share of one host in the probes that targets may get.
+    """Share of one host in the probe rate of the targets, as a token bucket.
 
     Parameters
     ----------
-    per_target_s : float
-        Probes a second that each target may get from all hosts, on average.
+    rate_per_target : float
+        Average probes per second that each target may get from all hosts.
     hosts : HostCount
         Number of hosts that share it.
     clock : callable, default=read_clock
         Returns seconds.
     """
 
-    def __init__(self, per_target_s, hosts, clock=read_clock):
-        self._per_target_s = per_target_s
+    def __init__(self, rate_per_target, hosts, clock=read_clock):
+        self._rate_per_target = rate_per_target
         self._hosts = hosts
         self._clock = clock
         self._lock = threading.Lock()
         self._tokens = {}
 
-    def take(self, service, targets, wanted):
-        """Take the right to send some probes.
+    def take(self, service, targets, requested):
+        """Take tokens for probes.
 
         Parameters
         ----------
         service : str
-            The service whose targets are asked.
+            The service whose targets are probed.
         targets : int
             Number of its targets.
-        wanted : int
-            Probes that are wanted.
+        requested : int
+            Number of probes to send.
 
         Returns
         -------
         int
-            Probes that may be sent now.
+            Number of probes that may be sent now.
         """
-        rate = PROBE_PART * self._per_target_s * targets / self._hosts.value
-        most = max(wanted, rate * PROBE_BURST_S)
+        rate = PROBE_RATE_FRACTION * self._rate_per_target * targets / self._hosts.value
+        capacity = max(requested, rate * PROBE_BURST_S)
         with self._lock:
             now = self._clock()
-            tokens, filled_at = self._tokens.get(service, (most, now))
-            tokens = min(most, tokens + (now - filled_at) * rate)
-            granted = min(wanted, int(tokens))
+            tokens, refilled_at = self._tokens.get(service, (capacity, now))
+            tokens = min(capacity, tokens + (now - refilled_at) * rate)
+            granted = min(requested, int(tokens))
             self._tokens[service] = (tokens - granted, now)
             return granted
 
 
 class ColdShare:
-    """Share of one host in the requests that cold targets tolerate.
+    """Share of one host in the request rate that cold targets tolerate.
 
-    Each cold target belongs to one host of those that are known, so that the
-    sum over hosts stays below its rate, also while two hosts disagree.
+    Each cold target is assigned to one of the known hosts, so that the total over
+    all hosts stays below its rate, even while the views of two hosts differ.
 
     Parameters
     ----------
     name : str
         Name of this host.
     list_hosts : callable
-        Returns the names of the hosts that serve, this one included.
+        Returns the names of the hosts that serve requests, this one included.
     clock : callable, default=read_clock
         Returns seconds.
     """
@@ -210,14 +210,14 @@
         self._lock = threading.Lock()
         self._sent = {}
         self._hosts = ()
-        self._owned = {}
+        self._ownership = {}
 
     def select_owned(self, instance_ids):
-        """Return the cold instances that belong to this host.
+        """Return the cold instances that are assigned to this host.
 
-        Load pattern: when a data centre returns, all its targets are cold at once,
-        and every request looks for a place among them. Owners change only with the
-        hosts, so they are worked out once for a set of hosts.
+        Load pattern: when a data centre comes back, all its targets are cold at once,
+        and every request considers them. Owners change only with the set of hosts,
+        so they are computed once for each set.
 
         Parameters
         ----------
@@ -227,33 +227,35 @@
         Returns
         -------
         set of str
-            Those that only this host sends to while they are cold.
+            Instances that only this host sends to while they are cold.
         """
         if not instance_ids:
             return set()
         hosts = tuple(self._list_hosts())
         with self._lock:
-            if hosts != self._hosts or len(self._owned) > MAX_OWNERS:
-                self._hosts, self._owned = hosts, {}
-            return {name for name in instance_ids if self._is_own(name)}
-
-    def _is_own(self, instance_id):
-        """Tell whether an instance belongs to this host; the lock is held."""
-        own = self._owned.get(instance_id)
-        if own is None:
+            if hosts != self._hosts or len(self._ownership) > MAX_CACHED_OWNERS:
+                self._hosts, self._ownership = hosts, {}
+            return {name for name in instance_ids if self._owns(name)}
+
+    def _owns(self, instance_id):
+        """Tell whether this host owns an instance; the lock is held."""
+        is_owner = self._ownership.get(instance_id)
+        if is_owner is None:
             ranked = rank_hosts(self._hosts, instance_id)
-            own = self._owned[instance_id] = not ranked or ranked[0] == self._name
-        return own
+            is_owner = self._ownership[instance_id] = (
+                not ranked or ranked[0] == self._name
+            )
+        return is_owner
 
     def take(self, instance_id, rate_per_s):
-        """Take the right to send one request to a cold instance.
+        """Take permission to send one request to a cold instance.
 
         Parameters
         ----------
         instance_id : str
             The instance.
         rate_per_s : float
-            Requests a second that it tolerates from all hosts.
+            Requests per second that it tolerates from all hosts.
 
         Returns
         -------
@@ -267,14 +269,14 @@
             sent = self._sent.setdefault(instance_id, deque())
             while sent and now - sent[0] >= 1.0:
                 sent.popleft()
-            if len(sent) + 1 > max(1.0, rate_per_s * COLD_RATE_PART):
+            if len(sent) + 1 > max(1.0, rate_per_s * COLD_RATE_FRACTION):
                 return False
             sent.append(now)
-            self._forget(now)
+            self._drop_idle(now)
             return True
 
-    def _forget(self, now):
-        """Drop instances that got nothing for a second; the lock is held."""
+    def _drop_idle(self, now):
+        """Drop instances that got no request for a second; the lock is held."""
         idle = [key for key, sent in self._sent.items() if now - sent[-1] >= 1.0]
         for key in idle:
             del self._sent[key]
