Name the tests of routed calls after the failures they guard against

Names and docstrings of test_shares, test_routes, test_routedlogs and test_routedpath now state the guarded behaviour; names in the stand-ins follow. The number of tests and assertions and the checked values are unchanged. Nothing matches the two changed texts of standins.py (the body of a 404 and the message of wait_until).

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform's store and its targets, and a host between them."""
+"""Stand-ins for the store and the targets of the platform, and a host fixture."""
 
 import base64
 import contextlib
@@ -14,9 +14,9 @@
 from redwingspring.routedentry import RoutedEntry
 from redwingspring.routedsettings import RoutedSettings
 
-# Below the range out of which the kernel chooses ports.
-LISTEN_PORTS = (10_000, 32_000)
-found_ports = set()
+# Below the range from which the kernel allocates ephemeral ports.
+LISTEN_PORT_RANGE = (10_000, 32_000)
+allocated_ports = set()
 
 SERVICE = "desk"
 READS = "/read/"
@@ -29,7 +29,7 @@
     request_queue_size = 64
 
     def handle_error(self, request, client_address):
-        """Stay silent; tests cut connections on purpose."""
+        """Log nothing, because tests break connections on purpose."""
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -48,7 +48,7 @@
 
 
 class StoreStandIn:
-    """A small store with items, a history, watches and faults."""
+    """In-memory store with range reads, watches and injected faults."""
 
     def __init__(self, host="127.0.0.1"):
         self.items = {}
@@ -75,24 +75,24 @@
         self._server.server_close()
 
     def put(self, key, value):
-        """Write a document, or bytes as they are."""
-        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        """Store a document as JSON, or bytes unchanged."""
+        content = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self.changed:
             self.revision += 1
             self.items[key] = {
                 "key": key,
-                "value": base64.b64encode(raw).decode(),
+                "value": base64.b64encode(content).decode(),
                 "revision": self.revision,
                 "create_rev": self.revision,
                 "lease": 0,
             }
-            self._note(self.items[key])
+            self._record_event(self.items[key])
 
     def delete(self, key):
         with self.changed:
             self.revision += 1
             del self.items[key]
-            self._note({"key": key, "revision": self.revision, "deleted": True})
+            self._record_event({"key": key, "revision": self.revision, "deleted": True})
 
     def compact_history(self):
         with self.changed:
@@ -100,7 +100,7 @@
             self.events.clear()
             self.changed.notify_all()
 
-    def _note(self, event):
+    def _record_event(self, event):
         self.events.append(event)
         self.changed.notify_all()
 
@@ -111,23 +111,23 @@
         if self.status != 200:
             handler.answer(self.status, {"error": "no"})
             return
-        parts = urlsplit(handler.path)
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        call = parts.path.rsplit("/", 1)[1]
-        if call == "kv-range":
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        endpoint = url.path.rsplit("/", 1)[1]
+        if endpoint == "kv-range":
             handler.answer(200, self.read_range(query))
-        elif call == "kv-watch":
+        elif endpoint == "kv-watch":
             handler.answer(*self.read_watch(query))
         else:
-            handler.answer(404, {"error": "no such call"})
+            handler.answer(404, {"error": "no such endpoint"})
 
     def read_range(self, query):
         with self.changed:
             keys = sorted(k for k in self.items if k > query.get("after", ""))
-            page = keys[: self.page_size]
+            keys_of_page = keys[: self.page_size]
             return {
-                "items": [self.items[key] for key in page],
-                "has_more": len(keys) > len(page),
+                "items": [self.items[key] for key in keys_of_page],
+                "has_more": len(keys) > len(keys_of_page),
                 "store_revision": self.revision,
             }
 
@@ -139,14 +139,14 @@
                 if after + 1 < self.oldest_revision:
                     return 410, {"error": "history lost"}
                 events = [e for e in self.events if e["revision"] > after]
-                left = end - time.monotonic()
-                if events or left <= 0 or self.status != 200:
+                remaining_s = end - time.monotonic()
+                if events or remaining_s <= 0 or self.status != 200:
                     return 200, {"events": events, "store_revision": self.revision}
-                self.changed.wait(left)
+                self.changed.wait(remaining_s)
 
 
 class InstanceStandIn:
-    """One target on the platform, with faults."""
+    """Target of the platform with injected faults, selected by ``mode``."""
 
     def __init__(self, instance_id, host="127.0.0.1"):
         self.id = instance_id
@@ -160,7 +160,7 @@
         self.arrivals = []
         self.probes = 0
         self.headers = []
-        self.gone = threading.Event()
+        self.disconnected = threading.Event()
         stand_in = self
 
         class Handler(_Handler):
@@ -198,14 +198,14 @@
             self.serve_probe(handler)
             return
         if self.mode == "early":
-            self.reject_early(handler)
+            self.refuse_early(handler)
             return
         length = int(handler.headers.get("Content-Length", 0))
         body = handler.rfile.read(length)
         self.serve_request(handler, body)
 
-    def reject_early(self, handler):
-        """Refuse a request of which only the head was read."""
+    def refuse_early(self, handler):
+        """Refuse a request after reading only its head."""
         self.arrivals.append(handler.headers["Request-Id"])
         self.refuse(handler, 503)
         handler.close_connection = True
@@ -285,7 +285,7 @@
         self.end(handler)
 
     def answer_stale_response(self, handler, request_id):
-        """Send a second response to an earlier request first."""
+        """Send a late response to an earlier request before the response."""
         self.send_head(handler, "earlier", 5)
         handler.wfile.write(b"stray")
         handler.wfile.flush()
@@ -293,16 +293,16 @@
         self.answer_normal(handler, request_id)
 
     def answer_garbage(self, handler, request_id):
-        """Send bytes that are no response."""
+        """Send bytes that are not an HTTP response."""
         handler.wfile.write(b"\x16\x03\x01\x02\x00\x01\x00" * 9)
         self.end(handler)
 
     def answer_hang(self, handler, request_id):
-        """Hold the answer until the host closes the connection."""
+        """Send nothing until the host closes the connection."""
         handler.connection.settimeout(5)
         with contextlib.suppress(OSError):
             if not handler.connection.recv(1):
-                self.gone.set()
+                self.disconnected.set()
         handler.close_connection = True
 
     @staticmethod
@@ -352,22 +352,22 @@
 
 
 def find_port(kind=socket.SOCK_STREAM):
-    # A port that the kernel chooses may be chosen again, for a stand-in of another
-    # test worker, before the process under test listens there.
+    # The kernel could allocate an ephemeral port again, for a stand-in of another
+    # test worker, before the process under test listens on it.
     while True:
-        port = random.SystemRandom().randrange(*LISTEN_PORTS)
+        port = random.SystemRandom().randrange(*LISTEN_PORT_RANGE)
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in found_ports:
-            found_ports.add(port)
+        if port not in allocated_ports:
+            allocated_ports.add(port)
             return port
 
 
 class HostFixture:
-    """A host with a store and some targets, all in this process."""
+    """Host, store and targets, all in the test process."""
 
     def __init__(self, test, instances=2, configuration=None, **settings):
         self.store = StoreStandIn()
@@ -425,16 +425,16 @@
 
 
 class Caller:
-    """A caller with one connection."""
+    """Caller that uses one connection."""
 
-    numbers = iter(range(1, 1 << 30))
+    request_numbers = iter(range(1, 1 << 30))
 
     def __init__(self, address):
         host, port = address.rsplit(":", 1)
         self.connection = http.client.HTTPConnection(host, int(port), timeout=10)
 
     def ask(self, method, path, body=None, deadline_ms=2000, **headers):
-        request_id = f"r{next(self.numbers)}"
+        request_id = f"r{next(self.request_numbers)}"
         fields = {
             "Host": HOST,
             "Request-Id": request_id,
@@ -447,7 +447,7 @@
         return response.status, received, response.read()
 
     def send(self, data):
-        """Send bytes as they are."""
+        """Send raw bytes."""
         if self.connection.sock is None:
             self.connection.connect()
         self.connection.sock.sendall(data)
@@ -467,5 +467,5 @@
     end = time.monotonic() + timeout_s
     while not predicate():
         if time.monotonic() > end:
-            raise AssertionError("the condition did not come true")
+            raise AssertionError("the condition was not met in time")
         time.sleep(0.01)
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -1,4 +1,4 @@
-"""Targets and limits for unit tests."""
+"""Target states, limits and load reports for unit tests."""
 
 from redwingspring.configuration import Target
 from redwingspring.ejections import ServiceHealth
@@ -25,7 +25,7 @@
 
 
 def make_states(count, data_centre="akl-a", **limits):
-    """Return warm targets of one service."""
+    """Return the states of warm targets of one service."""
     states = []
     for number in range(count):
         target = Target("fault-desk", f"127.0.0.1:{7000 + number}", data_centre)
--- a/tests/test_routedlogs.py
+++ b/tests/test_routedlogs.py
@@ -1,4 +1,4 @@
-"""From the id of a failed request to its cause, with the log lines alone."""
+"""Decision log lines suffice to trace a failed request to its cause."""
 
 import io
 import json
@@ -20,8 +20,8 @@
 )
 
 
-class LogReader:
-    """Takes the lines of the decision log as they would be written."""
+class DecisionLogCapture:
+    """Captures the lines of the decision log as they are formatted for output."""
 
     def __init__(self, test):
         self._stream = io.StringIO()
@@ -33,24 +33,24 @@
         test.addCleanup(decisions.logger.setLevel, level)
         decisions.logger.setLevel(logging.INFO)
 
-    def read(self, **wanted):
+    def read(self, **expected):
         lines = [json.loads(line) for line in self._stream.getvalue().splitlines()]
-        return [x for x in lines if wanted.items() <= x.items()]
+        return [entry for entry in lines if expected.items() <= entry.items()]
 
 
 class FailedRequestTest(RedwingspringTestCase):
-    def find(self, logs, host, status, *request, **options):
-        answer = host.ask(*request, **options)
-        self.assertEqual(status, answer[0])
+    def read_failure(self, logs, host, status, *request, **options):
+        response = host.ask(*request, **options)
+        self.assertEqual(status, response[0])
         [failed] = logs.read(message="request failed")
         sent = logs.read(message="request sent", request_id=failed["request_id"])
         return failed, sent
 
-    def test_a_read_without_place_names_what_it_waited_for(self):
-        logs = LogReader(self)
+    def test_a_read_rejected_for_lack_of_capacity_logs_its_wait_and_reason(self):
+        logs = DecisionLogCapture(self)
         host = HostFixture(self, instances=1)
         host.instances[0].load = "3,5,3,100"
-        failed, sent = self.find(logs, host, 503)
+        failed, sent = self.read_failure(logs, host, 503)
         self.assertEqual([], sent)
         self.assertEqual(
             ("no-capacity", "not-run"), (failed["reason"], failed["verdict"])
@@ -59,11 +59,11 @@
         self.assertTrue(failed["retry_after_s"] > 0)
         self.assertEqual(1, failed["configuration_version"])
 
-    def test_a_post_that_may_have_run_names_the_instance_and_its_load(self):
-        logs = LogReader(self)
+    def test_a_post_that_may_have_run_logs_the_instance_and_its_load(self):
+        logs = DecisionLogCapture(self)
         host = HostFixture(self, instances=1)
         host.instances[0].mode = "reset"
-        failed, sent = self.find(logs, host, 502, "POST", POSTS, body=b"x")
+        failed, sent = self.read_failure(logs, host, 502, "POST", POSTS, body=b"x")
         self.assertEqual(
             ("reset", "may-have-run"), (failed["reason"], failed["verdict"])
         )
@@ -73,21 +73,21 @@
         )
         self.assertTrue(line["load_age_ms"] < 100)
 
-    def test_a_request_past_its_time_shows_its_attempts(self):
-        logs = LogReader(self)
+    def test_a_request_that_missed_its_deadline_logs_its_attempts(self):
+        logs = DecisionLogCapture(self)
         route = describe_route("reads", READS, "idempotent", timeout_s=0.5)
         host = HostFixture(
             self, instances=2, configuration=describe_configuration(1, [route])
         )
         for instance in host.instances:
             instance.mode = "hang"
-        failed, sent = self.find(logs, host, 504)
+        failed, sent = self.read_failure(logs, host, 504)
         self.assertEqual("deadline", failed["reason"])
         self.assertEqual([1, 2], [line["attempt"] for line in sent])
         self.assertEqual({"i-0", "i-1"}, {line["instance"] for line in sent})
 
-    def test_a_lost_and_regained_store_has_a_line_each(self):
-        logs = LogReader(self)
+    def test_a_lost_and_regained_store_is_logged_once_each(self):
+        logs = DecisionLogCapture(self)
         host = HostFixture(self)
         host.store.status = 503
         wait_until(lambda: logs.read(message="store lost"))
@@ -96,9 +96,9 @@
         self.assertTrue(logs.read(message="store lost")[0]["cause"])
 
 
-class VolumeTest(RedwingspringTestCase):
-    def test_lines_are_bounded_under_load_and_the_rest_is_counted(self):
-        logs = LogReader(self)
+class LogRateTest(RedwingspringTestCase):
+    def test_the_rate_of_lines_is_limited_and_suppressed_lines_are_counted(self):
+        logs = DecisionLogCapture(self)
         now = [10.0]
         metrics = Metrics()
         log = DecisionLog(metrics, lambda: now[0])
@@ -106,6 +106,6 @@
             now[0] += 0.0005
             log.record("request sent", request_id="r")
         written = len(logs.read())
-        most = decisions.BURST_LINES + 10 * decisions.LINES_PER_S + 1
-        self.assertTrue(written <= most, written)
+        max_lines = decisions.BURST_LINES + 10 * decisions.LINES_PER_S + 1
+        self.assertTrue(written <= max_lines, written)
         self.assertEqual(20_000 - written, metrics.snapshot()["logs.suppressed"])
--- a/tests/test_routedpath.py
+++ b/tests/test_routedpath.py
@@ -1,4 +1,4 @@
-"""The path of a routed request through one host, with real sockets."""
+"""Routed requests through one host, from a caller to a target, over real sockets."""
 
 import socket
 import threading
@@ -34,14 +34,14 @@
         )
         self.assertEqual(headers["request-id"], request_id)
 
-    def test_the_target_gets_the_time_left_and_its_own_id(self):
+    def test_the_target_gets_the_remaining_deadline_and_its_instance_id(self):
         host = HostFixture(self, instances=1)
         host.ask(deadline_ms=900)
         [headers] = host.instances[0].headers
         self.assertEqual("i-0", headers["Target-Instance"])
         self.assertTrue(0 < int(headers["Deadline-Ms"]) <= 900)
 
-    def test_an_unknown_route_is_refused_and_runs_nowhere(self):
+    def test_a_request_without_a_route_is_refused_and_not_run(self):
         host = HostFixture(self)
         self.assertEqual(404, host.ask(path="/other/1")[0])
         self.assertEqual([], host.runs)
@@ -60,7 +60,7 @@
             host.ask()
         self.assertEqual([0, 0, 5], [len(i.runs) for i in host.instances])
 
-    def test_pipelined_requests_run_side_by_side_and_return_in_order(self):
+    def test_pipelined_requests_run_concurrently_and_are_answered_in_order(self):
         host = HostFixture(self, instances=2)
         for instance in host.instances:
             instance.work_s = 0.3
@@ -71,12 +71,12 @@
             caller.send(render_request("GET", READS, f"p{number}"))
             time.sleep(0.02)
         stream = caller.connection.sock.makefile("rb")
-        seen = [self.read_response(stream) for _ in range(4)]
-        self.assertEqual(["p0", "p1", "p2", "p3"], seen)
+        request_ids = [self.read_response(stream) for _ in range(4)]
+        self.assertEqual(["p0", "p1", "p2", "p3"], request_ids)
         self.assertTrue(time.monotonic() - started < 0.9)
 
     def read_response(self, stream):
-        """Return the request id of the next response, whose body is whole."""
+        """Check the next response and return its request id."""
         self.assertEqual(b"HTTP/1.1 200 OK\r\n", stream.readline())
         headers = {}
         while (line := stream.readline()) != b"\r\n":
@@ -85,7 +85,7 @@
         self.assertEqual(b"whole body", stream.read(int(headers["content-length"])))
         return headers["request-id"]
 
-    def test_requests_go_on_when_the_share_of_probes_is_used_up(self):
+    def test_requests_succeed_when_the_probe_share_is_used_up(self):
         host = HostFixture(self, instances=2, probe_rate=0.01)
         started = time.monotonic()
         for _ in range(12):
@@ -93,7 +93,7 @@
         self.assertTrue(time.monotonic() - started < 2.0)
         self.assertTrue(sum(i.probes for i in host.instances) <= 4)
 
-    def test_a_post_behind_a_read_waits_for_its_answer(self):
+    def test_a_pipelined_post_waits_for_the_response_to_the_read_before_it(self):
         host = HostFixture(self, instances=1)
         host.instances[0].work_s = 0.1
         caller = host.connect()
@@ -102,20 +102,20 @@
         post = render_request("POST", POSTS, "second")
         caller.send(post.replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\nab"))
         stream = caller.connection.sock.makefile("rb")
-        seen = [self.read_response(stream) for _ in range(2)]
-        self.assertEqual(["first", "second"], seen)
+        request_ids = [self.read_response(stream) for _ in range(2)]
+        self.assertEqual(["first", "second"], request_ids)
         self.assertEqual(200, caller.ask("GET", READS)[0])
 
 
 class FailureTest(RedwingspringTestCase):
-    def test_a_refusal_by_a_target_is_tried_at_another_one(self):
+    def test_a_request_that_a_target_refused_is_retried_at_another(self):
         host = HostFixture(self, instances=2)
         host.instances[0].mode = "shed"
         for _ in range(6):
             self.assertEqual(200, host.ask("POST", POSTS, body=b"x")[0])
         self.assertEqual(6, len(host.runs))
 
-    def test_a_refusal_everywhere_is_a_true_not_run_with_a_time_to_return(self):
+    def test_a_request_that_all_targets_refuse_is_not_run_and_has_a_retry_after(self):
         host = HostFixture(self, instances=2)
         for instance in host.instances:
             instance.mode = "shed"
@@ -133,7 +133,7 @@
         self.assertNotIn("retry-after", headers)
         self.assertEqual(1, len(host.runs))
 
-    def test_a_read_whose_answer_breaks_off_is_sent_again(self):
+    def test_a_read_with_an_invalid_or_failed_response_is_retried(self):
         for mode in ("truncated", "reset", "unsigned", "error"):
             host = HostFixture(self, instances=2)
             host.instances[0].mode = mode
@@ -141,35 +141,35 @@
                 status, _, body = host.ask()
                 self.assertEqual((200, b"whole body"), (status, body), mode)
 
-    def test_an_answer_without_signature_or_end_is_no_success(self):
+    def test_an_unsigned_or_truncated_response_is_a_failure(self):
         for mode in ("truncated", "unsigned"):
             host = HostFixture(self, instances=1)
             host.instances[0].mode = mode
             status, _, _ = host.ask("POST", POSTS, body=b"x")
             self.assertEqual(502, status, mode)
 
-    def test_an_answer_that_ends_with_its_connection_is_passed_on_whole(self):
+    def test_a_response_that_ends_with_its_connection_is_relayed_whole(self):
         host = HostFixture(self, instances=1)
         host.instances[0].mode = "unframed"
         status, headers, body = host.ask()
         self.assertEqual((200, b"whole body"), (status, body))
         self.assertEqual("10", headers["content-length"])
 
-    def test_a_late_second_response_is_not_taken_for_the_answer(self):
+    def test_a_late_response_to_an_earlier_request_is_skipped(self):
         host = HostFixture(self, instances=1)
         host.instances[0].mode = "stale_response"
         status, _, body = host.ask("POST", POSTS, body=b"x")
         self.assertEqual((200, b"whole body"), (status, body))
         self.assertEqual(1, len(host.runs))
 
-    def test_an_address_that_another_instance_has_runs_nothing(self):
+    def test_an_address_that_another_instance_took_over_runs_nothing(self):
         host = HostFixture(self, instances=1)
         host.instances[0].id = "i-other"
         status, headers, _ = host.ask("POST", POSTS, body=b"x")
         self.assertEqual((503, "not-run"), (status, headers["request-run"]))
         self.assertEqual([], host.runs)
 
-    def test_a_failure_of_a_target_reaches_the_caller_of_a_post_as_it_is(self):
+    def test_an_error_response_to_a_post_is_relayed_unchanged(self):
         host = HostFixture(self, instances=2)
         for instance in host.instances:
             instance.mode = "error"
@@ -178,7 +178,7 @@
         self.assertIn("response-signature", headers)
         self.assertEqual(1, len(host.runs))
 
-    def test_a_mute_target_does_not_hold_a_request_up(self):
+    def test_a_target_that_does_not_answer_probes_does_not_delay_requests(self):
         host = HostFixture(self, instances=2)
         host.instances[0].mode = "probe_hang"
         started = time.monotonic()
@@ -186,7 +186,7 @@
             self.assertEqual(200, host.ask()[0])
         self.assertTrue(time.monotonic() - started < 1.0)
 
-    def test_a_request_ends_at_its_routes_timeout(self):
+    def test_a_request_ends_at_the_timeout_of_its_route(self):
         route = describe_route("reads", READS, "idempotent", timeout_s=0.4)
         host = HostFixture(
             self, instances=1, configuration=describe_configuration(1, [route])
@@ -196,16 +196,16 @@
         self.assertEqual(504, host.ask()[0])
         self.assertTrue(0.35 < time.monotonic() - started < 0.8)
 
-    def test_work_at_a_target_ends_when_the_caller_leaves(self):
+    def test_work_at_a_target_is_cancelled_when_the_caller_disconnects(self):
         host = HostFixture(self, instances=1)
         host.instances[0].mode = "hang"
         caller = host.connect()
         caller.send(render_request("GET", READS, "left"))
         wait_until(lambda: host.runs)
         caller.close()
-        self.assertTrue(host.instances[0].gone.wait(1.0))
+        self.assertTrue(host.instances[0].disconnected.wait(1.0))
 
-    def test_an_idempotent_request_at_a_stuck_target_is_hedged(self):
+    def test_an_idempotent_request_at_a_slow_target_is_hedged(self):
         host = HostFixture(self, instances=2)
         host.instances[0].work_s = 1.5
         for _ in range(4):
@@ -220,14 +220,14 @@
         self.assertEqual(200, host.ask("POST", POSTS, body=b"x")[0])
         self.assertEqual(1, len(host.runs))
 
-    def test_no_target_is_answered_at_once(self):
+    def test_a_request_without_any_target_is_rejected_at_once(self):
         host = HostFixture(self, instances=0)
         started = time.monotonic()
         status, headers, _ = host.ask()
         self.assertEqual((503, "not-run"), (status, headers["request-run"]))
         self.assertTrue(time.monotonic() - started < 0.2)
 
-    def test_a_host_without_configuration_says_not_run(self):
+    def test_a_host_without_configuration_is_not_ready(self):
         host = HostFixture(self)
         host.entry.knowledge.table = None
         status, headers, _ = host.ask()
@@ -235,8 +235,8 @@
         self.assertEqual(str(Reason.NOT_READY), headers["failure-reason"])
 
 
-class PlannedWorkTest(RedwingspringTestCase):
-    def test_a_leaving_instance_gets_nothing_more(self):
+class MaintenanceTest(RedwingspringTestCase):
+    def test_a_draining_instance_gets_no_requests(self):
         host = HostFixture(self, instances=2)
         leaving = host.instances[0]
         host.list_instance(leaving, status={"state": "draining"})
@@ -245,7 +245,7 @@
             self.assertEqual(200, host.ask()[0])
         self.assertEqual([], leaving.runs)
 
-    def test_an_evacuated_data_centre_gets_nothing_until_it_is_taken_back(self):
+    def test_an_evacuated_data_centre_gets_no_requests_until_it_is_restored(self):
         host = HostFixture(self, instances=1)
         host.store.put("op/evacuate/akl-a", {})
         wait_until(lambda: not host.entry.directory.view.services)
@@ -254,7 +254,7 @@
         wait_until(lambda: host.entry.directory.view.services)
         self.assertEqual(200, host.ask()[0])
 
-    def test_a_newer_configuration_is_in_force_and_an_older_one_is_not(self):
+    def test_a_newer_configuration_is_applied_and_an_older_one_is_ignored(self):
         host = HostFixture(self)
         newer = [describe_route("new", "/new/", "idempotent")]
         host.store.put("op/config", describe_configuration(5, newer))
@@ -265,7 +265,7 @@
         self.assertEqual(5, host.entry.knowledge.version)
         self.assertEqual(404, host.ask()[0])
 
-    def test_a_graceful_shutdown_answers_what_is_in_progress(self):
+    def test_a_graceful_shutdown_answers_requests_in_progress(self):
         host = HostFixture(self, instances=1, grace=4.0)
         host.instances[0].work_s = 0.5
         caller = host.connect()
@@ -292,7 +292,7 @@
     def ask_ready(self, host):
         return host.fetch(host.entry.settings.ready_address, "/redwingspring/ready")[0]
 
-    def test_a_ready_host_names_itself_to_callers(self):
+    def test_a_ready_host_is_listed_in_the_address_directory(self):
         host = HostFixture(self)
         self.assertEqual(200, self.ask_ready(host))
         address = host.entry.settings.directory_address
@@ -302,8 +302,8 @@
         self.assertIn(host.entry.settings.address.encode(), body)
         self.assertIn(b'"ttl_s":', body)
 
-    def test_callers_of_an_evacuated_data_centre_are_sent_to_others(self):
-        """Their requests and long responses would cross between data centres."""
+    def test_callers_of_an_evacuated_data_centre_get_hosts_of_other_data_centres(self):
+        """Otherwise requests and long responses would cross between data centres."""
         entry = HostFixture(self).entry
         data_centres = ("akl-a", "ham-b", "ham-b", "wlg-c", "wlg-c")
         entry.members.take(
@@ -327,7 +327,7 @@
 
 
 class IdleConnectionTest(RedwingspringTestCase):
-    def test_a_half_read_request_line_does_not_block_the_others(self):
+    def test_an_incomplete_request_line_does_not_block_other_connections(self):
         host = HostFixture(self)
         slow = socket.create_connection(host.entry.settings.address.split(":"))
         self.addCleanup(slow.close)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -38,7 +38,7 @@
         self.assertEqual("other", self.find("b.example", "/x/y/1"))
         self.assertEqual(None, self.find("c.example", "/x/y/1"))
 
-    def test_a_port_in_the_host_and_a_query_do_not_matter(self):
+    def test_a_port_in_the_host_and_a_query_are_ignored(self):
         self.assertEqual("short", self.find("a.example:8080", "/x/?to=/x/y/"))
 
     def test_a_prefix_matches_whole_segments_only(self):
@@ -46,7 +46,7 @@
 
 
 class WeightedRoundRobinTest(RedwingspringTestCase):
-    def test_few_requests_already_follow_the_weights(self):
+    def test_a_small_number_of_requests_follows_the_weights(self):
         weighted_services = (
             WeightedService("desk", 90.0),
             WeightedService("store", 10.0),
@@ -56,7 +56,7 @@
         chosen = [round_robin.choose(route) for _ in range(20)]
         self.assertEqual(18, chosen.count("desk"))
 
-    def test_changed_shares_begin_anew(self):
+    def test_changed_services_reset_the_deficits(self):
         round_robin = WeightedRoundRobin()
         before = build_route(
             "s", "/x/", WeightedService("a", 1), WeightedService("b", 1)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,4 +1,4 @@
-"""Limits that are summed over hosts, at 18 hosts and without a bench."""
+"""Shares of common limits, simulated for 18 hosts with a manual clock."""
 
 import random
 from unittest import mock
@@ -11,12 +11,12 @@
 from .base import RedwingspringTestCase
 from .test_placement import build_state
 
-HOSTS = 18
+HOST_COUNT = 18
 RATIO = 0.2
 SLACK = 64.0
 WINDOW_S = 10.0
-COLD_PER_S = 9.4
-COLD_BOUND = COLD_PER_S * 1.5 + 5
+COLD_RATE_PER_S = 9.4
+MAX_COLD_PER_S = COLD_RATE_PER_S * 1.5 + 5
 
 
 class Clock:
@@ -27,20 +27,20 @@
         return self.now
 
 
-def count_windows(times, window_s):
-    """Return the most events in any window of a length."""
+def count_most_in_window(times, window_s):
+    """Return the highest number of events in any window of the given length."""
     times = sorted(times)
     most, start = 0, 0
-    for end, moment in enumerate(times):
-        while moment - times[start] >= window_s:
+    for end, time in enumerate(times):
+        while time - times[start] >= window_s:
             start += 1
         most = max(most, end - start + 1)
     return most
 
 
 class RetryShareTest(RedwingspringTestCase):
-    def play(self, counts, seconds=40, rate=12):
-        """Let hosts, each with its own view of their number, retry all they can."""
+    def simulate(self, counts, seconds=40, rate=12):
+        """Let each host, with its own count of the hosts, retry as often as allowed."""
         clock = Clock()
         shares = []
         for count in counts:
@@ -48,7 +48,7 @@
             hosts.record_count(count)
             shares.append(RetryShare(RATIO, SLACK, WINDOW_S, hosts, clock))
         source = random.Random(3)
-        requests, extras = [], []
+        requests, extra_sends = [], []
         for _ in range(seconds * 100):
             clock.now += 0.01
             for share in shares:
@@ -56,34 +56,34 @@
                     share.record_request("desk")
                     requests.append(clock.now)
                 while share.take("desk"):
-                    extras.append(clock.now)
-        return requests, extras
+                    extra_sends.append(clock.now)
+        return requests, extra_sends
 
-    def check(self, requests, extras):
-        for moment in {*extras[:: max(1, len(extras) // 200)]}:
-            first = moment - WINDOW_S
-            asked = sum(first < t <= moment for t in requests)
-            sent = sum(first < t <= moment for t in extras)
-            self.assertTrue(sent <= RATIO * asked + SLACK, (sent, asked))
+    def check(self, requests, extra_sends):
+        for time in {*extra_sends[:: max(1, len(extra_sends) // 200)]}:
+            first = time - WINDOW_S
+            requested = sum(first < t <= time for t in requests)
+            sent = sum(first < t <= time for t in extra_sends)
+            self.assertTrue(sent <= RATIO * requested + SLACK, (sent, requested))
 
-    def test_the_sum_stays_within_the_budget(self):
-        self.check(*self.play([HOSTS] * HOSTS))
+    def test_all_hosts_together_stay_within_the_retry_budget(self):
+        self.check(*self.simulate([HOST_COUNT] * HOST_COUNT))
 
-    def test_the_sum_stays_within_it_where_some_hosts_know_only_half(self):
-        self.check(*self.play([HOSTS] * 9 + [HOSTS // 2] * 9))
+    def test_hosts_that_know_only_half_of_all_stay_within_the_retry_budget(self):
+        self.check(*self.simulate([HOST_COUNT] * 9 + [HOST_COUNT // 2] * 9))
 
-    def test_a_cut_does_not_deal_the_slack_out_again(self):
+    def test_a_partition_does_not_enlarge_the_share_of_the_slack(self):
         clock = Clock()
         hosts = HostCount(clock)
-        hosts.record_count(HOSTS)
+        hosts.record_count(HOST_COUNT)
         clock.now += 5
         hosts.record_count(2)
-        self.assertEqual(HOSTS, hosts.value)
+        self.assertEqual(HOST_COUNT, hosts.value)
         clock.now += 60
         hosts.record_count(2)
         self.assertEqual(2, hosts.value)
 
-    def test_hedges_leave_a_part_for_retries(self):
+    def test_hedges_leave_a_part_of_the_budget_for_retries(self):
         clock = Clock()
         hosts = HostCount(clock)
         share = RetryShare(RATIO, SLACK, WINDOW_S, hosts, clock)
@@ -93,8 +93,8 @@
 
 
 class ColdShareTest(RedwingspringTestCase):
-    def play(self, views):
-        """Return when hosts with their own views send to one cold target."""
+    def simulate(self, views):
+        """Return the times at which hosts with differing views use a cold target."""
         clock = Clock()
         shares = [
             ColdShare(f"host-{n}", lambda v=view: v, clock)
@@ -104,35 +104,35 @@
         for _ in range(1000):
             clock.now += 0.01
             for share in shares:
-                if share.take("i-cold", COLD_PER_S):
+                if share.take("i-cold", COLD_RATE_PER_S):
                     sent.append(clock.now)
         return sent
 
-    def test_one_host_sends_to_a_cold_target_and_it_is_used(self):
-        names = [f"host-{n}" for n in range(HOSTS)]
-        sent = self.play([names] * HOSTS)
+    def test_only_the_owner_sends_to_a_cold_target_and_uses_its_rate(self):
+        names = [f"host-{n}" for n in range(HOST_COUNT)]
+        sent = self.simulate([names] * HOST_COUNT)
         self.assertTrue(len(sent) > 5 * 9)
-        self.assertTrue(count_windows(sent, 1.0) <= COLD_PER_S)
+        self.assertTrue(count_most_in_window(sent, 1.0) <= COLD_RATE_PER_S)
 
-    def test_two_halves_that_do_not_hear_each_other_stay_within_the_bound(self):
-        names = [f"host-{n}" for n in range(HOSTS)]
-        sent = self.play([names[:9]] * 9 + [names[9:]] * 9)
-        self.assertTrue(count_windows(sent, 1.0) <= COLD_BOUND)
+    def test_two_partitions_of_hosts_stay_within_the_cold_rate_bound(self):
+        names = [f"host-{n}" for n in range(HOST_COUNT)]
+        sent = self.simulate([names[:9]] * 9 + [names[9:]] * 9)
+        self.assertTrue(count_most_in_window(sent, 1.0) <= MAX_COLD_PER_S)
 
-    def test_owners_are_worked_out_once_while_the_hosts_stay_the_same(self):
-        """At 135 hosts and 55 cold targets each look would take 6 ms for them."""
-        names = [f"host-{n}" for n in range(HOSTS)]
+    def test_owners_are_computed_once_while_the_hosts_stay_the_same(self):
+        """Ranking 135 hosts for 55 cold targets would take 6 ms in each search."""
+        names = [f"host-{n}" for n in range(HOST_COUNT)]
         share = ColdShare("host-3", lambda: list(names), Clock())
         ids = [f"i-{n}" for n in range(55)]
-        with mock.patch.object(shares, "rank_hosts", wraps=rank_hosts) as ranked:
+        with mock.patch.object(shares, "rank_hosts", wraps=rank_hosts) as rank_mock:
             own = share.select_owned(ids)
             self.assertEqual(own, share.select_owned(ids))
-            self.assertEqual(len(ids), ranked.call_count)
+            self.assertEqual(len(ids), rank_mock.call_count)
         expected = {name for name in ids if rank_hosts(names, name)[0] == "host-3"}
         self.assertEqual(expected, own)
 
     def test_owners_change_with_the_hosts(self):
-        names = [f"host-{n}" for n in range(HOSTS)]
+        names = [f"host-{n}" for n in range(HOST_COUNT)]
         share = ColdShare("host-3", lambda: names, Clock())
         ids = [f"i-{n}" for n in range(55)]
         share.select_owned(ids)
@@ -141,8 +141,8 @@
         self.assertEqual(expected, share.select_owned(ids))
 
 
-class BlindShareTest(RedwingspringTestCase):
-    def test_hosts_without_probes_together_do_not_fill_the_queues_of_targets(self):
+class UnprobedRequestTest(RedwingspringTestCase):
+    def test_unprobed_requests_of_all_hosts_do_not_fill_the_queues_of_targets(self):
         hosts = HostCount()
         hosts.record_count(18)
         sent = 0
