--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -37,10 +37,10 @@
 
     may_repeat = Dispatcher._may_repeat
 
-    def repeat_doubtful(self, call, gate, failure):
+    def repeat_doubtful(self, call, admission, failure):
         if not failure.proves_not_run and call.body.repeatable:
             return True
-        return may_repeat(self, call, gate, failure)
+        return may_repeat(self, call, admission, failure)
 
     Dispatcher._may_repeat = repeat_doubtful
 
@@ -84,16 +84,16 @@
     from redwingspring.quorum import PendingRequest, QuorumClient
     from redwingspring.slots import PROBE
 
-    ask = QuorumClient.ask
+    request_grants = QuorumClient.request_grants
 
     def agree(self, grantors, request):
         if request.kind != PROBE:
-            return ask(self, grantors, request)
+            return request_grants(self, grantors, request)
         pending = PendingRequest(1)
         pending.record(True, 1)
         return pending
 
-    QuorumClient.ask = agree
+    QuorumClient.request_grants = agree
 
 
 @mutations.register("probe-reports")
@@ -103,15 +103,17 @@
     from redwingspring.targets import NEVER, TargetState
 
     never = property(lambda self: NEVER)
-    Watch.own = Watch.elsewhere = TargetState.last_reported = never
+    Watch.own_report_time = Watch.peer_report_time = TargetState.latest_report_time = (
+        never
+    )
 
 
 @mutations.register("probe-lists")
 def forget_former_lists():
     """Trust the grantors under a new host list at once."""
-    from redwingspring import listhistory
+    from redwingspring import hosthistory
 
-    listhistory.overlap = lambda first, second: True
+    hosthistory.quorums_intersect = lambda first, second: True
 
 
 @mutations.register("drain")
@@ -142,7 +144,7 @@
     publication.POLLS_PER_S = 0.1
 
     Publication._push = lambda self, value: None
-    Publication._take_stamp = lambda self, sender, key, stamp: None
+    Publication._handle_stamp = lambda self, sender, key, stamp: None
 
 
 @mutations.register("order")
@@ -178,9 +180,9 @@
 @mutations.register("news")
 def keep_news():
     """Tell no other host that a target turned cold or leaves."""
-    from redwingspring.temperatures import TemperatureNews
+    from redwingspring.temperatures import TemperatureExchange
 
-    TemperatureNews.take = lambda self, sender, news: None
+    TemperatureExchange.apply_message = lambda self, sender, news: None
 
 
 @mutations.register("clock-steps")
--- a/redwingspring/assembly.py
+++ b/redwingspring/assembly.py
@@ -2,7 +2,7 @@
 
 from cherrypy import _cptree
 
-from .admission import GateDirectory
+from .admission import AdmissionDirectory
 from .audit import AuditTrail
 from .dispatch import Dispatcher
 from .forwarder import Forwarder
@@ -31,7 +31,7 @@
 from .slots import SlotCounter
 from .status import sample_gauges
 from .targets import TargetDirectory, Temperature
-from .temperatures import TemperatureNews
+from .temperatures import TemperatureExchange
 from .upstream import PoolDirectory
 from .values import ValueStore
 
@@ -55,7 +55,7 @@
     entry.directory = TargetDirectory()
     source = settings.address.rsplit(":", 1)[0]
     entry.pools = PoolDirectory(source)
-    entry.gates = GateDirectory()
+    entry.admissions = AdmissionDirectory()
     hello = Hello(settings.address, settings.peer_address, settings.data_centre)
     entry.values = ValueStore(entry.apply_value, entry.audit, entry.metrics)
     entry.peers = PeerNetwork(
@@ -84,7 +84,7 @@
     entry.dispatcher = Dispatcher(
         directory=entry.directory,
         pools=entry.pools,
-        gates=entry.gates,
+        admissions=entry.admissions,
         leases=entry.leases,
         membership=entry.membership,
         metrics=entry.metrics,
@@ -102,7 +102,7 @@
         metrics=entry.metrics,
         outcomes=outcomes,
     )
-    entry.peers.register(SeenTargets, entry.prober.take_seen)
+    entry.peers.register(SeenTargets, entry.prober.handle_seen_targets)
     forwarder = Forwarder(
         entry.directory, entry.dispatcher, entry.requests, entry.metrics
     )
@@ -124,7 +124,7 @@
     """
     slots = SlotCounter(entry.directory, ramps)
     entry.grants = GrantTable(slots.count, find_probe_term=slots.find_probe_term)
-    entry.temperatures = TemperatureNews(
+    entry.temperatures = TemperatureExchange(
         entry.directory, entry.grants, entry.peers, entry.audit
     )
     entry.leases = LeaseClient(
@@ -136,9 +136,9 @@
         lambda state: entry.temperatures.announce(state, Temperature.WARM),
     )
     grantor = LeaseGrantor(entry.grants, entry.peers, entry.metrics)
-    entry.peers.register(LeaseRequest, grantor.answer_request)
-    entry.peers.register(LeaseRelease, grantor.take_release)
+    entry.peers.register(LeaseRequest, grantor.handle_request)
+    entry.peers.register(LeaseRelease, grantor.handle_release)
     entry.peers.register(LeaseReply, entry.leases.record_reply)
-    entry.peers.register(TargetStates, entry.temperatures.take)
-    entry.membership.on_hello = entry.temperatures.note_connection
-    entry.membership.on_heartbeat = entry.temperatures.greet
+    entry.peers.register(TargetStates, entry.temperatures.apply_message)
+    entry.membership.on_hello = entry.temperatures.reset_snapshot
+    entry.membership.on_heartbeat = entry.temperatures.send_snapshot
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -47,7 +47,7 @@
     )
     entry.follower = StoreFollower(entry.sources, entry.store_state, entry.mirror)
     hosts = HostCount()
-    entry.gossip.on_alive_count = hosts.note
+    entry.gossip.on_alive_count = hosts.record_count
     entry.dispatcher = RouteDispatcher(
         directory=entry.directory,
         dialect=headers,
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -6,7 +6,7 @@
 from .calls import HOP_BY_HOP_HEADERS, read_headers, read_length
 from .clock import read_clock
 from .routedispatch import Rejection, RoutedCall
-from .routes import ShareRotation
+from .routes import WeightedRoundRobin
 from .targetconnection import ResponseBroken
 from .upstream import CallerGone
 from .verdict import Reason, refuse
@@ -66,7 +66,7 @@
         self.decisions = decisions
         self.latencies = latencies
         self._clock = clock
-        self._rotation = ShareRotation()
+        self._round_robin = WeightedRoundRobin()
 
     def __call__(self, environ, start_response):
         """Serve one request.
@@ -102,12 +102,12 @@
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
             return Error(Rejection(failure, NO_TABLE_RETURN_S))
-        terms = self.dialect.read_request(environ)
+        metadata = self.dialect.read_request(environ)
         path = environ.get("REQUEST_URI") or environ["PATH_INFO"]
         route = table.find_route(environ.get("HTTP_HOST", ""), path)
         if route is None:
             return Error(self._reject_unknown_route())
-        if terms.request_id is None:
+        if metadata.request_id is None:
             failure = refuse(Reason.MALFORMED, "the request has no id", 400)
             return Error(Rejection(failure))
         length = read_length(environ)
@@ -116,8 +116,8 @@
             failure = refuse(Reason.TOO_LARGE, "the request body is too large", 413)
             return Error(Rejection(failure))
         left = route.timeout_s
-        if terms.time_left_s is not None:
-            left = min(left, terms.time_left_s)
+        if metadata.time_left_s is not None:
+            left = min(left, metadata.time_left_s)
         deadline = received + left
         connection = environ.get("redwingspring.connection")
         body = RequestBody(
@@ -135,10 +135,10 @@
         except TimeoutError:
             late = refuse(Reason.DEADLINE, "the request body was late")
             return Error(Rejection(late))
-        service = table.services[self._rotation.choose(route)]
+        service = table.services[self._round_robin.choose(route)]
         return Ok(
             RoutedCall(
-                request_id=terms.request_id,
+                request_id=metadata.request_id,
                 route=route,
                 service=service,
                 method=environ["REQUEST_METHOD"],
@@ -149,7 +149,7 @@
                 deadline=deadline,
                 socket=connection.socket if connection else None,
                 earlier_s=self.dispatcher.caller_timeouts.note(
-                    route, terms.time_left_s
+                    route, metadata.time_left_s
                 ),
             )
         )
@@ -176,7 +176,7 @@
         self.metrics.increment("requests.answered")
         if call.method == "HEAD":
             return []
-        if answer.rest is None:
+        if answer.stream is None:
             return [answer.body]
         return _StreamedBody(answer, lambda: self._break(environ, call))
 
@@ -240,7 +240,7 @@
         data, self._next = self._next, None
         try:
             if data is None:
-                data = self._answer.rest.read()
+                data = self._answer.stream.read()
             if self._left is not None:
                 self._left -= len(data)
                 if not data and self._left:
@@ -251,7 +251,7 @@
         if data:
             return data
         self._ended = True
-        self._answer.rest.finish()
+        self._answer.stream.finish()
         raise StopIteration
 
     def close(self):
@@ -259,5 +259,5 @@
         if self._ended:
             return
         self._ended = True
-        self._answer.rest.abort()
+        self._answer.stream.abort()
         self._on_broken()
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -1,7 +1,7 @@
-"""Targets and limits for unit tests."""
+"""Target states, limits and load reports for unit tests."""
 
 from redwingspring.configuration import Target
-from redwingspring.ejections import ServiceHealth
+from redwingspring.ejections import OutlierDetector
 from redwingspring.targets import LoadReport, TargetLimits, TargetState, Temperature
 
 LIMITS = {
@@ -25,16 +25,16 @@
 
 
 def make_states(count, data_centre="akl-a", **limits):
-    """Return warm targets of one service."""
+    """Return the states of warm targets of one service."""
     states = []
     for number in range(count):
         target = Target("fault-desk", f"127.0.0.1:{7000 + number}", data_centre)
         state = TargetState(target, TargetLimits(**(LIMITS | limits)))
         state.mark_warm("1")
         states.append(state)
-    health = ServiceHealth(states)
+    outlier_detector = OutlierDetector(states)
     for state in states:
-        state.health = health
+        state.outlier_detector = outlier_detector
     return states
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,7 +98,7 @@
         self.assertEqual(
             (7, True, False), (table.version, read.idempotent, post.idempotent)
         )
-        self.assertEqual(["desk"], [share.service for share in read.shares])
+        self.assertEqual(["desk"], [share.service for share in read.weighted_services])
         self.assertEqual(
             (3.0, 15.0), (table.limits.header_timeout_s, table.limits.idle_timeout_s)
         )
@@ -129,12 +129,14 @@
 
 class HeadersTest(RedwingspringTestCase):
     def test_the_load_is_read_with_its_slowness(self):
-        terms = headers.read_response({"Server-Load": "3,1,8,250", "Warmup-Ms": "900"})
-        load = terms.load
+        metadata = headers.read_response(
+            {"Server-Load": "3,1,8,250", "Warmup-Ms": "900"}
+        )
+        load = metadata.load
         self.assertEqual(
             (3, 1, 8, 2.5), (load.running, load.waiting, load.slots, load.slowness)
         )
-        self.assertEqual(0.9, terms.cold_s)
+        self.assertEqual(0.9, metadata.cold_s)
 
     def test_a_load_that_cannot_be_read_is_no_load(self):
         for text in ("", "1,2", "a,b,c", "1,2,nan", "-1,0,3", "1,2,3,x"):
@@ -162,7 +164,7 @@
         self.client = store.StoreClient(self.stand_in.address, Metrics())
 
     def test_all_pages_are_read(self):
-        self.stand_in.page = 3
+        self.stand_in.page_size = 3
         for number in range(8):
             self.stand_in.put(f"servers/{number}", b"x")
         snapshot = self.client.read_all()
@@ -179,14 +181,14 @@
 
     def test_each_trouble_of_the_store_has_an_error_of_its_own(self):
         self.stand_in.put("servers/1", b"x")
-        self.stand_in.forget_history()
+        self.stand_in.compact_history()
         self.assertRaises(HistoryLost, self.client.watch, 1, 0.1)
         for status, error in ((429, StoreBusy), (503, StoreBusy), (500, StoreError)):
             self.stand_in.status = status
             self.assertRaises(error, self.client.read_all)
 
     def test_a_silent_store_is_noticed(self):
-        self.stand_in.silent = True
+        self.stand_in.hangs = True
         self.patch(store, "WATCH_MARGIN_S", 0.1)
         self.assertRaises(StoreError, self.client.watch, 1, 0.1)
 
