Rename the modules of the target search and the wait queue

The names placesearch, waiting and waitinglines are not terms of the field.

placesearch -> targetsearch waiting -> waitpolicy waitinglines -> waitqueues test_waitinglines -> test_waitqueues

--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -3,8 +3,8 @@
 from expression import Error
 
 from .placement import Outcome, is_nearly_full, predict_factor
-from .placesearch import PlaceSearch
 from .polling import poll_exchanges
+from .targetsearch import PlaceSearch
 from .upstream import Attempt
 from .verdict import Reason, doubt, refuse
 
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -9,8 +9,8 @@
 from .deliveries import Delivery
 from .placement import ServiceHistory
 from .verdict import Reason
-from .waiting import Wait, choose_return_time
-from .waitinglines import WaitingLines
+from .waitpolicy import Wait, choose_return_time
+from .waitqueues import WaitingLines
 
 # A refusal may be a race for the last slot, and a slow answer a short spell.
 _WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
--- a/redwingspring/placesearch.py
+++ b/redwingspring/targetsearch.py
@@ -13,7 +13,7 @@
 )
 from .polling import poll_exchanges
 from .verdict import Reason, refuse
-from .waiting import (
+from .waitpolicy import (
     LOOK_AGAIN_S,
     accepts_place,
     may_spread,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -15,7 +15,7 @@
     predict_factor,
 )
 from redwingspring.routes import Route
-from redwingspring.waiting import (
+from redwingspring.waitpolicy import (
     Wait,
     accepts_place,
     choose_return_time,
--- a/tests/test_waitinglines.py
+++ b/tests/test_waitqueues.py
@@ -6,8 +6,8 @@
 from redwingspring.loadsamples import LoadSample
 from redwingspring.placement import choose_best
 from redwingspring.shares import HostCount, ProbeShare
-from redwingspring.waiting import Wait, may_spread, should_reject
-from redwingspring.waitinglines import WaitingLine
+from redwingspring.waitpolicy import Wait, may_spread, should_reject
+from redwingspring.waitqueues import WaitingLine
 
 from .base import RedwingspringTestCase
 
