Rename shared names of target search, wait queues and load samples

The names were figurative or private to the project (place, line, ticket, look).

PlaceSearch -> TargetSearch PlaceSearch.tried -> TargetSearch.tried_ids PlaceSearch.look -> TargetSearch.search_once WaitingLine -> WaitQueue WaitingLines -> WaitQueues Ticket -> QueueEntry places_per_s -> placements_per_s note_load -> notify_load wait_load -> wait_for_load Outcome -> AnsweredRequest ServiceHistory -> ResponseStatistics expect_work -> estimate_work_s expect_size -> estimate_size expect_slowdown -> estimate_nearly_full_slowdown predict_factor -> predict_slowdown is_health_useless -> all_unhealthy count_usual_slots -> count_full_speed_slots CandidateQuery.with_ejected -> include_ejected LoadSample.begin_one -> add_request LoadSample.end_one -> finish_request LoadSample.count_at_least -> ensure_at_least Wait -> RequestTiming Wait.in_time_s -> target_latency_left_s Wait.earlier_s, RoutedCall.earlier_s -> prior_wait_s accepts_place -> accepts_target may_spread -> may_cross_data_centres needs_ejected -> may_use_ejected choose_return_time -> choose_retry_after RoutedCall.received -> received_at RoutedCall.socket -> caller_socket RouteDispatcher.lines -> wait_queues RouteDispatcher.history -> statistics RouteDispatcher.describe_wait -> build_timing RouteDispatcher.may_send_blindly -> may_send_without_probe

--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -2,9 +2,9 @@
 
 from expression import Error
 
-from .placement import Outcome, is_nearly_full, predict_factor
+from .placement import AnsweredRequest, is_nearly_full, predict_slowdown
 from .polling import poll_exchanges
-from .targetsearch import PlaceSearch
+from .targetsearch import TargetSearch
 from .upstream import Attempt
 from .verdict import Reason, doubt, refuse
 
@@ -44,7 +44,7 @@
         self._call = call
         self._clock = dispatcher.clock
         self._metrics = dispatcher.metrics
-        self._search = PlaceSearch(dispatcher, call)
+        self._search = TargetSearch(dispatcher, call)
         self._arrivals = 0
         self._worst = None
 
@@ -109,8 +109,8 @@
         sample = exchange.sample
         if sample is None:
             return
-        work_s = self._dispatcher.history.expect_work(self._call.route)
-        expected_s = work_s * predict_factor(sample)
+        work_s = self._dispatcher.statistics.estimate_work_s(self._call.route)
+        expected_s = work_s * predict_slowdown(sample)
         if self._clock() - exchange.sent_at > SILENT_FACTOR * expected_s:
             silent = doubt(Reason.NO_ANSWER, "no response for long")
             self._dispatcher.record_failure(exchange.state, silent)
@@ -119,7 +119,7 @@
         """Send the call; return a Failure if that did not work."""
         attempt = self._build_attempt(exchange)
         state = exchange.state
-        self._search.tried.add(state.instance.id)
+        self._search.tried_ids.add(state.instance.id)
         state.begin()
         failure = exchange.send(attempt)
         if exchange.connection.started:
@@ -136,7 +136,7 @@
     def _await_answer(self, racing):
         """Return the first good answer, or the failure of the last attempt."""
         call = self._call
-        hedge_at = call.received + HEDGE_SHARE * call.route.target_latency_s
+        hedge_at = call.received_at + HEDGE_SHARE * call.route.target_latency_s
         outcome = None
         while racing:
             now = self._clock()
@@ -145,7 +145,7 @@
             may_hedge = self._may_hedge(racing)
             until = min(call.deadline, hedge_at) if may_hedge else call.deadline
             exchanges = [exchange for exchange, _ in racing]
-            ready, gone = poll_exchanges(exchanges, until - now, call.socket)
+            ready, gone = poll_exchanges(exchanges, until - now, call.caller_socket)
             for exchange, attempt in [r for r in racing if r[0] in ready]:
                 outcome = self._finish(exchange, attempt, racing)
                 if outcome.is_ok():
@@ -164,7 +164,7 @@
         outcome = exchange.read_answer(attempt)
         state = exchange.state
         state.end()
-        self._dispatcher.lines.find(self._call.service.name).note_load()
+        self._dispatcher.wait_queues.find(self._call.service.name).notify_load()
         if outcome.is_error():
             self._dispatcher.record_failure(state, outcome.error)
             return outcome
@@ -183,8 +183,8 @@
         """Let later choices know how the request went."""
         call = self._call
         seconds = self._clock() - exchange.sent_at
-        self._dispatcher.history.record(
-            Outcome(
+        self._dispatcher.statistics.record(
+            AnsweredRequest(
                 call.route,
                 call.service.name,
                 exchange.sample,
@@ -214,15 +214,15 @@
             and len(racing) == 1
             and self._arrivals < call.route.attempts
             # While others wait for a place, a second one would be theirs.
-            and not self._dispatcher.lines.find(call.service.name)
+            and not self._dispatcher.wait_queues.find(call.service.name)
         )
 
     def _hedge(self, racing):
         """Send the call to a second instance if one is fast and allowed."""
         call = self._call
-        wait = self._dispatcher.describe_wait(call)
+        wait = self._dispatcher.build_timing(call)
         states = self._dispatcher.find_instances(call)
-        exchange = self._search.look(states, wait, _accepts_hedge)
+        exchange = self._search.search_once(states, wait, _accepts_hedge)
         if exchange is None:
             return
         if not self._dispatcher.retries.take(call.service.name, HEDGE_PART):
@@ -254,7 +254,7 @@
             attempt_id=call.request_id,
             deadline=call.deadline,
             guard=lambda: self._check_send(exchange, now),
-            caller_socket=call.socket,
+            caller_socket=call.caller_socket,
             idempotent=call.route.idempotent,
         )
 
@@ -281,7 +281,7 @@
             waiting=sample.waiting if sample else None,
             slowness=sample.slowness if sample else None,
             load_age_ms=_to_ms(self._clock() - sample.time) if sample else None,
-            waited_ms=_to_ms(self._clock() - self._call.received),
+            waited_ms=_to_ms(self._clock() - self._call.received_at),
             attempt=self._arrivals,
             reason=str(failure.reason) if failure else None,
         )
@@ -293,7 +293,7 @@
         sample.healthy
         and not sample.waiting
         and not is_nearly_full(sample)
-        and predict_factor(sample) <= HEDGE_FACTOR
+        and predict_slowdown(sample) <= HEDGE_FACTOR
     )
 
 
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -214,7 +214,7 @@
         if terms.load is not None and terms.request_id == attempt.attempt_id:
             self.end_sample = terms.load
             # A target counts the request that it answers.
-            load = terms.load if terms.not_run else terms.load.end_one()
+            load = terms.load if terms.not_run else terms.load.finish_request()
             self.state.record_load(replace(load, time=self._clock()))
         failure = self._judge(response, terms, attempt)
         if failure is None:
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -132,7 +132,7 @@
         """
         # An instance that hangs says that it is idle, and requests on the way to it
         # are not in its count yet.
-        self.sample = sample.count_at_least(self.unanswered)
+        self.sample = sample.ensure_at_least(self.unanswered)
         self.probed_at = sample.time
         if sample.cold_s > 0:
             self.cold_until = max(self.cold_until, sample.time + sample.cold_s)
@@ -153,7 +153,7 @@
         cold_s = max(0.0, self.cold_until - sample.time)
         healthy = self.sample is None or self.sample.healthy
         sample = replace(sample, cold_s=cold_s, healthy=healthy)
-        self.sample = sample.count_at_least(self.unanswered)
+        self.sample = sample.ensure_at_least(self.unanswered)
 
     def has_recent_load(self, now):
         """Tell whether the instance told its load a moment ago.
@@ -178,7 +178,7 @@
             self.in_flight += 1
             if self.sample is not None:
                 # The next request must not find the same slot free.
-                self.sample = self.sample.begin_one()
+                self.sample = self.sample.add_request()
 
     def count_unanswered(self, change):
         """Count requests whose response has not begun.
--- a/redwingspring/loadsamples.py
+++ b/redwingspring/loadsamples.py
@@ -33,7 +33,7 @@
     time: float = 0.0
     healthy: bool = True
 
-    def begin_one(self):
+    def add_request(self):
         """Return the load after one more request was sent to the instance.
 
         Returns
@@ -45,7 +45,7 @@
             return replace(self, waiting=self.waiting + 1)
         return replace(self, running=self.running + 1)
 
-    def count_at_least(self, requests):
+    def ensure_at_least(self, requests):
         """Return the load with no fewer requests than are known to be there.
 
         Parameters
@@ -65,7 +65,7 @@
         waiting = self.waiting + missing - (running - self.running)
         return replace(self, running=running, waiting=waiting)
 
-    def end_one(self):
+    def finish_request(self):
         """Return the load after one of the requests in progress has ended.
 
         Returns
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -54,7 +54,7 @@
         Ids of instances that are left out.
     now : float
         Present time.
-    with_ejected : bool, default=False
+    include_ejected : bool, default=False
         Whether ejected instances are asked like the others.
     """
 
@@ -63,11 +63,11 @@
     spread: bool
     tried: frozenset
     now: float
-    with_ejected: bool = False
+    include_ejected: bool = False
 
 
 @dataclass(frozen=True)
-class Outcome:
+class AnsweredRequest:
     """A request that was answered, as far as later choices learn from it.
 
     Attributes
@@ -99,10 +99,10 @@
         end = self.end_sample
         if self.sample is None or end is None:
             return False
-        return is_nearly_full(self.sample) != is_nearly_full(end.end_one())
+        return is_nearly_full(self.sample) != is_nearly_full(end.finish_request())
 
 
-class ServiceHistory:
+class ResponseStatistics:
     """What answered requests tell of routes and services.
 
     Work is the usual time of a request at a target of usual speed. The slowdown
@@ -119,7 +119,7 @@
 
         Parameters
         ----------
-        outcome : Outcome
+        outcome : AnsweredRequest
             The request.
         """
         if outcome.size is not None:
@@ -141,7 +141,7 @@
                 self._slowdowns, outcome.service, slowed, NEARLY_FULL_FACTOR
             )
 
-    def expect_size(self, route):
+    def estimate_size(self, route):
         """Return the size of a response to expect.
 
         Parameters
@@ -156,7 +156,7 @@
         """
         return self._sizes.get(route.prefix, 0.0)
 
-    def expect_work(self, route):
+    def estimate_work_s(self, route):
         """Return the work of a request to expect.
 
         Parameters
@@ -171,7 +171,7 @@
         """
         return self._works.get(route.prefix, FIRST_WORK_SHARE * route.target_latency_s)
 
-    def expect_slowdown(self, service):
+    def estimate_nearly_full_slowdown(self, service):
         """Return how much slower nearly full targets of a service are.
 
         Parameters
@@ -222,7 +222,7 @@
     return (sample.running + 1) / max(1, sample.slots) > NEARLY_FULL
 
 
-def count_usual_slots(slots):
+def count_full_speed_slots(slots):
     """Return how many slots of a target can be in use before it is nearly full.
 
     Parameters
@@ -238,7 +238,7 @@
     return max(1, int(NEARLY_FULL * slots))
 
 
-def predict_factor(sample, last_slots_factor=NEARLY_FULL_FACTOR):
+def predict_slowdown(sample, last_slots_factor=NEARLY_FULL_FACTOR):
     """Return the predicted time of one more request, relative to the usual time.
 
     Parameters
@@ -280,7 +280,7 @@
     int
         Index within ``samples``.
     """
-    factors = [predict_factor(sample) for sample in samples]
+    factors = [predict_slowdown(sample) for sample in samples]
     least = min(factors)
     equal = [i for i, f in enumerate(factors) if f <= least * (1 + TIE_WIDTH)]
     return rng.choice(equal)
@@ -320,7 +320,7 @@
         # elsewhere while these are idle.
         near = [s for s in usable if s.instance.data_centre == query.data_centre]
         usable = near or usable
-    if query.with_ejected:
+    if query.include_ejected:
         return usable
     sound = [s for s in usable if query.now >= s.ejected_until]
     # When all are ejected, trying one is better than certain failure.
@@ -332,11 +332,11 @@
     sample = state.sample
     poor = False
     if sample is not None and query.now - sample.time < SAMPLE_USE_S:
-        poor = predict_factor(sample) > 2 or not sample.healthy
+        poor = predict_slowdown(sample) > 2 or not sample.healthy
     return (poor or state.is_silent, rng.random())
 
 
-def is_health_useless(states):
+def all_unhealthy(states):
     """Tell whether health says nothing of which instance to choose.
 
     Load pattern: the health page itself fails, or all instances of a small service
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -7,10 +7,10 @@
 from .callertimeouts import CallerTimeouts
 from .clock import read_clock
 from .deliveries import Delivery
-from .placement import ServiceHistory
+from .placement import ResponseStatistics
 from .verdict import Reason
-from .waitpolicy import Wait, choose_return_time
-from .waitqueues import WaitingLines
+from .waitpolicy import RequestTiming, choose_retry_after
+from .waitqueues import WaitQueues
 
 # A refusal may be a race for the last slot, and a slow answer a short spell.
 _WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
@@ -41,13 +41,13 @@
         End-to-end headers.
     body : RequestBody
         The request body.
-    received : float
+    received_at : float
         When the request arrived.
     deadline : float
         When it must have been answered.
-    socket : socket.socket or None
+    caller_socket : socket.socket or None
         The caller's connection.
-    earlier_s : float, default=0.0
+    prior_wait_s : float, default=0.0
         Seconds that the caller had waited before this request arrived.
     """
 
@@ -58,10 +58,10 @@
     path: str
     headers: dict
     body: object
-    received: float
+    received_at: float
     deadline: float
-    socket: object
-    earlier_s: float = 0.0
+    caller_socket: object
+    prior_wait_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -128,8 +128,8 @@
         self.dialect = dialect
         self.retries = retries
         self.probes = probes
-        self.lines = WaitingLines()
-        self.history = ServiceHistory()
+        self.wait_queues = WaitQueues()
+        self.statistics = ResponseStatistics()
         self.caller_timeouts = CallerTimeouts()
         self.cold = cold
         self.hosts = hosts
@@ -159,14 +159,14 @@
         failure = outcome.error
         retry_after = None
         if failure.proves_not_run:
-            waiting = len(self.lines.find(call.service.name))
+            waiting = len(self.wait_queues.find(call.service.name))
             if failure.reason in _NO_ROOM:
                 # The request itself was the last in line.
                 waiting += 1
-            retry_after = choose_return_time(self.describe_wait(call), waiting)
+            retry_after = choose_retry_after(self.build_timing(call), waiting)
         return Error(Rejection(failure, retry_after))
 
-    def describe_wait(self, call):
+    def build_timing(self, call):
         """Return what the decisions on waiting need to know of a call.
 
         Parameters
@@ -176,16 +176,16 @@
 
         Returns
         -------
-        Wait
+        RequestTiming
             As of now.
         """
         now = self.clock()
-        return Wait(
-            now - call.received,
+        return RequestTiming(
+            now - call.received_at,
             call.deadline - now,
             call.route.target_latency_s,
-            self.history.expect_work(call.route),
-            call.earlier_s,
+            self.statistics.estimate_work_s(call.route),
+            call.prior_wait_s,
         )
 
     def find_instances(self, call):
@@ -209,7 +209,7 @@
             s for s in states if self.regions.get(s.instance.data_centre) in allowed
         )
 
-    def may_send_blindly(self, states):
+    def may_send_without_probe(self, states):
         """Tell whether a request may be placed without fresh load of a target.
 
         Load pattern: in a long burst the share of probes is used up. Hosts that
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -145,10 +145,10 @@
                 path=path,
                 headers=read_headers(environ, self.dialect.OWN_REQUEST_HEADERS),
                 body=body,
-                received=received,
+                received_at=received,
                 deadline=deadline,
-                socket=connection.socket if connection else None,
-                earlier_s=self.dispatcher.caller_timeouts.note(
+                caller_socket=connection.socket if connection else None,
+                prior_wait_s=self.dispatcher.caller_timeouts.note(
                     route, terms.time_left_s
                 ),
             )
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -7,17 +7,17 @@
 from .exchanges import Exchange, Stage
 from .placement import (
     CandidateQuery,
+    all_unhealthy,
     candidate_policies,
     choose_best,
-    is_health_useless,
 )
 from .polling import poll_exchanges
 from .verdict import Reason, refuse
 from .waitpolicy import (
     LOOK_AGAIN_S,
-    accepts_place,
-    may_spread,
-    needs_ejected,
+    accepts_target,
+    may_cross_data_centres,
+    may_use_ejected,
     should_reject,
 )
 
@@ -35,7 +35,7 @@
 PROBE_LIMIT_S = 0.5
 
 
-class PlaceSearch:
+class TargetSearch:
     """Looks for a place for one call, and waits in line for it.
 
     Parameters
@@ -47,7 +47,7 @@
     """
 
     def __init__(self, dispatcher, call):
-        self.tried = set()
+        self.tried_ids = set()
         self._dispatcher = dispatcher
         self._call = call
         self._clock = dispatcher.clock
@@ -62,7 +62,7 @@
             Ok with an Exchange that is ready to send, or an Error with a Failure.
         """
         call = self._call
-        line = self._dispatcher.lines.find(call.service.name)
+        line = self._dispatcher.wait_queues.find(call.service.name)
         for _ in range(FIRST_LOOKS):
             if line:
                 break
@@ -70,9 +70,9 @@
             if placed is not None:
                 return placed
         placed = None
-        wait = self._dispatcher.describe_wait(call)
-        late_at = self._clock() + wait.in_time_s - wait.work_s
-        ticket = line.enter(call.route.priority, call.received, late_at)
+        wait = self._dispatcher.build_timing(call)
+        late_at = self._clock() + wait.target_latency_left_s - wait.work_s
+        ticket = line.enter(call.route.priority, call.received_at, late_at)
         try:
             placed = self._wait_for_place(line, ticket)
             return placed
@@ -83,8 +83,8 @@
         """Look for a place whenever this request is the first in line."""
         while True:
             ahead = line.count_ahead(ticket)
-            wait = self._dispatcher.describe_wait(self._call)
-            if should_reject(wait, ahead, line.places_per_s):
+            wait = self._dispatcher.build_timing(self._call)
+            if should_reject(wait, ahead, line.placements_per_s):
                 detail = f"no place in time, {ahead} requests are ahead"
                 return Error(refuse(Reason.NO_CAPACITY, detail))
             if ticket.first.wait(REVIEW_S):
@@ -98,10 +98,10 @@
         """Take a place that a response shows before it is time to probe again."""
         end = self._clock() + LOOK_AGAIN_S
         while (left := end - self._clock()) > 0:
-            if line.wait_load(left):
+            if line.wait_for_load(left):
                 states = self._dispatcher.find_instances(self._call)
                 usable = self._without_foreign_cold(states)
-                wait = self._dispatcher.describe_wait(self._call)
+                wait = self._dispatcher.build_timing(self._call)
                 exchange = self._take_recent(usable, wait, self._accepts)
                 if exchange is not None:
                     return Ok(exchange)
@@ -109,37 +109,37 @@
 
     def _try_place(self):
         """Look once; return Ok with an Exchange, an Error, or None to wait."""
-        wait = self._dispatcher.describe_wait(self._call)
+        wait = self._dispatcher.build_timing(self._call)
         if wait.left_s <= 0:
             return Error(refuse(Reason.DEADLINE, "the time of the caller is over"))
         states = self._dispatcher.find_instances(self._call)
         if not states:
             detail = f"no target of {self._call.service.name} takes requests"
             return Error(refuse(Reason.NO_CAPACITY, detail))
-        exchange = self.look(states, wait, self._accepts)
+        exchange = self.search_once(states, wait, self._accepts)
         return None if exchange is None else Ok(exchange)
 
     def _caller_left(self):
-        return poll_exchanges([], 0, self._call.socket)[1]
+        return poll_exchanges([], 0, self._call.caller_socket)[1]
 
     def _accepts(self, sample):
         """Tell whether the call goes to a target with this load now."""
         if not sample.healthy:
             states = self._dispatcher.find_instances(self._call)
-            sample = replace(sample, healthy=is_health_useless(states))
+            sample = replace(sample, healthy=all_unhealthy(states))
         service = self._call.service.name
-        slowdown = self._dispatcher.history.expect_slowdown(service)
-        wait = self._dispatcher.describe_wait(self._call)
-        return accepts_place(sample, wait, slowdown)
+        slowdown = self._dispatcher.statistics.estimate_nearly_full_slowdown(service)
+        wait = self._dispatcher.build_timing(self._call)
+        return accepts_target(sample, wait, slowdown)
 
-    def look(self, states, wait, accepts):
+    def search_once(self, states, wait, accepts):
         """Ask some instances for their load.
 
         Parameters
         ----------
         states : sequence of InstanceState
             Instances that may run the call.
-        wait : Wait
+        wait : RequestTiming
             How long the call has waited.
         accepts : callable
             Tells whether the call goes to a target with a given load.
@@ -162,7 +162,7 @@
         if probes:
             chosen = candidate_policies.find("fresh-load")(usable, query)
             return self._select(self._probe(chosen, accepts), accepts)
-        if tells_load and not self._dispatcher.may_send_blindly(states):
+        if tells_load and not self._dispatcher.may_send_without_probe(states):
             return None
         return self._take_plain(
             candidate_policies.find("least-requests")(usable, query)
@@ -173,10 +173,12 @@
         return CandidateQuery(
             self._dispatcher.data_centre,
             count,
-            may_spread(wait, self._dispatcher.history.expect_size(self._call.route)),
-            frozenset(self.tried),
+            may_cross_data_centres(
+                wait, self._dispatcher.statistics.estimate_size(self._call.route)
+            ),
+            frozenset(self.tried_ids),
             self._clock(),
-            needs_ejected(wait),
+            may_use_ejected(wait),
         )
 
     def _take_recent(self, usable, wait, accepts):
--- a/redwingspring/waitpolicy.py
+++ b/redwingspring/waitpolicy.py
@@ -10,7 +10,7 @@
 import random
 from dataclasses import dataclass
 
-from .placement import count_usual_slots, is_nearly_full, predict_factor
+from .placement import count_full_speed_slots, is_nearly_full, predict_slowdown
 
 # Predicted factors that are accepted until a share of the target latency has
 # passed. Later every place that is in time is accepted.
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True)
-class Wait:
+class RequestTiming:
     """A request that waits for a place.
 
     Attributes
@@ -59,7 +59,7 @@
         Seconds within which a response has its full use.
     work_s : float, default=0.0
         Expected seconds of work at an idle target.
-    earlier_s : float, default=0.0
+    prior_wait_s : float, default=0.0
         Seconds that the caller had waited before this request arrived.
     """
 
@@ -67,17 +67,17 @@
     left_s: float
     target_latency_s: float
     work_s: float = 0.0
-    earlier_s: float = 0.0
+    prior_wait_s: float = 0.0
 
     @property
-    def in_time_s(self):
+    def target_latency_left_s(self):
         """Return the seconds left within the target latency."""
-        return self.target_latency_s - self.waited_s - self.earlier_s
+        return self.target_latency_s - self.waited_s - self.prior_wait_s
 
     @property
     def is_late(self):
         """Tell whether even an idle target would answer too late."""
-        return self.work_s > self.in_time_s
+        return self.work_s > self.target_latency_left_s
 
     @property
     def share(self):
@@ -85,14 +85,14 @@
         return self.waited_s / self.target_latency_s
 
 
-def accepts_place(sample, wait, last_slots_factor):
+def accepts_target(sample, wait, last_slots_factor):
     """Tell whether a request goes to a target now.
 
     Parameters
     ----------
     sample : LoadSample
         Fresh load of the target.
-    wait : Wait
+    wait : RequestTiming
         The request.
     last_slots_factor : float
         Slowdown of the service's targets when they are nearly full.
@@ -104,10 +104,10 @@
     """
     if not sample.healthy or sample.waiting:
         return False
-    factor = predict_factor(sample, last_slots_factor)
+    factor = predict_slowdown(sample, last_slots_factor)
     if wait.is_late:
         return factor <= LATE_FACTOR
-    if factor * wait.work_s > wait.in_time_s * WORK_MARGIN:
+    if factor * wait.work_s > wait.target_latency_left_s * WORK_MARGIN:
         return False
     if is_nearly_full(sample) and not adds_throughput(sample, last_slots_factor):
         return wait.share >= LAST_SLOTS_SHARE
@@ -135,11 +135,11 @@
     bool
         True when its last slots are worth using.
     """
-    usual = count_usual_slots(sample.slots)
+    usual = count_full_speed_slots(sample.slots)
     return sample.slots / last_slots_factor > LEAST_GAIN * usual
 
 
-def may_spread(wait, response_bytes):
+def may_cross_data_centres(wait, response_bytes):
     """Tell whether a request looks for a place in other data centres too.
 
     Load pattern: the own data centre has no good place for a moment. Bytes
@@ -148,7 +148,7 @@
 
     Parameters
     ----------
-    wait : Wait
+    wait : RequestTiming
         The request.
     response_bytes : float
         Expected size of the response.
@@ -163,7 +163,7 @@
     return wait.share > share
 
 
-def needs_ejected(wait):
+def may_use_ejected(wait):
     """Tell whether a request takes ejected targets into account.
 
     Load pattern: most targets refuse or fail a part of their requests. The few
@@ -172,7 +172,7 @@
 
     Parameters
     ----------
-    wait : Wait
+    wait : RequestTiming
         The request.
 
     Returns
@@ -183,16 +183,16 @@
     return wait.share > EJECTED_SHARE
 
 
-def should_reject(wait, ahead, places_per_s):
+def should_reject(wait, ahead, placements_per_s):
     """Tell whether a request without a place is rejected now.
 
     Parameters
     ----------
-    wait : Wait
+    wait : RequestTiming
         The request.
     ahead : int
         Requests that stand before it in the line.
-    places_per_s : float
+    placements_per_s : float
         Rate at which the line's requests found places lately; 0 if unknown.
 
     Returns
@@ -204,13 +204,13 @@
         return True
     if ahead and wait.is_late and wait.share >= MIN_REJECT_SHARE:
         return True
-    if not ahead or not places_per_s:
+    if not ahead or not placements_per_s:
         return False
-    usable_s = wait.left_s if wait.is_late else wait.in_time_s
-    return ahead / places_per_s + wait.work_s > usable_s
+    usable_s = wait.left_s if wait.is_late else wait.target_latency_left_s
+    return ahead / placements_per_s + wait.work_s > usable_s
 
 
-def choose_return_time(wait, waiting, rng=random):
+def choose_retry_after(wait, waiting, rng=random):
     """Return after how many seconds a rejected caller should come back.
 
     Load pattern: in a burst all places are taken for seconds, and callers that come
@@ -221,7 +221,7 @@
 
     Parameters
     ----------
-    wait : Wait
+    wait : RequestTiming
         The rejected request.
     waiting : int
         Requests of the service that wait for a place at this host.
--- a/redwingspring/waitqueues.py
+++ b/redwingspring/waitqueues.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True)
-class Ticket:
+class QueueEntry:
     """Place of one request in a line.
 
     Attributes
@@ -60,7 +60,7 @@
         return (now >= self.late_at, self.priority, self.received, self.number)
 
 
-class WaitingLine:
+class WaitQueue:
     """Requests of one service that wait for a place.
 
     Parameters
@@ -82,7 +82,7 @@
         return len(self._tickets)
 
     @property
-    def places_per_s(self):
+    def placements_per_s(self):
         """Return the rate at which requests found places lately, 0 if unknown.
 
         Load pattern: at the start of a burst the line has just formed. The time
@@ -99,7 +99,7 @@
 
         Parameters
         ----------
-        ticket : Ticket
+        ticket : QueueEntry
             Its place.
 
         Returns
@@ -126,14 +126,14 @@
 
         Returns
         -------
-        Ticket
+        QueueEntry
             To be given to ``leave``.
         """
         with self._lock:
             if not self._tickets:
                 self._formed_at = self._clock()
             self._number += 1
-            ticket = Ticket(priority, received, self._number, late_at)
+            ticket = QueueEntry(priority, received, self._number, late_at)
             self._tickets.append(ticket)
             self._mark_first()
             return ticket
@@ -143,7 +143,7 @@
 
         Parameters
         ----------
-        ticket : Ticket
+        ticket : QueueEntry
             What ``enter`` returned.
         placed : bool, default=False
             Whether the request has found a place.
@@ -154,11 +154,11 @@
                 self._placed.append(self._clock())
             self._mark_first()
 
-    def note_load(self):
+    def notify_load(self):
         """Let the first in line look at a load that a target has just told."""
         self._load_told.set()
 
-    def wait_load(self, timeout_s):
+    def wait_for_load(self, timeout_s):
         """Wait until a target tells its load.
 
         Parameters
@@ -186,7 +186,7 @@
                 ticket.first.clear()
 
 
-class WaitingLines:
+class WaitQueues:
     """The lines of all services, made on first use."""
 
     def __init__(self):
@@ -203,11 +203,11 @@
 
         Returns
         -------
-        WaitingLine
+        WaitQueue
             The same line for the same service.
         """
         line = self._lines.get(service)
         if line is None:
             with self._lock:
-                line = self._lines.setdefault(service, WaitingLine())
+                line = self._lines.setdefault(service, WaitQueue())
         return line
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,20 +6,20 @@
 from redwingspring.instances import Instance, InstanceState
 from redwingspring.loadsamples import LoadSample
 from redwingspring.placement import (
+    AnsweredRequest,
     CandidateQuery,
-    Outcome,
-    ServiceHistory,
+    ResponseStatistics,
+    all_unhealthy,
     candidate_policies,
     choose_best,
-    is_health_useless,
-    predict_factor,
+    predict_slowdown,
 )
 from redwingspring.routes import Route
 from redwingspring.waitpolicy import (
-    Wait,
-    accepts_place,
-    choose_return_time,
-    needs_ejected,
+    RequestTiming,
+    accepts_target,
+    choose_retry_after,
+    may_use_ejected,
     should_reject,
 )
 
@@ -31,9 +31,9 @@
     return InstanceState(instance, None, 0.0)
 
 
-def query(now=10.0, count=3, spread=False, tried=(), with_ejected=False):
+def query(now=10.0, count=3, spread=False, tried=(), include_ejected=False):
     tried = frozenset(tried)
-    return CandidateQuery("akl-a", count, spread, tried, now, with_ejected)
+    return CandidateQuery("akl-a", count, spread, tried, now, include_ejected)
 
 
 class CandidateTest(RedwingspringTestCase):
@@ -72,9 +72,9 @@
         """Where most targets refuse a part, the few others cannot bear all."""
         for state in self.near[:4]:
             state.ejected_until = 20.0
-        self.assertEqual(3, len(self.pick_ids(self.near, with_ejected=True)))
-        self.assertFalse(needs_ejected(Wait(0.01, 0.7, 0.25)))
-        self.assertTrue(needs_ejected(Wait(0.05, 0.7, 0.25)))
+        self.assertEqual(3, len(self.pick_ids(self.near, include_ejected=True)))
+        self.assertFalse(may_use_ejected(RequestTiming(0.01, 0.7, 0.25)))
+        self.assertTrue(may_use_ejected(RequestTiming(0.05, 0.7, 0.25)))
 
     def test_an_instance_that_was_slow_a_moment_ago_is_asked_last(self):
         slow = LoadSample(0, 0, 3, slowness=5.0, time=9.99)
@@ -87,7 +87,7 @@
         pick = candidate_policies.find("recent-load")
         state = self.near[0]
         state.record_sample(LoadSample(3, 0, 3, time=9.7))
-        state.record_load(LoadSample(3, 0, 3, time=9.995).end_one())
+        state.record_load(LoadSample(3, 0, 3, time=9.995).finish_request())
         self.assertEqual([state], pick(self.near, query()))
         self.assertEqual(2, state.sample.running)
         state.begin()
@@ -115,9 +115,9 @@
         """A burst sent up to three requests beyond the slots by one response."""
         state = self.near[0]
         state.record_sample(LoadSample(2, 0, 3, time=9.99))
-        wait = Wait(0.02, 0.7, 0.25, 0.09)
+        wait = RequestTiming(0.02, 0.7, 0.25, 0.09)
         accepted = 0
-        while accepts_place(state.sample, wait, 1.0):
+        while accepts_target(state.sample, wait, 1.0):
             state.begin()
             accepted += 1
         self.assertEqual(
@@ -129,8 +129,8 @@
         state = self.near[0]
         state.record_sample(LoadSample(2, 0, 3, time=9.99, healthy=False))
         state.record_load(LoadSample(1, 0, 3, time=9.995))
-        wait = Wait(0.02, 0.7, 0.25, 0.09)
-        self.assertFalse(accepts_place(state.sample, wait, 1.0))
+        wait = RequestTiming(0.02, 0.7, 0.25, 0.09)
+        self.assertFalse(accepts_target(state.sample, wait, 1.0))
 
     def test_requests_of_this_host_count_though_a_target_does_not_tell_of_them(self):
         """A hanging target says that it is idle and would draw all work."""
@@ -147,13 +147,13 @@
     def test_health_is_of_use_while_one_target_may_be_well(self):
         for state in self.near:
             state.record_sample(LoadSample(0, 0, 3, time=9.99, healthy=False))
-        self.assertTrue(is_health_useless(self.near))
-        self.assertFalse(is_health_useless([*self.near, build_state(9)]))
+        self.assertTrue(all_unhealthy(self.near))
+        self.assertFalse(all_unhealthy([*self.near, build_state(9)]))
         self.near[0].record_sample(LoadSample(0, 0, 3, time=9.99))
-        self.assertFalse(is_health_useless(self.near))
+        self.assertFalse(all_unhealthy(self.near))
 
     def test_a_queue_at_a_target_keeps_its_slots_full_when_a_request_ends(self):
-        ended = LoadSample(3, 2, 3).end_one()
+        ended = LoadSample(3, 2, 3).finish_request()
         self.assertEqual((3, 1), (ended.running, ended.waiting))
 
     def test_slowness_of_long_ago_does_not_count(self):
@@ -211,7 +211,7 @@
 class FactorTest(RedwingspringTestCase):
     def test_a_nearly_full_target_is_worse_than_an_idle_one(self):
         factors = [
-            predict_factor(LoadSample(running, waiting, 3))
+            predict_slowdown(LoadSample(running, waiting, 3))
             for running, waiting in ((0, 0), (2, 0), (3, 0), (3, 3))
         ]
         self.assertEqual(sorted(factors), factors)
@@ -220,7 +220,7 @@
     def test_a_cold_target_is_worse_than_a_warm_one(self):
         warm = LoadSample(0, 0, 3)
         cold = LoadSample(0, 0, 3, cold_s=2.0)
-        self.assertTrue(predict_factor(warm) < predict_factor(cold))
+        self.assertTrue(predict_slowdown(warm) < predict_slowdown(cold))
 
     def test_hosts_that_ask_at_once_do_not_all_choose_the_same_target(self):
         samples = [LoadSample(0, 0, 3, slowness=1 + n / 50) for n in range(3)]
@@ -230,11 +230,11 @@
 
 class WaitingTest(RedwingspringTestCase):
     def wait(self, waited_s, left_s=0.7, work_s=0.09):
-        return Wait(waited_s, left_s, 0.25, work_s)
+        return RequestTiming(waited_s, left_s, 0.25, work_s)
 
     def accepts(self, wait, running=0, slowness=1.0, waiting=0, last_slots=1.7):
         sample = LoadSample(running, waiting, 3, slowness)
-        return accepts_place(sample, wait, last_slots)
+        return accepts_target(sample, wait, last_slots)
 
     def test_an_idle_target_is_taken_at_once(self):
         self.assertTrue(self.accepts(self.wait(0)))
@@ -259,7 +259,7 @@
 
     def test_last_slots_of_unknown_effect_are_spared(self):
         """On a calm day nothing shows the slowdown until requests suffer from it."""
-        slowdown = ServiceHistory().expect_slowdown("desk")
+        slowdown = ResponseStatistics().estimate_nearly_full_slowdown("desk")
         self.assertFalse(self.accepts(self.wait(0), running=2, last_slots=slowdown))
 
     def test_all_slots_are_used_where_targets_do_not_slow_down(self):
@@ -287,7 +287,7 @@
     def test_rejected_callers_do_not_all_return_at_once(self):
         source = random.Random(5)
         wait = self.wait(0.1)
-        times = [choose_return_time(wait, 1, source) for _ in range(200)]
+        times = [choose_retry_after(wait, 1, source) for _ in range(200)]
         self.assertTrue(max(times) - min(times) > 0.08)
         # A caller honours at most a third of the time that it has left.
         self.assertTrue(max(times) <= 0.7 / 3)
@@ -297,20 +297,20 @@
         source = random.Random(5)
         for _ in range(500):
             # The time is written with three decimals.
-            returned = choose_return_time(self.wait(0.02), 0, source)
+            returned = choose_retry_after(self.wait(0.02), 0, source)
             self.assertTrue(0.0005 < returned < 0.03)
-        late = Wait(0.02, 0.4, 0.25, 0.09, earlier_s=0.4)
-        self.assertTrue(choose_return_time(late, 0) > 0.04)
+        late = RequestTiming(0.02, 0.4, 0.25, 0.09, prior_wait_s=0.4)
+        self.assertTrue(choose_retry_after(late, 0) > 0.04)
 
     def test_a_late_request_waits_as_long_as_it_can_still_be_answered(self):
-        late = Wait(0.02, 0.5, 0.25, 0.09, earlier_s=0.3)
+        late = RequestTiming(0.02, 0.5, 0.25, 0.09, prior_wait_s=0.3)
         self.assertTrue(late.is_late)
         self.assertFalse(should_reject(late, 20, 100.0))
         self.assertTrue(should_reject(late, 50, 100.0))
 
     def test_a_leaving_target_is_no_place(self):
         sample = LoadSample(0, 0, 3, healthy=False)
-        self.assertFalse(accepts_place(sample, self.wait(0), 1.7))
+        self.assertFalse(accepts_target(sample, self.wait(0), 1.7))
 
 
 class OverloadReplayTest(RedwingspringTestCase):
@@ -342,7 +342,7 @@
     def place(self, waiting, targets, accepts, work, now, source):
         waiting[:] = [w for w in waiting if now - w < 800]
         for arrived in list(waiting):
-            wait = Wait((now - arrived) / 1000, 0.8, 0.25, work / 1000)
+            wait = RequestTiming((now - arrived) / 1000, 0.8, 0.25, work / 1000)
             target = source.choice(targets)
             sample = LoadSample(min(3, len(target)), max(0, len(target) - 3), 3)
             if len(target) < 3 and accepts(sample, wait):
@@ -354,7 +354,7 @@
     def test_more_is_answered_in_time_than_by_taking_any_free_slot(self):
         for load, possible in ((1.25, 0.8), (1.6, 0.625), (2.0, 0.5)):
             blind = self.play(_accept_any, load=load)
-            careful = self.play(lambda s, w: accepts_place(s, w, 1.7), load=load)
+            careful = self.play(lambda s, w: accepts_target(s, w, 1.7), load=load)
             self.assertTrue(blind < possible / 5, (load, blind))
             self.assertTrue(careful > 0.85 * possible, (load, careful))
 
@@ -366,36 +366,36 @@
 class HistoryTest(RedwingspringTestCase):
     def setUp(self):
         super().setUp()
-        self.history = ServiceHistory()
+        self.history = ResponseStatistics()
         self.route = Route("r", "/r/", (), True, 2, 1.0, 0.3, 1)
 
     def record(self, seconds, running=0, slowness=1.0, size=1000, end=None):
         sample = LoadSample(running, 0, 3, slowness)
         told = None if end is None else LoadSample(end, 0, 3, slowness)
-        outcome = Outcome(self.route, "desk", sample, seconds, size, told)
+        outcome = AnsweredRequest(self.route, "desk", sample, seconds, size, told)
         self.history.record(outcome)
 
     def test_work_is_learned_from_targets_at_their_usual_speed(self):
         for _ in range(60):
             self.record(0.09)
             self.record(0.5, slowness=5.0)
-        self.assertTrue(0.08 < self.history.expect_work(self.route) < 0.1)
+        self.assertTrue(0.08 < self.history.estimate_work_s(self.route) < 0.1)
 
     def test_spells_that_begin_during_the_work_do_not_make_requests_late(self):
         source = random.Random(2)
         for _ in range(200):
             spell = 0.15 if source.random() < 0.35 else 0.0
             self.record(source.uniform(0.08, 0.1) + spell)
-        self.assertTrue(0.08 < self.history.expect_work(self.route) < 0.105)
+        self.assertTrue(0.08 < self.history.estimate_work_s(self.route) < 0.105)
 
     def test_the_slowdown_of_nearly_full_targets_is_learned(self):
         for _ in range(80):
             self.record(0.09)
             self.record(0.09, running=2)
-        self.assertTrue(self.history.expect_slowdown("desk") < 1.1)
+        self.assertTrue(self.history.estimate_nearly_full_slowdown("desk") < 1.1)
         for _ in range(80):
             self.record(0.16, running=2)
-        self.assertTrue(self.history.expect_slowdown("desk") > 1.6)
+        self.assertTrue(self.history.estimate_nearly_full_slowdown("desk") > 1.6)
 
     def test_a_target_that_was_full_for_a_moment_tells_nothing_of_the_slowdown(self):
         """Mixed requests made the last slots look harmless in a burst."""
@@ -406,13 +406,13 @@
             # The other requests of the target end soon after the send.
             self.record(source.uniform(0.07, 0.12), running=2, end=1)
             self.record(source.uniform(0.07, 0.12), running=2, end=2)
-        self.assertTrue(self.history.expect_slowdown("desk") > 1.5)
-        self.assertTrue(self.history.expect_work(self.route) < 0.1)
+        self.assertTrue(self.history.estimate_nearly_full_slowdown("desk") > 1.5)
+        self.assertTrue(self.history.estimate_work_s(self.route) < 0.1)
 
     def test_the_size_of_responses_is_learned(self):
-        self.assertEqual(0, self.history.expect_size(self.route))
+        self.assertEqual(0, self.history.estimate_size(self.route))
         self.record(0.09, size=90_000)
-        self.assertEqual(90_000, self.history.expect_size(self.route))
+        self.assertEqual(90_000, self.history.estimate_size(self.route))
 
 
 class ParkedExchangeTest(RedwingspringTestCase):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -149,7 +149,7 @@
         for _ in range(18):
             dispatcher = build_dispatcher(hosts)
             states = [build_state(number) for number in range(14)]
-            while dispatcher.may_send_blindly(states):
+            while dispatcher.may_send_without_probe(states):
                 min(states, key=lambda state: state.in_flight).begin()
                 sent += 1
         slots = 14 * 3
--- a/tests/test_waitqueues.py
+++ b/tests/test_waitqueues.py
@@ -6,15 +6,19 @@
 from redwingspring.loadsamples import LoadSample
 from redwingspring.placement import choose_best
 from redwingspring.shares import HostCount, ProbeShare
-from redwingspring.waitpolicy import Wait, may_spread, should_reject
-from redwingspring.waitqueues import WaitingLine
+from redwingspring.waitpolicy import (
+    RequestTiming,
+    may_cross_data_centres,
+    should_reject,
+)
+from redwingspring.waitqueues import WaitQueue
 
 from .base import RedwingspringTestCase
 
 
 class WaitingLineTest(RedwingspringTestCase):
     def test_the_most_urgent_goes_first_then_the_oldest(self):
-        line = WaitingLine()
+        line = WaitQueue()
         tickets = {
             name: line.enter(priority, received)
             for name, priority, received in (
@@ -31,14 +35,14 @@
         self.assertEqual(["urgent", "old", "new"], order)
 
     def test_an_urgent_request_that_comes_later_takes_the_lead(self):
-        line = WaitingLine()
+        line = WaitQueue()
         first = line.enter(2, 1.0)
         line.enter(1, 2.0)
         self.assertFalse(first.first.is_set())
 
     def test_a_request_that_is_late_lets_those_in_time_go_first(self):
         now = [10.0]
-        line = WaitingLine(lambda: now[0])
+        line = WaitQueue(lambda: now[0])
         urgent = line.enter(1, 1.0, late_at=10.5)
         self.assertTrue(urgent.first.is_set())
         now[0] = 11.0
@@ -49,36 +53,36 @@
     def test_a_line_that_has_just_formed_is_not_taken_for_a_slow_one(self):
         """A place found long ago would look like 2.5 a second in an empty line."""
         now = [10.0]
-        line = WaitingLine(lambda: now[0])
+        line = WaitQueue(lambda: now[0])
         line.leave(line.enter(1, 10.0), placed=True)
         now[0] = 10.35
         for _ in range(3):
             line.enter(1, now[0])
-        self.assertEqual(0, line.places_per_s)
+        self.assertEqual(0, line.placements_per_s)
         now[0] = 10.37
         line.leave(line.enter(0, now[0]), placed=True)
-        wait = Wait(0.02, 1.5, 0.3, 0.09)
-        self.assertFalse(should_reject(wait, 2, line.places_per_s))
+        wait = RequestTiming(0.02, 1.5, 0.3, 0.09)
+        self.assertFalse(should_reject(wait, 2, line.placements_per_s))
 
     def test_the_rate_of_a_line_that_lasts_is_taken_over_a_while(self):
         now = [10.0]
-        line = WaitingLine(lambda: now[0])
+        line = WaitQueue(lambda: now[0])
         line.enter(1, 10.0)
         for _ in range(100):
             now[0] += 0.01
             line.leave(line.enter(0, now[0]), placed=True)
-        self.assertTrue(95 < line.places_per_s < 105, line.places_per_s)
+        self.assertTrue(95 < line.placements_per_s < 105, line.placements_per_s)
         now[0] += 0.3
-        self.assertTrue(20 < line.places_per_s < 30, line.places_per_s)
+        self.assertTrue(20 < line.placements_per_s < 30, line.placements_per_s)
 
     def test_a_told_load_wakes_the_first_in_line_once(self):
-        line = WaitingLine()
-        line.note_load()
-        self.assertTrue(line.wait_load(1.0))
-        self.assertFalse(line.wait_load(0.001))
+        line = WaitQueue()
+        line.notify_load()
+        self.assertTrue(line.wait_for_load(1.0))
+        self.assertFalse(line.wait_for_load(0.001))
 
     def test_nobody_is_left_behind_when_many_come_and_go(self):
-        line = WaitingLine()
+        line = WaitQueue()
         served = []
 
         def wait(priority):
@@ -122,7 +126,7 @@
     def play(self, knows_late):
         """Return how many requests of a burst find a place in time."""
         now = [0.0]
-        line = WaitingLine(lambda: now[0])
+        line = WaitQueue(lambda: now[0])
         source = random.Random(8)
         tickets, in_time = {}, 0
         for step in range(1500):
@@ -168,7 +172,7 @@
 
 class SpreadTest(RedwingspringTestCase):
     def test_a_long_response_stays_in_its_data_centre_for_longer(self):
-        wait = Wait(0.05, 1.0, 0.3)
-        self.assertTrue(may_spread(wait, 1500))
-        self.assertFalse(may_spread(wait, 90_000))
-        self.assertTrue(may_spread(Wait(0.25, 1.0, 0.3), 90_000))
+        wait = RequestTiming(0.05, 1.0, 0.3)
+        self.assertTrue(may_cross_data_centres(wait, 1500))
+        self.assertFalse(may_cross_data_centres(wait, 90_000))
+        self.assertTrue(may_cross_data_centres(RequestTiming(0.25, 1.0, 0.3), 90_000))
