--- a/redwingspring/loadsamples.py
+++ b/redwingspring/loadsamples.py
@@ -1,11 +1,11 @@
-"""Load of instances as they tell it themselves."""
+"""Load that instances report about themselves."""
 
 from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True)
 class LoadSample:
-    """Load of an instance at one moment, as it told itself.
+    """Load of an instance at one moment, as reported by the instance.
 
     Attributes
     ----------
@@ -14,15 +14,15 @@
     waiting : int
         Requests in its queue.
     slots : int
-        Requests that it runs at once.
+        Requests that it can run concurrently.
     slowness : float
-        Time that work takes now, relative to the usual time.
+        Current processing time relative to the usual one.
     cold_s : float
-        Seconds that it stays cold.
+        Seconds until its cold start ends.
     time : float
         When the sample arrived, on the clock of this host.
     healthy : bool
-        Whether it takes new requests.
+        Whether it accepts new requests.
     """
 
     running: int
@@ -39,14 +39,14 @@
         Returns
         -------
         LoadSample
-            A request that finds no free slot waits in the queue.
+            The request waits in the queue if no slot is free.
         """
         if self.running >= self.slots:
             return replace(self, waiting=self.waiting + 1)
         return replace(self, running=self.running + 1)
 
     def ensure_at_least(self, requests):
-        """Return the load with no fewer requests than are known to be there.
+        """Return the load, raised to a number of requests known to be there.
 
         Parameters
         ----------
@@ -56,7 +56,8 @@
         Returns
         -------
         LoadSample
-            Requests that the instance did not tell of take free slots first.
+            Requests that the instance did not report occupy free slots first, then
+            the queue.
         """
         missing = requests - self.running - self.waiting
         if missing <= 0:
@@ -71,7 +72,7 @@
         Returns
         -------
         LoadSample
-            The next request of the queue has taken the free slot.
+            If the queue was not empty, its next request occupies the freed slot.
         """
         if self.waiting:
             return replace(self, waiting=self.waiting - 1)
--- a/redwingspring/placement.py
+++ b/redwingspring/placement.py
@@ -1,9 +1,10 @@
-"""Choice of an instance for a request, from fresh load; no input or output.
+"""Choice of an instance for a request by its fresh load; no input or output.
 
-Load pattern: a quarter of the targets runs several times slower in spells of a
-few tens to hundreds of milliseconds, and targets slow down when they are nearly
-full. What a target said a second ago is worth little, so a few targets are asked
-right before the send, and the request goes where its predicted time is shortest.
+Load pattern: at any time a quarter of the targets runs several times slower, for
+periods of a few tens to hundreds of milliseconds, and targets slow down when they are
+nearly full. A load report that is a second old is of little use. So a few targets are
+probed right before the send, and the request goes to the one with the shortest
+predicted time.
 """
 
 import random
@@ -13,77 +14,80 @@
 from .registry import Registry
 from .routes import MAX_ROUTES
 
-# Share of its slots above which some targets slow down, and the slowdown that is
-# assumed before requests have shown it.
-NEARLY_FULL = 0.8
-NEARLY_FULL_FACTOR = 1.4
-# Time of a request on a cold target, relative to a warm one.
-COLD_FACTOR = 1.6
-# Predicted factors closer than this are equal, so that hosts that ask at the
-# same moment do not all choose the same target.
-TIE_WIDTH = 0.15
-# A slow spell ends within this time; older samples say nothing of slowness.
-SAMPLE_USE_S = 0.06
-
-# Weight of the latest response in what is expected.
-NEW_WEIGHT = 0.08
-# Quantile that is taken for the usual work, and its relative step.
+# Share of slots in use above which some targets slow down, and the slowdown that is
+# assumed until it has been measured.
+NEARLY_FULL_SHARE = 0.8
+NEARLY_FULL_SLOWDOWN = 1.4
+# Processing time on a cold target, relative to a warm one.
+COLD_SLOWDOWN = 1.6
+# Relative difference up to which predicted slowdowns count as equal, so that hosts
+# that probe at the same time do not all choose the same target.
+TIE_TOLERANCE = 0.15
+# Age above which a sample is ignored, because a slow period may have ended.
+MAX_SAMPLE_AGE_S = 0.06
+
+# Weight of the latest response in the moving average of the response size.
+SMOOTHING_FACTOR = 0.08
+# Quantile that estimates the usual processing time, and the relative step by which
+# the estimate moves.
 WORK_QUANTILE = 0.4
-STEP = 0.08
-# Work on a target that runs slower than this says little of the usual time.
-USUAL_SLOWNESS = 1.5
-FIRST_WORK_SHARE = 0.35
+QUANTILE_STEP = 0.08
+# Responses of targets that run slower than this are left out of the time estimates,
+# because they say little about the usual time.
+MAX_LEARNED_SLOWNESS = 1.5
+# Processing time before the first response, as a share of the target latency.
+INITIAL_WORK_SHARE = 0.35
 
 candidate_policies = Registry("candidate policy")
 
 
 @dataclass(frozen=True)
 class CandidateQuery:
-    """What is asked of a candidate policy.
+    """Parameters of a candidate policy.
 
     Attributes
     ----------
     data_centre : str
         Data centre of this host.
     count : int
-        Most candidates.
-    spread : bool
-        Whether instances of other data centres are asked while there are some in
-        the own one.
-    tried : frozenset of str
+        Maximum number of candidates.
+    all_data_centres : bool
+        Whether instances of other data centres are candidates while there are some
+        in the local one.
+    excluded_ids : frozenset of str
         Ids of instances that are left out.
     now : float
-        Present time.
+        Current time.
     include_ejected : bool, default=False
-        Whether ejected instances are asked like the others.
+        Whether ejected instances are candidates like the others.
     """
 
     data_centre: str
     count: int
-    spread: bool
-    tried: frozenset
+    all_data_centres: bool
+    excluded_ids: frozenset
     now: float
     include_ejected: bool = False
 
 
 @dataclass(frozen=True)
 class AnsweredRequest:
-    """A request that was answered, as far as later choices learn from it.
+    """An answered request, as a measurement for the response statistics.
 
     Attributes
     ----------
     route : Route
-        Its route.
+        Route of the request.
     service : str
-        Service that answered it.
+        Service that answered the request.
     sample : LoadSample or None
         Load of the target at the send.
     seconds : float
         Time from the send to the end of the response.
     size : int or None
-        Bytes of the body; None when it is not known.
+        Bytes of the response body; None if unknown.
     end_sample : LoadSample or None, default=None
-        Load that the response told; the request itself is counted in it.
+        Load that the response reported; it includes the request itself.
     """
 
     route: object
@@ -94,8 +98,8 @@
     end_sample: object = None
 
     @property
-    def is_mixed(self):
-        """Tell whether the target was nearly full for only a part of the work."""
+    def crossed_nearly_full(self):
+        """Tell whether the target was nearly full for only a part of the request."""
         end = self.end_sample
         if self.sample is None or end is None:
             return False
@@ -103,51 +107,52 @@
 
 
 class ResponseStatistics:
-    """What answered requests tell of routes and services.
+    """Estimates of response size, processing time and slowdown.
 
-    Work is the usual time of a request at a target of usual speed. The slowdown
-    of nearly full targets is learned, because some services have none.
+    The processing time of a route is the usual time of a request at a target that
+    runs at its usual speed. The slowdown of nearly full targets is measured for each
+    service, because some services have none.
     """
 
     def __init__(self):
         self._sizes = {}
-        self._works = {}
+        self._work_s = {}
         self._slowdowns = {}
 
-    def record(self, outcome):
-        """Learn from an answered request.
+    def record(self, answered):
+        """Update the estimates with an answered request.
 
         Parameters
         ----------
-        outcome : AnsweredRequest
-            The request.
+        answered : AnsweredRequest
+            The answered request.
         """
-        if outcome.size is not None:
-            _average(self._sizes, outcome.route.prefix, outcome.size)
-        sample = outcome.sample
+        if answered.size is not None:
+            _update_mean(self._sizes, answered.route.prefix, answered.size)
+        sample = answered.sample
         if sample is None or sample.waiting or sample.cold_s > 0:
             return
-        if sample.slowness > USUAL_SLOWNESS or outcome.is_mixed:
+        if sample.slowness > MAX_LEARNED_SLOWNESS or answered.crossed_nearly_full:
             return
-        seconds = outcome.seconds / sample.slowness
-        prefix = outcome.route.prefix
+        seconds = answered.seconds / sample.slowness
+        prefix = answered.route.prefix
         if not is_nearly_full(sample):
-            _track_quantile(self._works, prefix, seconds)
+            _update_quantile(self._work_s, prefix, seconds)
             return
-        work = self._works.get(prefix)
-        if work is not None:
-            slowed = seconds / work
-            _track_quantile(
-                self._slowdowns, outcome.service, slowed, NEARLY_FULL_FACTOR
+        work_s = self._work_s.get(prefix)
+        if work_s is not None:
+            slowdown = seconds / work_s
+            _update_quantile(
+                self._slowdowns, answered.service, slowdown, NEARLY_FULL_SLOWDOWN
             )
 
     def estimate_size(self, route):
-        """Return the size of a response to expect.
+        """Return the expected size of a response.
 
         Parameters
         ----------
         route : Route
-            The route.
+            Route of the request.
 
         Returns
         -------
@@ -157,19 +162,21 @@
         return self._sizes.get(route.prefix, 0.0)
 
     def estimate_work_s(self, route):
-        """Return the work of a request to expect.
+        """Return the expected processing time of a request.
 
         Parameters
         ----------
         route : Route
-            The route.
+            Route of the request.
 
         Returns
         -------
         float
-            Seconds; a part of the target latency before the first response.
+            Seconds; a share of the target latency before the first response.
         """
-        return self._works.get(route.prefix, FIRST_WORK_SHARE * route.target_latency_s)
+        return self._work_s.get(
+            route.prefix, INITIAL_WORK_SHARE * route.target_latency_s
+        )
 
     def estimate_nearly_full_slowdown(self, service):
         """Return how much slower nearly full targets of a service are.
@@ -182,28 +189,28 @@
         Returns
         -------
         float
-            Factor on the time of work.
+            Factor on the processing time.
         """
-        return self._slowdowns.get(service, NEARLY_FULL_FACTOR)
+        return self._slowdowns.get(service, NEARLY_FULL_SLOWDOWN)
 
 
-def _average(means, key, value):
-    """Move the mean of a key towards a value."""
+def _update_mean(means, key, value):
+    """Update the exponential moving average of a key with a value."""
     mean = means.get(key, value)
-    means[key] = mean + NEW_WEIGHT * (value - mean)
+    means[key] = mean + SMOOTHING_FACTOR * (value - mean)
     drop_oldest(means, MAX_ROUTES)
 
 
-def _track_quantile(values, key, value, first=None):
-    """Move the lower quantile of a key towards a value.
+def _update_quantile(estimates, key, value, initial=None):
+    """Move the estimated lower quantile of a key towards a value.
 
-    Slow spells that begin during the work make a mean too long, and a request
-    would count as late while most targets still answer it in time.
+    Slow periods that begin during a request would make a mean too long, and requests
+    would count as late while most targets can still answer them in time.
     """
-    known = values.get(key, value if first is None else first)
-    step = STEP * (WORK_QUANTILE if value > known else WORK_QUANTILE - 1)
-    values[key] = known * (1 + step)
-    drop_oldest(values, MAX_ROUTES)
+    estimate = estimates.get(key, value if initial is None else initial)
+    step = QUANTILE_STEP * (WORK_QUANTILE if value > estimate else WORK_QUANTILE - 1)
+    estimates[key] = estimate * (1 + step)
+    drop_oldest(estimates, MAX_ROUTES)
 
 
 def is_nearly_full(sample):
@@ -217,9 +224,9 @@
     Returns
     -------
     bool
-        True when it may slow down.
+        True if the target may slow down.
     """
-    return (sample.running + 1) / max(1, sample.slots) > NEARLY_FULL
+    return (sample.running + 1) / max(1, sample.slots) > NEARLY_FULL_SHARE
 
 
 def count_full_speed_slots(slots):
@@ -228,24 +235,24 @@
     Parameters
     ----------
     slots : int
-        All its slots.
+        Number of slots of the target.
 
     Returns
     -------
     int
         At least 1.
     """
-    return max(1, int(NEARLY_FULL * slots))
+    return max(1, int(NEARLY_FULL_SHARE * slots))
 
 
-def predict_slowdown(sample, last_slots_factor=NEARLY_FULL_FACTOR):
-    """Return the predicted time of one more request, relative to the usual time.
+def predict_slowdown(sample, nearly_full_slowdown=NEARLY_FULL_SLOWDOWN):
+    """Return the predicted time of one more request, relative to the usual one.
 
     Parameters
     ----------
     sample : LoadSample
         Fresh load of the instance.
-    last_slots_factor : float, default=NEARLY_FULL_FACTOR
+    nearly_full_slowdown : float, default=NEARLY_FULL_SLOWDOWN
         Slowdown of a nearly full target.
 
     Returns
@@ -254,15 +261,15 @@
         1 for an idle target at its usual speed.
     """
     slots = max(1, sample.slots)
-    factor = sample.slowness
+    slowdown = sample.slowness
     if sample.cold_s > 0:
-        factor *= COLD_FACTOR
+        slowdown *= COLD_SLOWDOWN
     if is_nearly_full(sample):
-        factor *= last_slots_factor
+        slowdown *= nearly_full_slowdown
     excess = sample.running + sample.waiting + 1 - slots
     if excess > 0:
-        factor *= 1 + excess / slots
-    return factor
+        slowdown *= 1 + excess / slots
+    return slowdown
 
 
 def choose_best(samples, rng=random):
@@ -273,75 +280,76 @@
     samples : list of LoadSample
         Fresh load of the candidates, at least one.
     rng : random.Random, default=random
-        Decides between candidates that are about equal.
+        Chooses among candidates with about equal predictions.
 
     Returns
     -------
     int
         Index within ``samples``.
     """
-    factors = [predict_slowdown(sample) for sample in samples]
-    least = min(factors)
-    equal = [i for i, f in enumerate(factors) if f <= least * (1 + TIE_WIDTH)]
+    slowdowns = [predict_slowdown(sample) for sample in samples]
+    least = min(slowdowns)
+    equal = [i for i, s in enumerate(slowdowns) if s <= least * (1 + TIE_TOLERANCE)]
     return rng.choice(equal)
 
 
 @candidate_policies.register("fresh-load")
 def pick_fresh_load(states, query, rng=random):
-    """Return instances that are asked for their load.
+    """Return the instances to probe.
 
-    Those that recent samples show as slow or full, and those that leave a probe
-    unanswered, come last.
+    Instances that are slow, full or unhealthy by a recent sample, and those with an
+    unanswered probe, come last.
 
     Parameters
     ----------
     states : sequence of InstanceState
         Instances of the service.
     query : CandidateQuery
-        What is wanted.
+        Parameters of the choice.
     rng : random.Random, default=random
-        Source of the order.
+        Source of the random order.
 
     Returns
     -------
     list of InstanceState
         At most ``query.count``.
     """
-    pool = _find_pool(states, query)
-    ranked = sorted(pool, key=lambda state: _rank(state, query, rng))
+    candidates = _filter_candidates(states, query)
+    ranked = sorted(candidates, key=lambda state: _sort_key(state, query, rng))
     return ranked[: query.count]
 
 
-def _find_pool(states, query):
-    """Return the instances among which the policy chooses."""
-    usable = [s for s in states if s.instance.id not in query.tried]
-    if not query.spread:
+def _filter_candidates(states, query):
+    """Return the instances among which a policy chooses."""
+    usable = [s for s in states if s.instance.id not in query.excluded_ids]
+    if not query.all_data_centres:
         # A data centre with few instances must not send half of its requests
-        # elsewhere while these are idle.
-        near = [s for s in usable if s.instance.data_centre == query.data_centre]
-        usable = near or usable
+        # to other data centres while these instances are idle.
+        local = [s for s in usable if s.instance.data_centre == query.data_centre]
+        usable = local or usable
     if query.include_ejected:
         return usable
-    sound = [s for s in usable if query.now >= s.ejected_until]
-    # When all are ejected, trying one is better than certain failure.
-    return sound or usable
+    not_ejected = [s for s in usable if query.now >= s.ejected_until]
+    # If all are ejected, trying one is better than certain failure.
+    return not_ejected or usable
 
 
-def _rank(state, query, rng):
+def _sort_key(state, query, rng):
     """Return the sort key of a candidate; the smallest comes first."""
     sample = state.sample
-    poor = False
-    if sample is not None and query.now - sample.time < SAMPLE_USE_S:
-        poor = predict_slowdown(sample) > 2 or not sample.healthy
-    return (poor or state.is_silent, rng.random())
+    slow_or_unhealthy = False
+    if sample is not None and query.now - sample.time < MAX_SAMPLE_AGE_S:
+        slow_or_unhealthy = predict_slowdown(sample) > 2 or not sample.healthy
+    return (slow_or_unhealthy or state.is_silent, rng.random())
 
 
 def all_unhealthy(states):
-    """Tell whether health says nothing of which instance to choose.
+    """Tell whether all instances are unhealthy, so that health cannot guide a choice.
 
     Load pattern: the health page itself fails, or all instances of a small service
-    say ill at once, while requests go well. Without any that says well, to send
-    is better than certain failure; an instance that is ill refuses or is ejected.
+    report themselves unhealthy at once, while requests succeed. Without any healthy
+    instance, sending is better than certain failure; an instance that is really
+    unhealthy refuses or is ejected.
 
     Parameters
     ----------
@@ -351,61 +359,61 @@
     Returns
     -------
     bool
-        True when every one of them said ill last.
+        True if the last report of each instance was unhealthy.
     """
     return all(s.sample is not None and not s.sample.healthy for s in states)
 
 
 @candidate_policies.register("recent-load")
 def pick_recent_load(states, query, rng=random):
-    """Return the instances that told their load a moment ago.
+    """Return the instances that have just reported their load.
 
-    Load pattern: while all targets are full, the only news of a free place is the
-    response to a request that just ended there. Probes at that time mostly find
-    full targets and use up their share.
+    Load pattern: while all targets are full, only the response to a request that has
+    just ended shows that a slot is free. Probes at that time mostly find full targets
+    and use up the share of probes.
 
     Parameters
     ----------
     states : sequence of InstanceState
         Instances of the service.
     query : CandidateQuery
-        What is wanted.
+        Parameters of the choice.
     rng : random.Random, default=random
-        Not used.
+        Unused; part of the signature of all candidate policies.
 
     Returns
     -------
     list of InstanceState
-        All of them, in no order.
+        All such instances, in no particular order.
     """
-    pool = _find_pool(states, query)
-    return [state for state in pool if state.has_recent_load(query.now)]
+    candidates = _filter_candidates(states, query)
+    return [state for state in candidates if state.has_recent_load(query.now)]
 
 
 @candidate_policies.register("least-requests")
 def pick_least_requests(states, query, rng=random):
-    """Return the instances with the fewest requests of this host.
+    """Return the instances with the fewest requests from this host.
 
-    For services whose targets do not tell their load.
+    This policy is for services whose targets do not report their load.
 
     Parameters
     ----------
     states : sequence of InstanceState
         Instances of the service.
     query : CandidateQuery
-        What is wanted.
+        Parameters of the choice.
     rng : random.Random, default=random
-        Source of the order of equal ones.
+        Source of the random order of equally loaded instances.
 
     Returns
     -------
     list of InstanceState
         At most ``query.count``.
     """
-    pool = _find_pool(states, query)
+    candidates = _filter_candidates(states, query)
 
-    def _load(state):
+    def _compute_load(state):
         slots = max(1, state.instance.slots)
         return (state.in_flight / slots, rng.random())
 
-    return sorted(pool, key=_load)[: query.count]
+    return sorted(candidates, key=_compute_load)[: query.count]
--- a/redwingspring/polling.py
+++ b/redwingspring/polling.py
@@ -1,24 +1,24 @@
-"""Waits for several exchanges and for the hang-up of their caller."""
+"""Polling of several exchanges and of the connection of their caller."""
 
 import select
 
 
 def poll_exchanges(exchanges, timeout_s, caller_socket=None):
-    """Wait until one of several exchanges can go on.
+    """Wait until at least one of several exchanges can proceed.
 
     Parameters
     ----------
     exchanges : list of Exchange
         Exchanges that wait for their targets.
     timeout_s : float
-        Longest wait in seconds.
+        Maximum wait in seconds.
     caller_socket : socket.socket or None, default=None
-        Watched for a hang-up of the caller.
+        Connection of the caller, polled for a hang-up.
 
     Returns
     -------
     tuple of (list of Exchange, bool)
-        Those that can go on, and whether the caller hung up.
+        Exchanges that can proceed, and whether the caller hung up.
     """
     poller = select.poll()
     by_fd = {}
@@ -31,5 +31,5 @@
         if caller_fd < 0:
             return [], True
         poller.register(caller_fd, select.POLLRDHUP)
-    ready = [fd for fd, _ in poller.poll(max(0.0, timeout_s) * 1000)]
-    return [by_fd[fd] for fd in ready if fd in by_fd], caller_fd in ready
+    ready_fds = [fd for fd, _ in poller.poll(max(0.0, timeout_s) * 1000)]
+    return [by_fd[fd] for fd in ready_fds if fd in by_fd], caller_fd in ready_fds
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -1,4 +1,4 @@
-"""Dispatch of routed calls: what the attempts of all calls share."""
+"""Dispatch of routed calls, and the state that their attempts share."""
 
 from dataclasses import dataclass
 
@@ -12,11 +12,13 @@
 from .waitpolicy import RequestTiming, choose_retry_after
 from .waitqueues import WaitQueues
 
-# A refusal may be a race for the last slot, and a slow answer a short spell.
-_WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
-# Failures that say nothing about the target.
-_NO_ROOM = frozenset((Reason.NO_CAPACITY, Reason.DEADLINE))
-_BLAMELESS = frozenset(
+# Weights below 1 of failures in the ejection of an instance. A refusal may come from a
+# race for the last slot, and a missing answer from a short slow period.
+_FAILURE_WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
+# Reasons for which a request fails while it waits in the queue.
+_QUEUE_REASONS = frozenset((Reason.NO_CAPACITY, Reason.DEADLINE))
+# Reasons that do not count as failures of the target.
+_NEUTRAL_REASONS = frozenset(
     (Reason.CALLER_GONE, Reason.DEADLINE, Reason.STALE_DECISION, Reason.MALFORMED)
 )
 
@@ -28,15 +30,15 @@
     Attributes
     ----------
     request_id : str
-        Identifies the caller's attempt.
+        Identifies the attempt of the caller.
     route : Route
-        Its route.
+        Route of the request.
     service : RoutedService
-        The service that answers it.
+        Service that answers the request.
     method : str
         HTTP method.
     path : str
-        Path and query.
+        Path and query string.
     headers : dict of str to str
         End-to-end headers.
     body : RequestBody
@@ -44,7 +46,7 @@
     received_at : float
         When the request arrived.
     deadline : float
-        When it must have been answered.
+        Time by which the request must be answered.
     caller_socket : socket.socket or None
         The caller's connection.
     prior_wait_s : float, default=0.0
@@ -66,14 +68,14 @@
 
 @dataclass(frozen=True)
 class Rejection:
-    """A failure with the time after which the caller should come back.
+    """A failure with the time after which the caller should retry.
 
     Attributes
     ----------
     failure : Failure
         The failure.
     retry_after_s : float or None
-        Seconds; None when the caller should not wait for anything.
+        Seconds; None if no retry time is given.
     """
 
     failure: object
@@ -81,28 +83,28 @@
 
 
 class RouteDispatcher:
-    """Finds a place for a routed call and sends it there.
+    """Sends each routed call to a target that it chooses.
 
     Parameters
     ----------
     directory : InstanceDirectory
         Instances of all services.
     dialect : module
-        Headers that targets understand.
+        Reads and writes the headers that targets understand.
     retries : RetryShare
-        Share of arrivals beyond the first of each request.
+        Share of this host in the attempts after the first of each request.
     probes : ProbeShare
-        Share of probes.
+        Share of this host in the probes.
     cold : ColdShare
-        Share of requests to cold targets.
+        Share of this host in the requests to cold targets.
     hosts : HostCount
         Number of hosts that share the targets.
     metrics : Metrics
         Counters.
     decisions : DecisionLog
-        Takes one line for each decision.
+        Logs one line for each decision.
     data_centre : str
-        Where this host is.
+        Data centre of this host.
     regions : mapping of str to str
         Region of each data centre.
     clock : callable, default=read_clock
@@ -140,7 +142,7 @@
         self.clock = clock
 
     def send(self, call):
-        """Make attempts until one is answered or none is allowed.
+        """Make attempts until one is answered or no more are allowed.
 
         Parameters
         ----------
@@ -160,14 +162,14 @@
         retry_after = None
         if failure.proves_not_run:
             waiting = len(self.wait_queues.find(call.service.name))
-            if failure.reason in _NO_ROOM:
-                # The request itself was the last in line.
+            if failure.reason in _QUEUE_REASONS:
+                # The rejected request has left the queue but counts as waiting.
                 waiting += 1
             retry_after = choose_retry_after(self.build_timing(call), waiting)
         return Error(Rejection(failure, retry_after))
 
     def build_timing(self, call):
-        """Return what the decisions on waiting need to know of a call.
+        """Return the times of a call, on which decisions on waiting depend.
 
         Parameters
         ----------
@@ -177,7 +179,7 @@
         Returns
         -------
         RequestTiming
-            As of now.
+            Relative to the current time.
         """
         now = self.clock()
         return RequestTiming(
@@ -199,7 +201,7 @@
         Returns
         -------
         tuple of InstanceState
-            Those of the service whose region the route allows.
+            Instances of the service in the regions that the route allows.
         """
         states = self.directory.view.services.get(call.service.name, ())
         allowed = call.route.regions
@@ -210,11 +212,11 @@
         )
 
     def may_send_without_probe(self, states):
-        """Tell whether a request may be placed without fresh load of a target.
+        """Tell whether a request may be sent to a target without its fresh load.
 
         Load pattern: in a long burst the share of probes is used up. Hosts that
-        then sent wherever they had nothing in progress filled the queues of
-        targets, where requests waited past their use.
+        then sent to every target where they had no request in progress filled the
+        queues of the targets, and requests waited there until they were late.
 
         Parameters
         ----------
@@ -224,26 +226,26 @@
         Returns
         -------
         bool
-            True while this host uses less than its share of the slots.
+            True while this host uses less than an equal share of the slots.
         """
         slots = sum(state.instance.slots for state in states)
         in_progress = sum(state.in_flight for state in states)
         return in_progress < max(1.0, slots / self.hosts.value)
 
     def record_failure(self, state, failure):
-        """Count a failure against an instance unless it has another cause.
+        """Count a failure against an instance unless its reason is neutral.
 
         Parameters
         ----------
         state : InstanceState
             The instance.
         failure : Failure
-            What happened.
+            The failure.
         """
-        if failure.reason in _BLAMELESS:
+        if failure.reason in _NEUTRAL_REASONS:
             return
         self.metrics.increment(f"attempts.failed.{failure.reason}")
-        weight = _WEIGHTS.get(failure.reason, 1.0)
+        weight = _FAILURE_WEIGHTS.get(failure.reason, 1.0)
         if state.record_failure(self.clock(), weight):
             self.decisions.record(
                 "instance ejected",
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -14,34 +14,35 @@
 from .polling import poll_exchanges
 from .verdict import Reason, refuse
 from .waitpolicy import (
-    LOOK_AGAIN_S,
+    PROBE_INTERVAL_S,
     accepts_target,
     may_cross_data_centres,
     may_use_ejected,
     should_reject,
 )
 
-# Targets asked for their load at once before a send, and how often a request asks
-# before it joins the line.
-CANDIDATES = 2
-FIRST_LOOKS = 2
-# How often a request that is not the first in line considers giving up.
-REVIEW_S = 0.03
-# Longest wait for the answers to probes.
-PROBE_WAIT_S = 0.025
-# Wait for further answers after the first acceptable one.
+# Targets that are probed concurrently in one search, and the number of searches
+# before a request enters the wait queue.
+CANDIDATE_COUNT = 2
+SEARCHES_BEFORE_QUEUE = 2
+# Interval at which a request that is not at the head of the queue checks whether it
+# is to be rejected.
+REJECT_CHECK_INTERVAL_S = 0.03
+# Maximum wait for the responses to probes.
+PROBE_TIMEOUT_S = 0.025
+# Wait for further responses after the first acceptable one.
 PROBE_GRACE_S = 0.002
-# An unanswered probe whose connection is closed after this time.
-PROBE_LIMIT_S = 0.5
+# Age at which an unanswered probe fails and its connection is closed.
+PARKED_PROBE_TIMEOUT_S = 0.5
 
 
 class TargetSearch:
-    """Looks for a place for one call, and waits in line for it.
+    """Searches a target for one call, and waits in the queue for it.
 
     Parameters
     ----------
     dispatcher : RouteDispatcher
-        Shares, history and instances.
+        Shares, response statistics and instances.
     call : RoutedCall
         The call.
     """
@@ -54,7 +55,7 @@
         self._metrics = dispatcher.metrics
 
     def find(self):
-        """Wait for a place.
+        """Wait until a target is found or the call is rejected.
 
         Returns
         -------
@@ -62,204 +63,205 @@
             Ok with an Exchange that is ready to send, or an Error with a Failure.
         """
         call = self._call
-        line = self._dispatcher.wait_queues.find(call.service.name)
-        for _ in range(FIRST_LOOKS):
-            if line:
+        queue = self._dispatcher.wait_queues.find(call.service.name)
+        for _ in range(SEARCHES_BEFORE_QUEUE):
+            if queue:
                 break
-            placed = self._try_place()
-            if placed is not None:
-                return placed
-        placed = None
-        wait = self._dispatcher.build_timing(call)
-        late_at = self._clock() + wait.target_latency_left_s - wait.work_s
-        ticket = line.enter(call.route.priority, call.received_at, late_at)
+            result = self._try_search()
+            if result is not None:
+                return result
+        result = None
+        timing = self._dispatcher.build_timing(call)
+        late_at = self._clock() + timing.target_latency_left_s - timing.work_s
+        entry = queue.enter(call.route.priority, call.received_at, late_at)
         try:
-            placed = self._wait_for_place(line, ticket)
-            return placed
+            result = self._wait_in_queue(queue, entry)
+            return result
         finally:
-            line.leave(ticket, placed is not None and placed.is_ok())
+            queue.leave(entry, result is not None and result.is_ok())
 
-    def _wait_for_place(self, line, ticket):
-        """Look for a place whenever this request is the first in line."""
+    def _wait_in_queue(self, queue, entry):
+        """Search for a target whenever this request is at the head of the queue."""
         while True:
-            ahead = line.count_ahead(ticket)
-            wait = self._dispatcher.build_timing(self._call)
-            if should_reject(wait, ahead, line.placements_per_s):
+            ahead = queue.count_ahead(entry)
+            timing = self._dispatcher.build_timing(self._call)
+            if should_reject(timing, ahead, queue.placements_per_s):
                 detail = f"no place in time, {ahead} requests are ahead"
                 return Error(refuse(Reason.NO_CAPACITY, detail))
-            if ticket.first.wait(REVIEW_S):
-                placed = self._try_place() or self._wait_for_load(line)
-                if placed is not None:
-                    return placed
-            if self._caller_left():
+            if entry.at_head.wait(REJECT_CHECK_INTERVAL_S):
+                result = self._try_search() or self._wait_for_reported_load(queue)
+                if result is not None:
+                    return result
+            if self._caller_hung_up():
                 return Error(refuse(Reason.CALLER_GONE, "the caller hung up", 400))
 
-    def _wait_for_load(self, line):
-        """Take a place that a response shows before it is time to probe again."""
-        end = self._clock() + LOOK_AGAIN_S
-        while (left := end - self._clock()) > 0:
-            if line.wait_for_load(left):
+    def _wait_for_reported_load(self, queue):
+        """Use load reported in responses until it is time to probe again."""
+        until = self._clock() + PROBE_INTERVAL_S
+        while (remaining_s := until - self._clock()) > 0:
+            if queue.wait_for_load(remaining_s):
                 states = self._dispatcher.find_instances(self._call)
-                usable = self._without_foreign_cold(states)
-                wait = self._dispatcher.build_timing(self._call)
-                exchange = self._take_recent(usable, wait, self._accepts)
+                usable = self._exclude_foreign_cold(states)
+                timing = self._dispatcher.build_timing(self._call)
+                exchange = self._open_by_recent_load(usable, timing, self._accepts)
                 if exchange is not None:
                     return Ok(exchange)
         return None
 
-    def _try_place(self):
-        """Look once; return Ok with an Exchange, an Error, or None to wait."""
-        wait = self._dispatcher.build_timing(self._call)
-        if wait.left_s <= 0:
+    def _try_search(self):
+        """Search once; return Ok with an Exchange, an Error, or None to wait."""
+        timing = self._dispatcher.build_timing(self._call)
+        if timing.remaining_s <= 0:
             return Error(refuse(Reason.DEADLINE, "the time of the caller is over"))
         states = self._dispatcher.find_instances(self._call)
         if not states:
             detail = f"no target of {self._call.service.name} takes requests"
             return Error(refuse(Reason.NO_CAPACITY, detail))
-        exchange = self.search_once(states, wait, self._accepts)
+        exchange = self.search_once(states, timing, self._accepts)
         return None if exchange is None else Ok(exchange)
 
-    def _caller_left(self):
+    def _caller_hung_up(self):
         return poll_exchanges([], 0, self._call.caller_socket)[1]
 
     def _accepts(self, sample):
-        """Tell whether the call goes to a target with this load now."""
+        """Tell whether the call is sent to a target with this load now."""
         if not sample.healthy:
             states = self._dispatcher.find_instances(self._call)
             sample = replace(sample, healthy=all_unhealthy(states))
         service = self._call.service.name
         slowdown = self._dispatcher.statistics.estimate_nearly_full_slowdown(service)
-        wait = self._dispatcher.build_timing(self._call)
-        return accepts_target(sample, wait, slowdown)
+        timing = self._dispatcher.build_timing(self._call)
+        return accepts_target(sample, timing, slowdown)
 
-    def search_once(self, states, wait, accepts):
-        """Ask some instances for their load.
+    def search_once(self, states, timing, accepts):
+        """Choose an instance by recent load, by probes, or by own requests.
 
         Parameters
         ----------
         states : sequence of InstanceState
             Instances that may run the call.
-        wait : RequestTiming
-            How long the call has waited.
+        timing : RequestTiming
+            Times of the call.
         accepts : callable
-            Tells whether the call goes to a target with a given load.
+            Tells whether the call is sent to a target with a given load.
 
         Returns
         -------
         Exchange or None
-            An exchange that is ready to send; None when no place was found.
+            An exchange that is ready to send; None if no target was found.
         """
-        usable = self._without_foreign_cold(states)
-        recent = self._take_recent(usable, wait, accepts)
-        if recent is not None:
-            return recent
+        usable = self._exclude_foreign_cold(states)
+        exchange = self._open_by_recent_load(usable, timing, accepts)
+        if exchange is not None:
+            return exchange
         service = self._call.service.name
         tells_load = any(state.tells_load for state in states)
         probes = 0
         if tells_load:
-            probes = self._dispatcher.probes.take(service, len(states), CANDIDATES)
-        query = self._build_query(wait, probes or CANDIDATES)
+            probes = self._dispatcher.probes.take(service, len(states), CANDIDATE_COUNT)
+        query = self._build_query(timing, probes or CANDIDATE_COUNT)
         if probes:
-            chosen = candidate_policies.find("fresh-load")(usable, query)
-            return self._select(self._probe(chosen, accepts), accepts)
+            candidates = candidate_policies.find("fresh-load")(usable, query)
+            return self._select(self._probe(candidates, accepts), accepts)
         if tells_load and not self._dispatcher.may_send_without_probe(states):
             return None
-        return self._take_plain(
+        return self._open_by_own_requests(
             candidate_policies.find("least-requests")(usable, query)
         )
 
-    def _build_query(self, wait, count):
-        """Return what a candidate policy needs to know of the call."""
+    def _build_query(self, timing, count):
+        """Return the query to a candidate policy for the call."""
         return CandidateQuery(
             self._dispatcher.data_centre,
             count,
             may_cross_data_centres(
-                wait, self._dispatcher.statistics.estimate_size(self._call.route)
+                timing, self._dispatcher.statistics.estimate_size(self._call.route)
             ),
             frozenset(self.tried_ids),
             self._clock(),
-            may_use_ejected(wait),
+            may_use_ejected(timing),
         )
 
-    def _take_recent(self, usable, wait, accepts):
-        """Return an exchange with an instance that told its load a moment ago."""
-        query = self._build_query(wait, len(usable))
+    def _open_by_recent_load(self, usable, timing, accepts):
+        """Return an exchange with an instance that has just reported its load."""
+        query = self._build_query(timing, len(usable))
         recent = candidate_policies.find("recent-load")(usable, query)
-        # The load that is judged here may change with the next response.
-        loads = [(state, state.sample) for state in recent]
-        fit = [(state, sample) for state, sample in loads if accepts(sample)]
-        while fit:
-            state, sample = fit.pop(choose_best([load for _, load in fit]))
-            if self._may_use_cold(state):
+        # Samples are read once, because the next response may replace them.
+        samples = [(state, state.sample) for state in recent]
+        acceptable = [(state, sample) for state, sample in samples if accepts(sample)]
+        while acceptable:
+            state, sample = acceptable.pop(choose_best([s for _, s in acceptable]))
+            if self._may_use(state):
                 self._metrics.increment("placements.without_probe")
-                return self._open_plain(state, sample)
+                return self._open_without_probe(state, sample)
         return None
 
-    def _without_foreign_cold(self, states):
-        """Leave out cold instances that belong to another host."""
+    def _exclude_foreign_cold(self, states):
+        """Leave out cold instances that are assigned to another host."""
         now = self._clock()
-        cold = [s.instance.id for s in states if s.is_cold(now)]
-        if not cold:
+        cold_ids = [s.instance.id for s in states if s.is_cold(now)]
+        if not cold_ids:
             return states
-        foreign = set(cold) - self._dispatcher.cold.select_own(cold)
-        return [s for s in states if s.instance.id not in foreign]
+        foreign_ids = set(cold_ids) - self._dispatcher.cold.select_own(cold_ids)
+        return [s for s in states if s.instance.id not in foreign_ids]
 
-    def _take_plain(self, chosen):
-        """Return an exchange without a probe.
+    def _open_by_own_requests(self, candidates):
+        """Return an exchange with a candidate whose load is unknown.
 
-        Targets that tell their load get one request of this host at a time then,
-        because nothing shows what the other hosts send.
+        Targets that report their load get one request of this host at a time in
+        this case, because the load from other hosts is unknown.
         """
-        for state in chosen:
+        for state in candidates:
             if state.tells_load and state.in_flight:
                 continue
-            if self._may_use_cold(state):
-                return self._open_plain(state, None)
+            if self._may_use(state):
+                return self._open_without_probe(state, None)
         return None
 
-    def _open_plain(self, state, sample):
+    def _open_without_probe(self, state, sample):
         """Return an exchange that is ready to send without a probe."""
         exchange = Exchange(state, self._dispatcher.dialect)
         exchange.begin_plain(sample)
         return exchange
 
-    def _probe(self, chosen, accepts):
-        """Return the exchanges whose instances told their load in time."""
+    def _probe(self, candidates, accepts):
+        """Return the exchanges whose instances answered the probe in time."""
         pending, answered = [], []
-        for state in chosen:
-            self._collect_unanswered(state)
+        for state in candidates:
+            self._collect_parked(state)
             exchange = Exchange(state, self._dispatcher.dialect)
             exchange.begin_probe(self._call.service.health_path)
             self._metrics.increment("probes.sent")
-            self._sort_exchange(exchange, pending, answered)
-        end = self._clock() + PROBE_WAIT_S
-        while pending and (left := end - self._clock()) > 0:
-            ready, _ = poll_exchanges(pending, left)
+            self._add_by_stage(exchange, pending, answered)
+        until = self._clock() + PROBE_TIMEOUT_S
+        while pending and (remaining_s := until - self._clock()) > 0:
+            ready, _ = poll_exchanges(pending, remaining_s)
             for exchange in ready:
                 exchange.advance()
                 if exchange.ends_at_once:
                     pending.remove(exchange)
-                    self._sort_exchange(exchange, pending, answered)
+                    self._add_by_stage(exchange, pending, answered)
             if any(accepts(exchange.sample) for exchange in answered):
-                end = min(end, self._clock() + PROBE_GRACE_S)
+                until = min(until, self._clock() + PROBE_GRACE_S)
         for exchange in pending:
             exchange.state.park(exchange)
         return answered
 
-    def _sort_exchange(self, exchange, pending, answered):
+    def _add_by_stage(self, exchange, pending, answered):
+        """Add an exchange to the pending or answered ones, or record its failure."""
         if exchange.stage is Stage.READY:
             answered.append(exchange)
         elif exchange.stage is Stage.CLOSED:
-            self._note_probe_failure(exchange)
+            self._record_probe_failure(exchange)
         else:
             pending.append(exchange)
 
-    def _note_probe_failure(self, exchange):
+    def _record_probe_failure(self, exchange):
         self._metrics.increment(f"probes.failed.{exchange.failure.reason}")
         self._dispatcher.record_failure(exchange.state, exchange.failure)
 
-    def _collect_unanswered(self, state):
-        """Read late answers to probes of an instance; give up on old ones."""
+    def _collect_parked(self, state):
+        """Read late responses to probes of an instance; close timed-out probes."""
         now = self._clock()
         for exchange in state.take_parked():
             ready, _ = poll_exchanges([exchange], 0)
@@ -269,9 +271,9 @@
                     exchange.release()
                     continue
                 if exchange.stage is Stage.CLOSED:
-                    self._note_probe_failure(exchange)
+                    self._record_probe_failure(exchange)
                     continue
-            if now - exchange.started_at > PROBE_LIMIT_S:
+            if now - exchange.started_at > PARKED_PROBE_TIMEOUT_S:
                 exchange.abort()
                 failure = refuse(Reason.NO_ANSWER, "a probe got no answer")
                 self._metrics.increment(f"probes.failed.{failure.reason}")
@@ -281,18 +283,18 @@
 
     def _select(self, answered, accepts):
         """Return the best acceptable exchange; release the others."""
-        fit = [exchange for exchange in answered if accepts(exchange.sample)]
+        acceptable = [exchange for exchange in answered if accepts(exchange.sample)]
         chosen = None
-        while fit and chosen is None:
-            best = fit.pop(choose_best([e.sample for e in fit]))
-            if self._may_use_cold(best.state):
+        while acceptable and chosen is None:
+            best = acceptable.pop(choose_best([e.sample for e in acceptable]))
+            if self._may_use(best.state):
                 chosen = best
         for exchange in answered:
             if exchange is not chosen:
                 exchange.release()
         return chosen
 
-    def _may_use_cold(self, state):
+    def _may_use(self, state):
         """Tell whether an instance is warm, or this host may use it while cold."""
         if not state.is_cold(self._clock()):
             return True
--- a/redwingspring/waitpolicy.py
+++ b/redwingspring/waitpolicy.py
@@ -1,10 +1,11 @@
-"""Decisions on waiting for a place and on turning away; no input or output.
-
-Load pattern: a burst asks for more than all targets can run for some seconds.
-A request that is sent to a full target slows down those that run there, and one
-that is late already takes a place from one that is not. So a request waits here,
-asks again every few milliseconds, goes only where it is answered in time, and is
-rejected as soon as that can no longer be expected, with a time to come back.
+"""Policy on waiting for a target and on rejecting; no input or output.
+
+Load pattern: a burst demands more than all targets can run for some seconds. A
+request that is sent to a full target slows down the requests in progress there, and
+one that is late already occupies a slot that another could use in time. So a request
+waits at this host and probes again every few milliseconds. It is sent only to a
+target that can answer in time, and is rejected with a retry time as soon as that can
+no longer be expected.
 """
 
 import random
@@ -12,59 +13,61 @@
 
 from .placement import count_full_speed_slots, is_nearly_full, predict_slowdown
 
-# Predicted factors that are accepted until a share of the target latency has
-# passed. Later every place that is in time is accepted.
-ACCEPTED_FACTORS = ((0.06, 1.6), (0.16, 2.7))
-# A late request takes only places that nobody else would miss.
-LATE_FACTOR = 1.6
-# Slots that lower what a target gets done are used after this share of the target
-# latency.
-LAST_SLOTS_SHARE = 0.45
-# Part of the time that is left within which the work is expected to end.
+# Highest predicted slowdowns that are accepted until a share of the target latency
+# has passed. After that every target that answers in time is accepted.
+MAX_SLOWDOWNS = ((0.06, 1.6), (0.16, 2.7))
+# Highest predicted slowdown that is accepted for a late request, so that it uses only
+# slots that no request in time needs.
+MAX_LATE_SLOWDOWN = 1.6
+# Slots whose use lowers the throughput of a target are used after this share of the
+# target latency.
+LAST_SLOTS_WAIT_SHARE = 0.45
+# Part of the remaining time within which the work is expected to end.
 WORK_MARGIN = 1.0
-# What the last slots must add to a target's throughput, as they also delay the
-# requests that run there.
-LEAST_GAIN = 1.1
-# Pause between two looks at the load of targets.
-LOOK_AGAIN_S = 0.012
-# Shares of the target latency after which a request without a place is rejected:
-# if others wait, and in any case.
+# Least gain in a target's throughput for which its last slots are used, because
+# they also delay the requests in progress there.
+MIN_THROUGHPUT_GAIN = 1.1
+# Pause between two probes for the same request.
+PROBE_INTERVAL_S = 0.012
+# Shares of the target latency after which a request without a target is rejected:
+# if it is late and others are ahead of it, and in any case.
 MIN_REJECT_SHARE = 0.35
 MAX_REJECT_SHARE = 1.0
-# Share of the target latency after which a request looks in all data centres.
-SPREAD_SHARE = 0.1
-LONG_SPREAD_SHARE = 0.6
+# Share of the target latency after which a request may use all data centres.
+CROSS_DATA_CENTRE_SHARE = 0.1
+LONG_CROSS_DATA_CENTRE_SHARE = 0.6
 LONG_RESPONSE_BYTES = 20_000
-# Share of the target latency after which ejected targets are asked too.
-EJECTED_SHARE = 0.12
-# Share of the caller's remaining time that may pass before it comes back.
-MAX_RETURN_SHARE = 0.3
-MIN_RETURN_S = 0.05
-# Times after which a caller comes back while targets have room. Some callers take
-# a time of 0 for none.
-QUICK_RETURN_S = (0.001, 0.01)
+# Share of the target latency after which ejected targets may be used too.
+EJECTED_WAIT_SHARE = 0.12
+# Share of the caller's remaining time that the retry time may take up, and the least
+# value of this limit.
+MAX_RETRY_AFTER_SHARE = 0.3
+MIN_RETRY_AFTER_LIMIT_S = 0.05
+# Range of retry times while targets have free slots. It excludes 0, which some
+# callers treat as no retry time.
+QUICK_RETRY_AFTER_S = (0.001, 0.01)
 
 
 @dataclass(frozen=True)
 class RequestTiming:
-    """A request that waits for a place.
+    """Times of a request that waits for a target.
 
     Attributes
     ----------
     waited_s : float
-        Seconds since it arrived.
-    left_s : float
-        Seconds that the caller has left.
+        Seconds since the request arrived.
+    remaining_s : float
+        Seconds until the deadline of the caller.
     target_latency_s : float
-        Seconds within which a response has its full use.
+        Seconds within which the response should arrive.
     work_s : float, default=0.0
-        Expected seconds of work at an idle target.
+        Expected processing time in seconds at an idle target.
     prior_wait_s : float, default=0.0
         Seconds that the caller had waited before this request arrived.
     """
 
     waited_s: float
-    left_s: float
+    remaining_s: float
     target_latency_s: float
     work_s: float = 0.0
     prior_wait_s: float = 0.0
@@ -76,164 +79,165 @@
 
     @property
     def is_late(self):
-        """Tell whether even an idle target would answer too late."""
+        """Tell whether even an idle target would exceed the target latency."""
         return self.work_s > self.target_latency_left_s
 
     @property
-    def share(self):
-        """Return the share of the target latency that has passed."""
+    def waited_share(self):
+        """Return the wait as a share of the target latency."""
         return self.waited_s / self.target_latency_s
 
 
-def accepts_target(sample, wait, last_slots_factor):
-    """Tell whether a request goes to a target now.
+def accepts_target(sample, timing, nearly_full_slowdown):
+    """Tell whether a request is sent to a target now.
 
     Parameters
     ----------
     sample : LoadSample
         Fresh load of the target.
-    wait : RequestTiming
-        The request.
-    last_slots_factor : float
+    timing : RequestTiming
+        Times of the request.
+    nearly_full_slowdown : float
         Slowdown of the service's targets when they are nearly full.
 
     Returns
     -------
     bool
-        False when it waits for another place.
+        False if the request waits for another target.
     """
     if not sample.healthy or sample.waiting:
         return False
-    factor = predict_slowdown(sample, last_slots_factor)
-    if wait.is_late:
-        return factor <= LATE_FACTOR
-    if factor * wait.work_s > wait.target_latency_left_s * WORK_MARGIN:
+    slowdown = predict_slowdown(sample, nearly_full_slowdown)
+    if timing.is_late:
+        return slowdown <= MAX_LATE_SLOWDOWN
+    if slowdown * timing.work_s > timing.target_latency_left_s * WORK_MARGIN:
         return False
-    if is_nearly_full(sample) and not adds_throughput(sample, last_slots_factor):
-        return wait.share >= LAST_SLOTS_SHARE
+    if is_nearly_full(sample) and not adds_throughput(sample, nearly_full_slowdown):
+        return timing.waited_share >= LAST_SLOTS_WAIT_SHARE
     return all(
-        wait.share >= limit or factor <= accepted
-        for limit, accepted in ACCEPTED_FACTORS
+        timing.waited_share >= until_share or slowdown <= accepted
+        for until_share, accepted in MAX_SLOWDOWNS
     )
 
 
-def adds_throughput(sample, last_slots_factor):
-    """Tell whether a target gets more done with all its slots in use.
+def adds_throughput(sample, nearly_full_slowdown):
+    """Tell whether a target has a higher throughput with all its slots in use.
 
-    Load pattern: in a burst each place is wanted, but a target whose requests all
-    slow down with the last slot answers fewer in a second than without it.
+    Load pattern: in a burst each slot is wanted, but a target whose requests all
+    slow down with the last slot answers fewer requests a second than without it.
 
     Parameters
     ----------
     sample : LoadSample
         Load of the target.
-    last_slots_factor : float
+    nearly_full_slowdown : float
         Slowdown of the service's targets when they are nearly full.
 
     Returns
     -------
     bool
-        True when its last slots are worth using.
+        True if the last slots of the target increase its throughput enough.
     """
-    usual = count_full_speed_slots(sample.slots)
-    return sample.slots / last_slots_factor > LEAST_GAIN * usual
+    full_speed_slots = count_full_speed_slots(sample.slots)
+    return sample.slots / nearly_full_slowdown > MIN_THROUGHPUT_GAIN * full_speed_slots
 
 
-def may_cross_data_centres(wait, response_bytes):
-    """Tell whether a request looks for a place in other data centres too.
+def may_cross_data_centres(timing, response_bytes):
+    """Tell whether a request may be sent to targets in other data centres.
 
-    Load pattern: the own data centre has no good place for a moment. Bytes
-    between data centres cost more than a short wait, those of a long response
-    much more.
+    Load pattern: no good target is free in the local data centre for a moment.
+    Traffic between data centres costs more than a short wait, that of a long
+    response much more.
 
     Parameters
     ----------
-    wait : RequestTiming
-        The request.
+    timing : RequestTiming
+        Times of the request.
     response_bytes : float
         Expected size of the response.
 
     Returns
     -------
     bool
-        False while only the own data centre is asked first.
+        False while targets in the local data centre are preferred.
     """
     long = response_bytes >= LONG_RESPONSE_BYTES
-    share = LONG_SPREAD_SHARE if long else SPREAD_SHARE
-    return wait.share > share
+    share = LONG_CROSS_DATA_CENTRE_SHARE if long else CROSS_DATA_CENTRE_SHARE
+    return timing.waited_share > share
 
 
-def may_use_ejected(wait):
-    """Tell whether a request takes ejected targets into account.
+def may_use_ejected(timing):
+    """Tell whether a request may be sent to ejected targets.
 
     Load pattern: most targets refuse or fail a part of their requests. The few
-    that are not ejected cannot bear all of the load, while most requests still
+    that are not ejected cannot carry the whole load, while most requests still
     succeed at the others.
 
     Parameters
     ----------
-    wait : RequestTiming
-        The request.
+    timing : RequestTiming
+        Times of the request.
 
     Returns
     -------
     bool
-        True once it has waited for a sound target.
+        True once the request has waited long enough for a target that is not
+        ejected.
     """
-    return wait.share > EJECTED_SHARE
+    return timing.waited_share > EJECTED_WAIT_SHARE
 
 
-def should_reject(wait, ahead, placements_per_s):
-    """Tell whether a request without a place is rejected now.
+def should_reject(timing, ahead, placements_per_s):
+    """Tell whether a request without a target is rejected now.
 
     Parameters
     ----------
-    wait : RequestTiming
-        The request.
+    timing : RequestTiming
+        Times of the request.
     ahead : int
-        Requests that stand before it in the line.
+        Requests ahead of it in the queue.
     placements_per_s : float
-        Rate at which the line's requests found places lately; 0 if unknown.
+        Recent rate at which requests of the queue were placed; 0 if unknown.
 
     Returns
     -------
     bool
-        True when it can no longer be answered in time, or soon cannot.
+        True if the request is not expected to be answered in time.
     """
-    if wait.left_s <= 0 or wait.share >= MAX_REJECT_SHARE:
+    if timing.remaining_s <= 0 or timing.waited_share >= MAX_REJECT_SHARE:
         return True
-    if ahead and wait.is_late and wait.share >= MIN_REJECT_SHARE:
+    if ahead and timing.is_late and timing.waited_share >= MIN_REJECT_SHARE:
         return True
     if not ahead or not placements_per_s:
         return False
-    usable_s = wait.left_s if wait.is_late else wait.target_latency_left_s
-    return ahead / placements_per_s + wait.work_s > usable_s
+    usable_s = timing.remaining_s if timing.is_late else timing.target_latency_left_s
+    return ahead / placements_per_s + timing.work_s > usable_s
 
 
-def choose_retry_after(wait, waiting, rng=random):
-    """Return after how many seconds a rejected caller should come back.
+def choose_retry_after(timing, waiting, rng=random):
+    """Return after how many seconds a rejected caller should retry.
 
-    Load pattern: in a burst all places are taken for seconds, and callers that come
-    back early are rejected again. Where single targets refuse a part of their
-    requests, others have room, and each moment of waiting makes the caller late.
-    The time is spread, so that the callers rejected in one moment do not all
-    return in another.
+    Load pattern: in a burst all slots are in use for seconds, and callers that retry
+    early are rejected again. Where single targets refuse a part of their requests,
+    others have free slots, and a longer wait only makes the caller late. The time is
+    randomised, so that callers rejected at the same time do not retry at the same
+    time.
 
     Parameters
     ----------
-    wait : RequestTiming
-        The rejected request.
+    timing : RequestTiming
+        Times of the rejected request.
     waiting : int
-        Requests of the service that wait for a place at this host.
+        Requests of the service that wait for a target at this host.
     rng : random.Random, default=random
-        Source of the spread.
+        Source of randomness.
 
     Returns
     -------
     float
-        Seconds, with fractions.
+        Seconds, rounded to milliseconds.
     """
-    if not waiting and not wait.is_late:
-        return round(rng.uniform(*QUICK_RETURN_S), 3)
-    most = max(MIN_RETURN_S, wait.left_s * MAX_RETURN_SHARE)
-    return round(rng.uniform(0.4, 1.0) * most, 3)
+    if not waiting and not timing.is_late:
+        return round(rng.uniform(*QUICK_RETRY_AFTER_S), 3)
+    limit_s = max(MIN_RETRY_AFTER_LIMIT_S, timing.remaining_s * MAX_RETRY_AFTER_SHARE)
+    return round(rng.uniform(0.4, 1.0) * limit_s, 3)
--- a/redwingspring/waitqueues.py
+++ b/redwingspring/waitqueues.py
@@ -1,10 +1,10 @@
-"""Lines of requests that wait for a place, one for each service.
+"""Queues of requests that wait for a target, one for each service.
 
-Load pattern: in a burst many requests of one host wait at once. If each of them
-asked targets for their load, probes would grow with the square of the overload,
-and whoever asks at the right moment would win. Only the first in line asks.
-Requests that can be answered in time stand first, among them the most urgent, among
-equals the oldest.
+Load pattern: in a burst many requests of one host wait concurrently. If each of them
+probed targets, probes would grow with the square of the overload, and the order of
+service would depend on the moment of the probe. So only the head of the queue probes.
+Requests that can still be answered in time come first; among these the order is by
+priority, then by age.
 """
 
 import threading
@@ -13,55 +13,55 @@
 
 from .clock import read_clock
 
-# Span over which the rate of found places is taken, and its most samples. In less
-# than the least span a single place says little.
-RATE_S = 0.4
-LEAST_RATE_S = 0.03
-RATE_SAMPLES = 256
+# Window over which the placement rate is measured, and its most samples. In a window
+# shorter than the minimum a single placement would distort the rate.
+RATE_WINDOW_S = 0.4
+MIN_RATE_WINDOW_S = 0.03
+MAX_RATE_SAMPLES = 256
 
 
 @dataclass(frozen=True)
 class QueueEntry:
-    """Place of one request in a line.
+    """Position of one request in a queue.
 
     Attributes
     ----------
     priority : int
-        Rank of the request; 0 is the highest.
-    received : float
-        When it arrived.
+        Priority of the request; 0 is the highest.
+    received_at : float
+        When the request arrived.
     number : int
-        Tells equal ones apart.
+        Sequence number, which breaks ties.
     late_at : float
-        When it can no longer be answered in time.
-    first : threading.Event
-        Set while it is the first in line.
+        When the request can no longer be answered in time.
+    at_head : threading.Event
+        Set while the request is at the head of the queue.
     """
 
     priority: int
-    received: float
+    received_at: float
     number: int
     late_at: float = float("inf")
-    first: threading.Event = field(default_factory=threading.Event, compare=False)
+    at_head: threading.Event = field(default_factory=threading.Event, compare=False)
 
-    def rank(self, now):
-        """Return the sort key of the place; the smallest comes first.
+    def sort_key(self, now):
+        """Return the sort key of the entry; the smallest is the head of the queue.
 
         Parameters
         ----------
         now : float
-            Present time.
+            Current time.
 
         Returns
         -------
         tuple
-            Late requests come after all others.
+            Late requests sort after all others.
         """
-        return (now >= self.late_at, self.priority, self.received, self.number)
+        return (now >= self.late_at, self.priority, self.received_at, self.number)
 
 
 class WaitQueue:
-    """Requests of one service that wait for a place.
+    """Requests of one service that wait for a target.
 
     Parameters
     ----------
@@ -72,129 +72,130 @@
     def __init__(self, clock=read_clock):
         self._clock = clock
         self._lock = threading.Lock()
-        self._tickets = []
-        self._number = 0
-        self._placed = deque(maxlen=RATE_SAMPLES)
-        self._formed_at = clock()
-        self._load_told = threading.Event()
+        self._entries = []
+        self._last_number = 0
+        self._placed_at = deque(maxlen=MAX_RATE_SAMPLES)
+        self._nonempty_since = clock()
+        self._load_reported = threading.Event()
 
     def __len__(self):
-        return len(self._tickets)
+        return len(self._entries)
 
     @property
     def placements_per_s(self):
-        """Return the rate at which requests found places lately, 0 if unknown.
+        """Return the recent rate of placed requests, 0 if unknown.
 
-        Load pattern: at the start of a burst the line has just formed. The time
-        before, in which nobody waited, says nothing of how fast it moves.
+        Load pattern: at the start of a burst the queue has just become non-empty.
+        The time before that, in which no request waited, is left out of the rate,
+        because it would make the queue look slow.
         """
         with self._lock:
             now = self._clock()
-            since = max(self._formed_at, now - RATE_S)
-            recent = [moment for moment in self._placed if moment >= since]
-            return len(recent) / max(LEAST_RATE_S, now - since)
+            since = max(self._nonempty_since, now - RATE_WINDOW_S)
+            recent = [moment for moment in self._placed_at if moment >= since]
+            return len(recent) / max(MIN_RATE_WINDOW_S, now - since)
 
-    def count_ahead(self, ticket):
-        """Return how many requests stand before one.
+    def count_ahead(self, entry):
+        """Return how many requests are ahead of one in the queue.
 
         Parameters
         ----------
-        ticket : QueueEntry
-            Its place.
+        entry : QueueEntry
+            Entry of the request.
 
         Returns
         -------
         int
-            0 for the first in line.
+            0 for the head of the queue.
         """
         with self._lock:
             now = self._clock()
-            own = ticket.rank(now)
-            return sum(other.rank(now) < own for other in self._tickets)
+            own = entry.sort_key(now)
+            return sum(other.sort_key(now) < own for other in self._entries)
 
-    def enter(self, priority, received, late_at=float("inf")):
-        """Join the line.
+    def enter(self, priority, received_at, late_at=float("inf")):
+        """Add a request to the queue.
 
         Parameters
         ----------
         priority : int
-            Rank of the request; 0 is the highest.
-        received : float
-            When it arrived.
+            Priority of the request; 0 is the highest.
+        received_at : float
+            When the request arrived.
         late_at : float, default=inf
-            When it can no longer be answered in time.
+            When the request can no longer be answered in time.
 
         Returns
         -------
         QueueEntry
-            To be given to ``leave``.
+            To be passed to ``leave``.
         """
         with self._lock:
-            if not self._tickets:
-                self._formed_at = self._clock()
-            self._number += 1
-            ticket = QueueEntry(priority, received, self._number, late_at)
-            self._tickets.append(ticket)
-            self._mark_first()
-            return ticket
+            if not self._entries:
+                self._nonempty_since = self._clock()
+            self._last_number += 1
+            entry = QueueEntry(priority, received_at, self._last_number, late_at)
+            self._entries.append(entry)
+            self._signal_head()
+            return entry
 
-    def leave(self, ticket, placed=False):
-        """Leave the line.
+    def leave(self, entry, placed=False):
+        """Remove a request from the queue.
 
         Parameters
         ----------
-        ticket : QueueEntry
+        entry : QueueEntry
             What ``enter`` returned.
         placed : bool, default=False
-            Whether the request has found a place.
+            Whether a target was found for the request.
         """
         with self._lock:
-            self._tickets.remove(ticket)
+            self._entries.remove(entry)
             if placed:
-                self._placed.append(self._clock())
-            self._mark_first()
+                self._placed_at.append(self._clock())
+            self._signal_head()
 
     def notify_load(self):
-        """Let the first in line look at a load that a target has just told."""
-        self._load_told.set()
+        """Wake the head of the queue after a target has reported its load."""
+        self._load_reported.set()
 
     def wait_for_load(self, timeout_s):
-        """Wait until a target tells its load.
+        """Wait until a target reports its load.
 
         Parameters
         ----------
         timeout_s : float
-            Longest wait in seconds.
+            Maximum wait in seconds.
 
         Returns
         -------
         bool
-            False when none did.
+            False if the wait timed out.
         """
-        told = self._load_told.wait(timeout_s)
-        self._load_told.clear()
-        return told
+        reported = self._load_reported.wait(timeout_s)
+        self._load_reported.clear()
+        return reported
 
-    def _mark_first(self):
-        """Let the first in line go on, and nobody else; the lock is held."""
+    def _signal_head(self):
+        """Set the event of the head and clear all others; the lock is held."""
         now = self._clock()
-        first = min(self._tickets, key=lambda t: t.rank(now), default=None)
-        for ticket in self._tickets:
-            if ticket is first:
-                ticket.first.set()
+        head = min(self._entries, key=lambda e: e.sort_key(now), default=None)
+        for entry in self._entries:
+            if entry is head:
+                entry.at_head.set()
             else:
-                ticket.first.clear()
+                entry.at_head.clear()
 
 
 class WaitQueues:
-    """The lines of all services, made on first use."""
+    """The wait queues of all services, created on first use."""
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._lines = {}
+        self._queues = {}
 
     def find(self, service):
-        """Return the line of a service.
+        """Return the queue of a service.
 
         Parameters
         ----------
@@ -204,10 +205,10 @@
         Returns
         -------
         WaitQueue
-            The same line for the same service.
+            Always the same queue for the same service.
         """
-        line = self._lines.get(service)
-        if line is None:
+        queue = self._queues.get(service)
+        if queue is None:
             with self._lock:
-                line = self._lines.setdefault(service, WaitQueue())
-        return line
+                queue = self._queues.setdefault(service, WaitQueue())
+        return queue
