--- a/tests/test_waitqueues.py
+++ b/tests/test_waitqueues.py
@@ -1,4 +1,4 @@
-"""Lines of waiting requests against the load patterns that they answer."""
+"""Wait queues under the load patterns they are made for."""
 
 import random
 import threading
@@ -16,142 +16,146 @@
 from .base import RedwingspringTestCase
 
 
-class WaitingLineTest(RedwingspringTestCase):
-    def test_the_most_urgent_goes_first_then_the_oldest(self):
-        line = WaitQueue()
-        tickets = {
-            name: line.enter(priority, received)
-            for name, priority, received in (
+class WaitQueueTest(RedwingspringTestCase):
+    def test_requests_leave_by_priority_then_by_age(self):
+        queue = WaitQueue()
+        entries = {
+            name: queue.enter(priority, received_at)
+            for name, priority, received_at in (
                 ("new", 2, 3.0),
                 ("old", 2, 1.0),
                 ("urgent", 1, 4.0),
             )
         }
         order = []
-        while tickets:
-            [name] = [n for n, ticket in tickets.items() if ticket.first.is_set()]
-            line.leave(tickets.pop(name))
+        while entries:
+            [name] = [n for n, entry in entries.items() if entry.at_head.is_set()]
+            queue.leave(entries.pop(name))
             order.append(name)
         self.assertEqual(["urgent", "old", "new"], order)
 
-    def test_an_urgent_request_that_comes_later_takes_the_lead(self):
-        line = WaitQueue()
-        first = line.enter(2, 1.0)
-        line.enter(1, 2.0)
-        self.assertFalse(first.first.is_set())
+    def test_a_later_request_of_higher_priority_becomes_the_head(self):
+        queue = WaitQueue()
+        earlier = queue.enter(2, 1.0)
+        queue.enter(1, 2.0)
+        self.assertFalse(earlier.at_head.is_set())
 
-    def test_a_request_that_is_late_lets_those_in_time_go_first(self):
+    def test_a_late_request_comes_after_those_in_time(self):
         now = [10.0]
-        line = WaitQueue(lambda: now[0])
-        urgent = line.enter(1, 1.0, late_at=10.5)
-        self.assertTrue(urgent.first.is_set())
+        queue = WaitQueue(lambda: now[0])
+        urgent = queue.enter(1, 1.0, late_at=10.5)
+        self.assertTrue(urgent.at_head.is_set())
         now[0] = 11.0
-        other = line.enter(2, 2.0, late_at=12.0)
-        self.assertTrue(other.first.is_set())
-        self.assertEqual((1, 0), (line.count_ahead(urgent), line.count_ahead(other)))
-
-    def test_a_line_that_has_just_formed_is_not_taken_for_a_slow_one(self):
-        """A place found long ago would look like 2.5 a second in an empty line."""
+        other = queue.enter(2, 2.0, late_at=12.0)
+        self.assertTrue(other.at_head.is_set())
+        self.assertEqual((1, 0), (queue.count_ahead(urgent), queue.count_ahead(other)))
+
+    def test_the_rate_ignores_the_time_while_the_queue_was_empty(self):
+        """Else one old placement would look like a rate of 2.5 a second, and a new
+        burst would be rejected.
+        """
         now = [10.0]
-        line = WaitQueue(lambda: now[0])
-        line.leave(line.enter(1, 10.0), placed=True)
+        queue = WaitQueue(lambda: now[0])
+        queue.leave(queue.enter(1, 10.0), placed=True)
         now[0] = 10.35
         for _ in range(3):
-            line.enter(1, now[0])
-        self.assertEqual(0, line.placements_per_s)
+            queue.enter(1, now[0])
+        self.assertEqual(0, queue.placements_per_s)
         now[0] = 10.37
-        line.leave(line.enter(0, now[0]), placed=True)
-        wait = RequestTiming(0.02, 1.5, 0.3, 0.09)
-        self.assertFalse(should_reject(wait, 2, line.placements_per_s))
+        queue.leave(queue.enter(0, now[0]), placed=True)
+        timing = RequestTiming(0.02, 1.5, 0.3, 0.09)
+        self.assertFalse(should_reject(timing, 2, queue.placements_per_s))
 
-    def test_the_rate_of_a_line_that_lasts_is_taken_over_a_while(self):
+    def test_the_rate_of_a_lasting_queue_is_measured_over_a_window(self):
         now = [10.0]
-        line = WaitQueue(lambda: now[0])
-        line.enter(1, 10.0)
+        queue = WaitQueue(lambda: now[0])
+        queue.enter(1, 10.0)
         for _ in range(100):
             now[0] += 0.01
-            line.leave(line.enter(0, now[0]), placed=True)
-        self.assertTrue(95 < line.placements_per_s < 105, line.placements_per_s)
+            queue.leave(queue.enter(0, now[0]), placed=True)
+        self.assertTrue(95 < queue.placements_per_s < 105, queue.placements_per_s)
         now[0] += 0.3
-        self.assertTrue(20 < line.placements_per_s < 30, line.placements_per_s)
-
-    def test_a_told_load_wakes_the_first_in_line_once(self):
-        line = WaitQueue()
-        line.notify_load()
-        self.assertTrue(line.wait_for_load(1.0))
-        self.assertFalse(line.wait_for_load(0.001))
-
-    def test_nobody_is_left_behind_when_many_come_and_go(self):
-        line = WaitQueue()
-        served = []
-
-        def wait(priority):
-            ticket = line.enter(priority, 0.0)
-            if ticket.first.wait(10):
-                served.append(priority)
-            line.leave(ticket)
-
-        threads = [threading.Thread(target=wait, args=(n % 3,)) for n in range(60)]
+        self.assertTrue(20 < queue.placements_per_s < 30, queue.placements_per_s)
+
+    def test_a_reported_load_wakes_the_head_of_the_queue_once(self):
+        queue = WaitQueue()
+        queue.notify_load()
+        self.assertTrue(queue.wait_for_load(1.0))
+        self.assertFalse(queue.wait_for_load(0.001))
+
+    def test_every_request_becomes_the_head_under_concurrent_use(self):
+        queue = WaitQueue()
+        reached_head = []
+
+        def wait_in_queue(priority):
+            entry = queue.enter(priority, 0.0)
+            if entry.at_head.wait(10):
+                reached_head.append(priority)
+            queue.leave(entry)
+
+        threads = [
+            threading.Thread(target=wait_in_queue, args=(n % 3,)) for n in range(60)
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        self.assertEqual((60, 0), (len(served), len(line)))
+        self.assertEqual((60, 0), (len(reached_head), len(queue)))
 
 
-class BurstReplayTest(RedwingspringTestCase):
-    """Many requests wait at once while targets are full."""
+class BurstSimulationTest(RedwingspringTestCase):
+    """Many requests wait concurrently while targets are full."""
 
-    def play(self, in_line):
-        """Return how many probes some seconds of a burst take."""
-        source = random.Random(4)
+    def simulate(self, queued):
+        """Return the number of probes in some seconds of a burst."""
+        rng = random.Random(4)
         waiting, probes = 0, 0
         for _ in range(250):
-            # More arrive than places get free.
-            waiting = min(40, waiting + source.randrange(3))
-            asking = min(waiting, 1) if in_line else waiting
-            probes += 3 * asking
-            samples = [LoadSample(source.choice((2, 3, 3)), 0, 3) for _ in range(3)]
-            free = samples[choose_best(samples, source)].running < 3
+            # More requests arrive than slots become free.
+            waiting = min(40, waiting + rng.randrange(3))
+            probing = min(waiting, 1) if queued else waiting
+            probes += 3 * probing
+            samples = [LoadSample(rng.choice((2, 3, 3)), 0, 3) for _ in range(3)]
+            free = samples[choose_best(samples, rng)].running < 3
             waiting -= free and waiting > 0
         return probes
 
     def test_probes_do_not_grow_with_the_number_of_waiting_requests(self):
-        self.assertTrue(self.play(in_line=True) < self.play(in_line=False) / 3)
+        self.assertTrue(self.simulate(queued=True) < self.simulate(queued=False) / 3)
 
 
-class ReturningCallersReplayTest(RedwingspringTestCase):
-    """Rejected callers come back with little time during a burst."""
+class RetryingCallersSimulationTest(RedwingspringTestCase):
+    """Rejected callers retry with little remaining time during a burst."""
 
-    def play(self, knows_late):
-        """Return how many requests of a burst find a place in time."""
+    def simulate(self, knows_late):
+        """Return how many requests of a burst are placed in time."""
         now = [0.0]
-        line = WaitQueue(lambda: now[0])
-        source = random.Random(8)
-        tickets, in_time = {}, 0
+        queue = WaitQueue(lambda: now[0])
+        rng = random.Random(8)
+        late_at_by_entry, in_time = {}, 0
         for step in range(1500):
             now[0] = step * 0.01
-            if source.random() < 0.9:
-                returns = source.random() < 0.5
-                late_at = now[0] + (-0.05 if returns else 0.15)
+            if rng.random() < 0.9:
+                is_retry = rng.random() < 0.5
+                late_at = now[0] + (-0.05 if is_retry else 0.15)
                 known = late_at if knows_late else float("inf")
-                tickets[line.enter(2, now[0], known)] = late_at
-            # Only half of those that arrive find a place.
-            if step % 2 and tickets:
-                [first] = [t for t in tickets if t.first.is_set()]
-                in_time += tickets.pop(first) >= now[0]
-                line.leave(first, placed=True)
-            for ticket in [t for t in tickets if now[0] - t.received > 0.3]:
-                del tickets[ticket]
-                line.leave(ticket)
+                late_at_by_entry[queue.enter(2, now[0], known)] = late_at
+            # A request is placed in every second step, about half of the arrivals.
+            if step % 2 and late_at_by_entry:
+                [head] = [e for e in late_at_by_entry if e.at_head.is_set()]
+                in_time += late_at_by_entry.pop(head) >= now[0]
+                queue.leave(head, placed=True)
+            for entry in [e for e in late_at_by_entry if now[0] - e.received_at > 0.3]:
+                del late_at_by_entry[entry]
+                queue.leave(entry)
         return in_time
 
-    def test_more_is_in_time_when_late_requests_stand_behind(self):
-        self.assertTrue(self.play(True) > 1.5 * self.play(False))
+    def test_more_requests_are_in_time_if_late_ones_come_last(self):
+        self.assertTrue(self.simulate(True) > 1.5 * self.simulate(False))
 
 
 class ProbeShareTest(RedwingspringTestCase):
-    def test_the_sum_over_hosts_stays_within_the_rate(self):
+    def test_the_probes_of_all_hosts_stay_within_the_rate(self):
         now = [100.0]
         hosts = HostCount(lambda: now[0])
         hosts.note(18)
@@ -163,16 +167,16 @@
         self.assertTrue(sent <= 60 * 34 * 32, sent)
         self.assertTrue(sent >= 0.5 * 60 * 34 * 32, sent)
 
-    def test_a_burst_may_use_what_calm_seconds_left(self):
+    def test_a_burst_may_use_probes_saved_under_low_load(self):
         hosts = HostCount(lambda: 100.0)
         hosts.note(18)
         share = ProbeShare(60.0, hosts, lambda: 100.0)
         self.assertTrue(sum(share.take("desk", 34, 2) for _ in range(600)) > 650)
 
 
-class SpreadTest(RedwingspringTestCase):
-    def test_a_long_response_stays_in_its_data_centre_for_longer(self):
-        wait = RequestTiming(0.05, 1.0, 0.3)
-        self.assertTrue(may_cross_data_centres(wait, 1500))
-        self.assertFalse(may_cross_data_centres(wait, 90_000))
+class CrossDataCentreTest(RedwingspringTestCase):
+    def test_a_request_with_a_long_response_stays_local_for_longer(self):
+        timing = RequestTiming(0.05, 1.0, 0.3)
+        self.assertTrue(may_cross_data_centres(timing, 1500))
+        self.assertFalse(may_cross_data_centres(timing, 90_000))
         self.assertTrue(may_cross_data_centres(RequestTiming(0.25, 1.0, 0.3), 90_000))
