--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -12,10 +12,10 @@
 from .waitpolicy import RequestTiming, choose_retry_after
 from .waitqueues import WaitQueues
 
-# Weights below 1 of failures in the ejection of an instance. A refusal may come from a
-# race for the last slot, and a missing answer from a short slow period.
+# Failures that count less than 1 towards the ejection of an instance: a refusal may
+# come from a race for the last slot, a missing answer from a short slow period.
 _FAILURE_WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
-# Reasons for which a request fails while it waits in the queue.
+# Reasons with which a request is rejected because no target was found in time.
 _QUEUE_REASONS = frozenset((Reason.NO_CAPACITY, Reason.DEADLINE))
 # Reasons that do not count as failures of the target.
 _NEUTRAL_REASONS = frozenset(
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -37,7 +37,7 @@
 
 
 class TargetSearch:
-    """Searches a target for one call, and waits in the queue for it.
+    """Searches for a target for one call, and waits in the queue until there is one.
 
     Parameters
     ----------
--- a/redwingspring/waitqueues.py
+++ b/redwingspring/waitqueues.py
@@ -1,8 +1,8 @@
 """Queues of requests that wait for a target, one for each service.
 
 Load pattern: in a burst many requests of one host wait concurrently. If each of them
-probed targets, probes would grow with the square of the overload, and the order of
-service would depend on the moment of the probe. So only the head of the queue probes.
+probed targets, probes would grow with the square of the overload, and whichever
+probed at the right moment would be served first. So only the head of the queue probes.
 Requests that can still be answered in time come first; among these the order is by
 priority, then by age.
 """
--- a/tests/test_waitqueues.py
+++ b/tests/test_waitqueues.py
@@ -51,9 +51,7 @@
         self.assertEqual((1, 0), (queue.count_ahead(urgent), queue.count_ahead(other)))
 
     def test_the_rate_ignores_the_time_while_the_queue_was_empty(self):
-        """Else one old placement would look like a rate of 2.5 a second, and a new
-        burst would be rejected.
-        """
+        """Else one old placement would look like a rate of 2.5 requests a second."""
         now = [10.0]
         queue = WaitQueue(lambda: now[0])
         queue.leave(queue.enter(1, 10.0), placed=True)
