--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -2,9 +2,9 @@
 
 from expression import Error
 
-from .placement import Outcome, is_nearly_full, predict_factor
-from .placesearch import PlaceSearch
+from .placement import AnsweredRequest, is_nearly_full, predict_slowdown
 from .polling import poll_exchanges
+from .targetsearch import TargetSearch
 from .upstream import Attempt
 from .verdict import Reason, doubt, refuse
 
@@ -16,7 +16,7 @@
 # Fraction of the retry budget that hedges may use; the rest is kept for retries.
 HEDGE_BUDGET_FRACTION = 0.85
 # An error response of a target is replaced by another attempt only while this
-# fraction of the target latency is left_s.
+# fraction of the target latency is left.
 MIN_REPLACEMENT_FRACTION = 0.4
 # A cancelled attempt that took longer than this multiple of the expected time
 # counts as a failure of its target.
@@ -44,7 +44,7 @@
         self._call = call
         self._clock = dispatcher.clock
         self._metrics = dispatcher.metrics
-        self._search = PlaceSearch(dispatcher, call)
+        self._search = TargetSearch(dispatcher, call)
         self._sends = 0
         self._reported_failure = None
 
@@ -113,8 +113,8 @@
         sample = exchange.sample
         if sample is None:
             return
-        work_s = self._dispatcher.history.expect_work(self._call.route)
-        expected_s = work_s * predict_factor(sample)
+        work_s = self._dispatcher.statistics.estimate_work_s(self._call.route)
+        expected_s = work_s * predict_slowdown(sample)
         if self._clock() - exchange.sent_at > UNRESPONSIVE_FACTOR * expected_s:
             unresponsive = doubt(Reason.NO_ANSWER, "no response for long")
             self._dispatcher.record_failure(exchange.state, unresponsive)
@@ -123,7 +123,7 @@
         """Send the call to an instance; return a Failure if that fails."""
         attempt = self._build_attempt(exchange)
         state = exchange.state
-        self._search.tried.add(state.instance.id)
+        self._search.tried_ids.add(state.instance.id)
         state.begin()
         failure = exchange.send(attempt)
         if exchange.connection.started:
@@ -140,7 +140,7 @@
     def _await_response(self, pending):
         """Return the first successful response, or the failure of the last attempt."""
         call = self._call
-        hedge_at = call.received + HEDGE_DELAY_FRACTION * call.route.target_latency_s
+        hedge_at = call.received_at + HEDGE_DELAY_FRACTION * call.route.target_latency_s
         outcome = None
         while pending:
             now = self._clock()
@@ -149,7 +149,9 @@
             may_hedge = self._may_hedge(pending)
             until = min(call.deadline, hedge_at) if may_hedge else call.deadline
             exchanges = [exchange for exchange, _ in pending]
-            ready, caller_closed = poll_exchanges(exchanges, until - now, call.socket)
+            ready, caller_closed = poll_exchanges(
+                exchanges, until - now, call.caller_socket
+            )
             for exchange, attempt in [r for r in pending if r[0] in ready]:
                 outcome = self._receive_response(exchange, attempt, pending)
                 if outcome.is_ok():
@@ -168,7 +170,7 @@
         outcome = exchange.receive_response(attempt)
         state = exchange.state
         state.end()
-        self._dispatcher.lines.find(self._call.service.name).note_load()
+        self._dispatcher.wait_queues.find(self._call.service.name).notify_load()
         if outcome.is_error():
             self._dispatcher.record_failure(state, outcome.error)
             return outcome
@@ -187,8 +189,8 @@
         """Record the duration and load of the request for later placements."""
         call = self._call
         seconds = self._clock() - exchange.sent_at
-        self._dispatcher.history.record(
-            Outcome(
+        self._dispatcher.statistics.record(
+            AnsweredRequest(
                 call.route,
                 call.service.name,
                 exchange.sample,
@@ -218,15 +220,15 @@
             and len(pending) == 1
             and self._sends < call.route.attempts
             # A hedge would take a slot that queued requests wait for.
-            and not self._dispatcher.lines.find(call.service.name)
+            and not self._dispatcher.wait_queues.find(call.service.name)
         )
 
     def _hedge(self, pending):
         """Send the call to a second instance if a fast one and the budget allow it."""
         call = self._call
-        wait = self._dispatcher.describe_wait(call)
+        wait = self._dispatcher.build_timing(call)
         states = self._dispatcher.find_instances(call)
-        exchange = self._search.look(states, wait, _accepts_hedge)
+        exchange = self._search.search_once(states, wait, _accepts_hedge)
         if exchange is None:
             return
         if not self._dispatcher.retries.take(call.service.name, HEDGE_BUDGET_FRACTION):
@@ -258,7 +260,7 @@
             attempt_id=call.request_id,
             deadline=call.deadline,
             guard=lambda: self._check_send(exchange, now),
-            caller_socket=call.socket,
+            caller_socket=call.caller_socket,
             idempotent=call.route.idempotent,
         )
 
@@ -285,7 +287,7 @@
             waiting=sample.waiting if sample else None,
             slowness=sample.slowness if sample else None,
             load_age_ms=_to_ms(self._clock() - sample.time) if sample else None,
-            waited_ms=_to_ms(self._clock() - self._call.received),
+            waited_ms=_to_ms(self._clock() - self._call.received_at),
             attempt=self._sends,
             reason=str(failure.reason) if failure else None,
         )
@@ -297,7 +299,7 @@
         sample.healthy
         and not sample.waiting
         and not is_nearly_full(sample)
-        and predict_factor(sample) <= MAX_HEDGE_FACTOR
+        and predict_slowdown(sample) <= MAX_HEDGE_FACTOR
     )
 
 
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -214,7 +214,7 @@
         if metadata.load is not None and metadata.request_id == attempt.attempt_id:
             self.end_sample = metadata.load
             # The load that a target reports includes the request that it answers.
-            load = metadata.load if metadata.not_run else metadata.load.end_one()
+            load = metadata.load if metadata.not_run else metadata.load.finish_request()
             self.state.record_response_load(replace(load, time=self._clock()))
         failure = self._check_response(response, metadata, attempt)
         if failure is None:
