--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -133,7 +133,7 @@
         """
         # An instance that hangs reports that it is idle, and its count does not
         # include requests that have not reached it yet.
-        self.sample = sample.count_at_least(self.unanswered)
+        self.sample = sample.ensure_at_least(self.unanswered)
         self.probed_at = sample.time
         if sample.cold_s > 0:
             self.cold_until = max(self.cold_until, sample.time + sample.cold_s)
@@ -154,7 +154,7 @@
         cold_s = max(0.0, self.cold_until - sample.time)
         healthy = self.sample is None or self.sample.healthy
         sample = replace(sample, cold_s=cold_s, healthy=healthy)
-        self.sample = sample.count_at_least(self.unanswered)
+        self.sample = sample.ensure_at_least(self.unanswered)
 
     def has_recent_load(self, now):
         """Tell whether the last reported load is recent enough to use.
@@ -179,7 +179,7 @@
             self.in_flight += 1
             if self.sample is not None:
                 # Otherwise the next request would be placed in the same free slot.
-                self.sample = self.sample.begin_one()
+                self.sample = self.sample.add_request()
 
     def count_unanswered(self, change):
         """Adjust the number of requests whose response has not begun.
