Rename shared functions of the target connection and its fuzz

Several names were figurative (blame, clear framing) or did not say what the function does (abort_socket only sets SO_LINGER; the reset is sent by the next close). Only identifiers change:

abort_socket -> enable_reset_on_close explain_fault -> classify_error ended_cleanly -> connection_is_reusable finish_for -> release_connection has_clear_framing -> has_unambiguous_framing set_stall -> set_stall_timeout method_of_request -> request_method upstream._blame -> upstream._build_failure upstream._wait_response -> upstream._wait_for_response VerdictFuzz.find_faults -> VerdictFuzz.find_violations

--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -27,7 +27,7 @@
     from redwingspring import upstream
     from redwingspring.verdict import refuse
 
-    upstream._blame = lambda connection, reason, detail: refuse(reason, detail)
+    upstream._build_failure = lambda connection, reason, detail: refuse(reason, detail)
 
 
 @mutations.register("once")
--- a/harness/timedentry.py
+++ b/harness/timedentry.py
@@ -26,7 +26,7 @@
     "pool": (upstream.TargetPool, "take"),
     "request": (upstream, "send_request"),
     "guard": (dispatch.Dispatcher, "_check_send"),
-    "wait": (upstream, "_wait_response"),
+    "wait": (upstream, "_wait_for_response"),
     "head": (upstream.TargetConnection, "getresponse"),
     "record": (dispatch.Dispatcher, "_record_head"),
     "start-response": (forwarder.Forwarder, "_start"),
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -15,8 +15,8 @@
 from .instancepool import DEFAULT_KEEP_ALIVE_S
 from .loadsamples import LoadSample
 from .targetconnection import ResponseBroken, SendRefused, StrictResponse
-from .targetresponse import TargetResponse, has_clear_framing
-from .upstream import Attempt, explain_fault, send_request
+from .targetresponse import TargetResponse, has_unambiguous_framing
+from .upstream import Attempt, classify_error, send_request
 from .verdict import Reason, doubt, refuse
 
 # Timeout for sending a probe, and again for reading its response once that begins.
@@ -186,7 +186,7 @@
         try:
             send_request(self.connection, attempt)
         except _TRANSPORT_ERRORS as error:
-            self._fail(explain_fault(self.connection, error))
+            self._fail(classify_error(self.connection, error))
             return self.failure
         self.stage = Stage.SENT
         self.sent_at = self._clock()
@@ -208,7 +208,7 @@
         try:
             response, metadata = self._read_own_response(attempt)
         except _TRANSPORT_ERRORS as error:
-            self._fail(explain_fault(self.connection, error))
+            self._fail(classify_error(self.connection, error))
             return Error(self.failure)
         self._mark_answered()
         if metadata.load is not None and metadata.request_id == attempt.attempt_id:
@@ -326,7 +326,7 @@
         """Return the response that follows a stale one."""
         while stale.read():
             pass
-        if not stale.ended_cleanly:
+        if not stale.connection_is_reusable:
             raise ResponseBroken("bytes of another request on the connection")
         return self._read_response(is_first=False)
 
@@ -356,7 +356,7 @@
             return doubt(Reason.CROSSED, "a success without a signature")
         if response.headers.get("content-encoding") is not None:
             return doubt(Reason.CROSSED, "the body is not as the target made it")
-        if not has_clear_framing(response, attempt.method):
+        if not has_unambiguous_framing(response, attempt.method):
             return doubt(Reason.TRUNCATED, "the response has no single framing")
         return None
 
@@ -376,7 +376,7 @@
                 size += len(chunk)
                 if size >= BUFFERED_BODY_BYTES:
                     stream = response
-                    stream.set_stall(STREAM_STALL_TIMEOUT_S)
+                    stream.set_stall_timeout(STREAM_STALL_TIMEOUT_S)
                     break
             if stream is None and not bodiless and response.length not in (None, size):
                 raise ResponseBroken(f"{size} of {response.length} bytes arrived")
@@ -411,7 +411,7 @@
         except ResponseBroken:
             response.abort()
             return True
-        return not response.finish_for(self.stage is Stage.PROBING)
+        return not response.release_connection(self.stage is Stage.PROBING)
 
     def _record_keep_alive(self, response):
         match = _KEEP_ALIVE.search(response.headers.get("keep-alive", ""))
@@ -425,7 +425,7 @@
 
 def _begin_next_response(connection):
     """Return the next response on a connection before its body is read."""
-    method = connection.response.method_of_request
+    method = connection.response.request_method
     raw = StrictResponse(connection.sock, connection.deadline, method, connection.clock)
     raw.begin()
     connection.response = raw
--- a/redwingspring/server.py
+++ b/redwingspring/server.py
@@ -12,7 +12,7 @@
 from cheroot.server import HTTPConnection
 
 from .parsing import EntryRequest, render_refusal
-from .targetconnection import abort_socket
+from .targetconnection import enable_reset_on_close
 from .verdict import Reason, Verdict
 
 logger = logging.getLogger(__name__)
@@ -135,7 +135,7 @@
         """Close so that the caller can still read the last response."""
         try:
             if self.aborted:
-                abort_socket(self.socket)
+                enable_reset_on_close(self.socket)
             else:
                 self._linger()
         except OSError:
--- a/redwingspring/targetconnection.py
+++ b/redwingspring/targetconnection.py
@@ -108,7 +108,7 @@
 
     def __init__(self, sock, deadline, method, clock=time.time):
         super().__init__(sock, method=method)
-        self.method_of_request = method
+        self.request_method = method
         self.reader = _BoundedReader(self.fp.detach(), sock, deadline, clock)
         self.fp = io.BufferedReader(self.reader)
         self.surplus = False
@@ -364,7 +364,7 @@
     return bool(poller.poll(0))
 
 
-def abort_socket(sock):
+def enable_reset_on_close(sock):
     """Make the next close send a reset instead of an orderly end.
 
     Parameters
--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -38,9 +38,9 @@
         # The connection forgets its socket when the response ends it, so the
         # time is set on the reader.
         self._parsed = connection.response
-        self.set_stall(stall_timeout)
+        self.set_stall_timeout(stall_timeout)
 
-    def set_stall(self, seconds):
+    def set_stall_timeout(self, seconds):
         """Set how long the body may pause.
 
         Parameters
@@ -70,7 +70,7 @@
             raise ResponseBroken(f"response body broke off: {error}") from error
 
     @property
-    def ended_cleanly(self):
+    def connection_is_reusable(self):
         """Tell, after the whole body was read, whether the connection is usable."""
         # This also looks for bytes that follow the response.
         self._response.close()
@@ -83,9 +83,9 @@
 
     def finish(self):
         """Return the connection for reuse after the whole body was read."""
-        self.finish_for(False)
+        self.release_connection(False)
 
-    def finish_for(self, keep):
+    def release_connection(self, keep):
         """End the response after the whole body was read.
 
         Parameters
@@ -101,7 +101,7 @@
         if self.closed:
             return False
         self.closed = True
-        if not self.ended_cleanly or not self._connection.is_connected:
+        if not self.connection_is_reusable or not self._connection.is_connected:
             self._connection.close()
             return False
         if not keep:
@@ -161,7 +161,7 @@
 
 def _check_framing(response, attempt):
     """Return a failure if the end of the body could not be verified."""
-    if not has_clear_framing(response, attempt.method):
+    if not has_unambiguous_framing(response, attempt.method):
         # Another reader could see another end of the body.
         return doubt(Reason.TRUNCATED, "the response has no single valid framing")
     if attempt.method == "HEAD" or response.status in (204, 304):
@@ -173,7 +173,7 @@
     return None
 
 
-def has_clear_framing(response, method):
+def has_unambiguous_framing(response, method):
     """Tell whether every reader sees the same end of a response's body.
 
     Parameters
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -245,13 +245,13 @@
     """Send the request and read the response's head on one connection."""
     try:
         send_request(connection, attempt)
-        _wait_response(connection, attempt)
+        _wait_for_response(connection, attempt)
         return Ok(connection.getresponse())
     except (OSError, HTTPException, HTTPError, ValueError, SendRefused) as error:
-        return Error(explain_fault(connection, error))
+        return Error(classify_error(connection, error))
 
 
-def explain_fault(connection, error):
+def classify_error(connection, error):
     """Return the failure that an error on a connection to a target means.
 
     Parameters
@@ -269,20 +269,22 @@
     if isinstance(error, SendRefused):
         return error.failure
     if isinstance(error, CallerGone):
-        return _blame(connection, error.reason, str(error), error.status)
+        return _build_failure(connection, error.reason, str(error), error.status)
     if isinstance(error, TimeoutError):
-        failure = _blame(connection, Reason.DEADLINE, "no response before the deadline")
+        failure = _build_failure(
+            connection, Reason.DEADLINE, "no response before the deadline"
+        )
         if not failure.proves_not_run:
             failure = doubt(Reason.DEADLINE, failure.detail, 504)
         return failure
     if isinstance(error, InvalidHeader):
-        return _blame(connection, Reason.TRUNCATED, str(error))
+        return _build_failure(connection, Reason.TRUNCATED, str(error))
     detail = f"{type(error).__name__}: {error}"
     reason = Reason.RESET if connection.started else Reason.CONNECT
-    return _blame(connection, reason, detail)
+    return _build_failure(connection, reason, detail)
 
 
-def _blame(connection, reason, detail, status=503):
+def _build_failure(connection, reason, detail, status=503):
     """Return a failure whose verdict follows from what was sent."""
     if connection.started:
         return doubt(reason, detail)
@@ -323,7 +325,7 @@
         connection.unfinished = True
 
 
-def _wait_response(connection, attempt):
+def _wait_for_response(connection, attempt):
     """Wait until the target responds, the caller hangs up or time is over."""
     poller = select.poll()
     target_fd = connection.sock.fileno()
--- a/scripts/fuzz_verdict.py
+++ b/scripts/fuzz_verdict.py
@@ -17,7 +17,7 @@
     options = parser.parse_args()
     started = time.monotonic()
     fuzz = VerdictFuzz(options.seed, options.cases, options.lanes).run()
-    faults = fuzz.find_faults()
+    faults = fuzz.find_violations()
     seconds = time.monotonic() - started
     print(f"seed {options.seed}, {options.cases} cases, {seconds:.1f} s")
     print(fuzz.summarise())
--- a/tests/datapath.py
+++ b/tests/datapath.py
@@ -22,7 +22,7 @@
 from redwingspring.settings import Settings
 from redwingspring.standinbehaviour import TargetBehaviour
 from redwingspring.standintarget import TargetStandIn
-from redwingspring.targetconnection import abort_socket
+from redwingspring.targetconnection import enable_reset_on_close
 from redwingspring.targets import TargetDirectory
 from redwingspring.upstream import PoolDirectory
 
@@ -125,7 +125,7 @@
     def strike(self):
         if self.cut.kind == "rst":
             for sock in self.routes:
-                abort_socket(sock)
+                enable_reset_on_close(sock)
         self.dropping = self.cut.kind == "drop"
         return not self.dropping
 
--- a/tests/fuzzverdict.py
+++ b/tests/fuzzverdict.py
@@ -9,7 +9,7 @@
 
 from redwingspring.requestlog import RequestState
 from redwingspring.standinbehaviour import TargetBehaviour, slice_content
-from redwingspring.targetconnection import abort_socket
+from redwingspring.targetconnection import enable_reset_on_close
 
 from .datapath import Cut, CutProxy, DataPath, read_response, start_target
 
@@ -255,7 +255,7 @@
             except OSError:
                 pass
             if case.hang_up == "sent":
-                abort_socket(sock)
+                enable_reset_on_close(sock)
             elif case.hang_up == "half":
                 sock.shutdown(socket.SHUT_WR)
             elif case.hang_up == "response":
@@ -273,7 +273,7 @@
             for run in list(target.record.runs)
         )
 
-    def find_faults(self):
+    def find_violations(self):
         """Return a line for each case that broke a promise."""
         runs = self.count_runs()
         faults = []
--- a/tests/test_fuzz_verdict.py
+++ b/tests/test_fuzz_verdict.py
@@ -36,19 +36,19 @@
         The kinds of faults are those that the mechanism guards against, so
         that every seed has enough of them.
         """
-        faults = self.run_fuzz(MUTATION_CASES, kinds or FAULTS).find_faults()
+        faults = self.run_fuzz(MUTATION_CASES, kinds or FAULTS).find_violations()
         found = [fault for fault in faults if fault.startswith(message)]
         self.assertTrue(found, f"seed {SEED}: nothing starts with {message!r}")
 
     def test_no_promise_is_broken_at_any_point_of_failure(self):
         fuzz = self.run_fuzz(CASES)
         print(f"seed {SEED}, {CASES} cases: {fuzz.summarise()}")
-        self.assertEqual([], fuzz.find_faults(), f"seed {SEED}")
+        self.assertEqual([], fuzz.find_violations(), f"seed {SEED}")
 
     def test_seeds_that_failed_once_pass(self):
         for seed, cases in FAILED_SEEDS:
             fuzz = self.run_fuzz(cases, seed=seed)
-            self.assertEqual([], fuzz.find_faults(), f"seed {seed}")
+            self.assertEqual([], fuzz.find_violations(), f"seed {seed}")
 
     def test_a_connection_that_forgets_what_it_sent_is_found(self):
         forgetful = property(lambda self: False, lambda self, value: None)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from redwingspring.targetconnection import TargetConnection, abort_socket
+from redwingspring.targetconnection import TargetConnection, enable_reset_on_close
 from redwingspring.upstream import TargetPool
 
 from .base import RedwingspringTestCase
@@ -245,7 +245,7 @@
         def close_then_check(connection):
             # The first look, in the pool, is just before the target closes.
             if closing:
-                abort_socket(closing[0])
+                enable_reset_on_close(closing[0])
                 closing.pop().shutdown(socket.SHUT_RDWR)
                 return True
             time.sleep(0.02)
