Reword dispatch.py in terms of the field

Comments and docstrings say what the code does and why; vague names of constants, locals and private methods are replaced: Dispatcher.record_broken -> record_broken_response, Relay.good -> Relay.is_success. Names, docstrings and comments only.

--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -1,4 +1,4 @@
-"""Attempts to have a call answered: choose a target, send, try again."""
+"""Dispatch of calls: choose a target, send the request, retry on failure."""
 
 import random
 import time
@@ -12,11 +12,12 @@
 from .upstream import Attempt, CallerGone, send_attempt
 from .verdict import Reason, doubt, refuse
 
-# A decision rests on state of that moment; after a pause of the process it
-# is made again.
+# A target choice is based on state that changes quickly. After a pause of the
+# process between choice and send, a new choice is made.
 MAX_DECISION_AGE_S = 0.25
-LEASE_RETRY_S = 0.01
-_FINAL_REASONS = frozenset(
+LEASE_RETRY_INTERVAL_S = 0.01
+# Failures that another attempt would not resolve.
+_NON_RETRYABLE_REASONS = frozenset(
     (
         Reason.CALLER_GONE,
         Reason.MALFORMED,
@@ -25,8 +26,8 @@
         Reason.TOO_LARGE,
     )
 )
-# Failures to choose a target.
-_CHOICE_REASONS = frozenset((Reason.NO_CAPACITY, Reason.NO_LEASE))
+# Failures that occur before any target was chosen.
+_NO_TARGET_REASONS = frozenset((Reason.NO_CAPACITY, Reason.NO_LEASE))
 
 
 @dataclass(frozen=True)
@@ -38,7 +39,7 @@
     state : TargetState
         The target.
     lease : Lease or None
-        Held for a target in cold start.
+        The lease that permits the request; only targets in cold start need one.
     time : float
         Monotonic time of the decision in seconds.
     """
@@ -50,31 +51,31 @@
 
 @dataclass(frozen=True)
 class Relay:
-    """A response that began, and what it holds until its end.
+    """A response being relayed and the resources that it holds until its end.
 
     Attributes
     ----------
     state : TargetState
-        Its target.
+        The target that responds.
     lease : Lease or None
-        The lease it was sent under.
+        The lease under which the request was sent.
     response : TargetResponse
-        The response.
+        The response, whose head has arrived.
     target_time : float
         Seconds from the start of the attempt to the head of the response.
-    good : bool
-        Whether the status is none that counts as a failure.
+    is_success : bool
+        False if the status counts as a failure of the target.
     """
 
     state: object
     lease: object
     response: object
     target_time: float
-    good: bool
+    is_success: bool
 
 
 class Dispatcher:
-    """Finds a target for a call and sends it there.
+    """Chooses targets for calls, sends the requests and retries them.
 
     Parameters
     ----------
@@ -87,15 +88,15 @@
     leases : LeaseClient
         Source of cold-start leases.
     membership : Membership
-        Tells whether this host may serve.
+        Reports whether this host may serve.
     metrics : Metrics
         Counters.
     policies : Registry
-        Target choice policies by name.
+        Load-balancing policies by name.
     outcomes : OutcomeRecorder
-        Takes what attempts tell about targets.
+        Records the outcomes of attempts for each target.
     data_centre : str
-        Where this host is.
+        Data centre of this host.
     """
 
     def __init__(
@@ -123,7 +124,7 @@
         self._hedger = Hedger(self.attempt, lambda relay: self.end_relay(relay, False))
 
     def admit(self, call):
-        """Wait for a place for a call.
+        """Buffer the request body and wait for an admission slot.
 
         Parameters
         ----------
@@ -133,12 +134,13 @@
         Returns
         -------
         expression.Result
-            Ok with the ServiceAdmission entered, or an Error with a Failure.
+            Ok with the ServiceAdmission that granted the slot, or an Error with
+            a Failure.
         """
         refusal = self.membership.check_serving()
         if refusal is not None:
             return Error(refusal)
-        limit = self._service_value("request.replay_body", call.service)
+        limit = self._read_service_value("request.replay_body", call.service)
         try:
             call.body.buffer(limit)
         except CallerGone as error:
@@ -151,26 +153,27 @@
         return admission.acquire_slot(call.deadline).map(lambda _: admission)
 
     def send(self, call, admission):
-        """Make attempts until a response begins or none is allowed.
+        """Make attempts until a response begins or no retry is allowed.
 
         Parameters
         ----------
         call : Call
             An admitted call.
         admission : ServiceAdmission
-            The admission it entered.
+            The admission that granted the call its slot.
 
         Returns
         -------
         expression.Result
-            Ok with a Relay, or an Error with the Failure that counts: one
-            without proof goes before one that proves that nothing ran.
+            Ok with a Relay, or an Error with the Failure to report. A failure
+            after which the request may have run takes precedence over one that
+            proves that it did not run.
         """
         admission.record_first_attempt()
-        most = self._service_value("retry.attempts", call.service)
+        attempt_limit = self._read_service_value("retry.attempts", call.service)
         tried = set()
-        worst = None
-        for number in range(most):
+        reported_failure = None
+        for number in range(attempt_limit):
             outcome = self._hedger.attempt(call, admission, tried, number)
             if outcome.is_ok():
                 admission.record_answered()
@@ -178,37 +181,40 @@
             failure = outcome.error
             if failure.reason is Reason.TARGET_REFUSED:
                 admission.record_refused()
-            # That no other target is left says less than why one failed.
-            none_left = failure.reason in _CHOICE_REASONS
-            if worst is None or (worst.proves_not_run and not none_left):
-                worst = failure
-            last = number + 1 == most
+            # The failure of an attempt is more informative than the lack of
+            # further targets, so the latter does not replace it.
+            no_target_found = failure.reason in _NO_TARGET_REASONS
+            if reported_failure is None or (
+                reported_failure.proves_not_run and not no_target_found
+            ):
+                reported_failure = failure
+            last = number + 1 == attempt_limit
             if last or not self._may_repeat(call, admission, failure):
                 break
-        return Error(worst)
+        return Error(reported_failure)
 
     def attempt(self, call, tried, number, cancellation=None, hedge=False):
-        """Choose a target and send a call to it once.
+        """Choose a target and send the request to it once.
 
         Parameters
         ----------
         call : Call
             The call.
         tried : set of TargetState
-            Targets to leave out; the chosen one is added.
+            Targets to exclude; the chosen target is added.
         number : int
-            Attempts already made by this host.
+            Number of attempts that this host has already made.
         cancellation : Cancellation or None, default=None
-            Lets another thread end the attempt.
+            Lets another thread cancel the attempt.
         hedge : bool, default=False
-            Whether another attempt is in progress.
+            Whether this is a hedge, sent while another attempt is in progress.
 
         Returns
         -------
         expression.Result
             Ok with a Relay, or an Error with a Failure.
         """
-        choose = self._choose_idle if hedge else self._choose_in_time
+        choose = self._choose_idle if hedge else self._choose_or_wait_for_lease
         chosen = choose(call, tried)
         if chosen.is_error():
             return chosen
@@ -236,24 +242,24 @@
         if outcome.is_error():
             return outcome
         target_time = time.monotonic() - started
-        good = self.outcomes.record_response_head(state, outcome.ok)
-        return Ok(Relay(state, decision.lease, outcome.ok, target_time, good))
+        is_success = self.outcomes.record_response_head(state, outcome.ok)
+        return Ok(Relay(state, decision.lease, outcome.ok, target_time, is_success))
 
     def end_relay(self, relay, whole):
-        """Free what a response held.
+        """Release the resources that a response held.
 
         Parameters
         ----------
         relay : Relay
             The response.
         whole : bool
-            Whether its body was read to the end.
+            Whether its body was read completely.
         """
         if whole:
             relay.response.finish()
-            # The head alone is no success: a target whose bodies break off
-            # would never be ejected.
-            if relay.good:
+            # A success is recorded only after the body. If the head counted, a
+            # target whose bodies break off would never be ejected.
+            if relay.is_success:
                 relay.state.record_success(relay.target_time)
         else:
             relay.response.abort()
@@ -261,8 +267,8 @@
         if relay.lease is not None:
             self.leases.release_if_finished(relay.lease, finished=whole, whole=whole)
 
-    def record_broken(self, relay):
-        """Count a response that broke off against its target.
+    def record_broken_response(self, relay):
+        """Count a truncated response as a failure of its target.
 
         Parameters
         ----------
@@ -270,21 +276,22 @@
             The response.
         """
         self.metrics.increment(f"attempts.failed.{Reason.TRUNCATED}")
-        # A target cuts a response at the end of its lease, as asked for.
+        # Under a lease, the target truncates the response at the deadline in
+        # Response-Deadline, as requested. This is not a failure.
         if relay.lease is None:
             self.outcomes.count_failure(relay.state)
 
-    def _service_value(self, key, service):
+    def _read_service_value(self, key, service):
         return self.directory.table.configuration.service_value(key, service)
 
     def _may_repeat(self, call, admission, failure):
         """Tell whether another attempt is allowed after a failure."""
-        if failure.reason in _FINAL_REASONS:
+        if failure.reason in _NON_RETRYABLE_REASONS:
             return False
         if not failure.proves_not_run and not call.idempotent:
             return False
-        # A retry at each of many levels would multiply, so only the first
-        # level retries.
+        # Retries at each level of a call chain would multiply, so only the
+        # first level retries.
         if call.depth > 0 or not call.body.repeatable:
             return False
         if time.time() >= call.deadline:
@@ -307,29 +314,30 @@
             return Error(refuse(Reason.NO_LEASE, "all targets left are in cold start"))
         return Error(refuse(Reason.NO_CAPACITY, "no target can take the request"))
 
-    def _choose_in_time(self, call, tried):
-        """Choose, and wait for a lease as long as a request may be queued."""
-        end = time.monotonic() + self._service_value("queue.wait", call.service)
+    def _choose_or_wait_for_lease(self, call, tried):
+        """Return a decision; wait for a lease for up to ``queue.wait`` seconds."""
+        end = time.monotonic() + self._read_service_value("queue.wait", call.service)
         while True:
             chosen = self._choose(call, tried)
             if chosen.is_ok() or chosen.error.reason is not Reason.NO_LEASE:
                 return chosen
             if time.monotonic() >= end or time.time() >= call.deadline:
                 return chosen
-            time.sleep(LEASE_RETRY_S)
+            time.sleep(LEASE_RETRY_INTERVAL_S)
 
     def _choose_idle(self, call, tried):
-        """Return a decision for a warm target that should have a free slot."""
+        """Return a decision for a warm target with an estimated free slot."""
         now = time.monotonic()
         _, warm = self._find_candidates(call, tried, now)
-        # A hedge that has to wait would only add load where it hurts.
+        # A hedge is sent only to a target with a free slot. Elsewhere it would
+        # queue and add load to targets that are already busy.
         idle = [s for s in warm if s.estimate_load(now) + 1.0 <= s.limits.slots]
         if not idle:
             return Error(refuse(Reason.NO_CAPACITY, "no target is idle"))
         return Ok(Decision(self._apply_policy(call, idle, now), None, now))
 
     def _find_candidates(self, call, tried, now):
-        """Return the cold targets and the warm ones with a free slot."""
+        """Return the cold targets that accept work and the warm, ready ones."""
         cold, warm = [], []
         states = self.directory.table.services.get(call.service, ())
         if states and (ejected := states[0].outlier_detector.review(now)):
@@ -345,22 +353,26 @@
         return cold, warm
 
     def _apply_policy(self, call, candidates, now):
-        """Return the target that the policy chooses, within the return ramps."""
-        policy = self.policies.find(self._service_value("balance.policy", call.service))
+        """Return the target that the policy chooses, subject to return ramps."""
+        policy = self.policies.find(
+            self._read_service_value("balance.policy", call.service)
+        )
         context = PolicyContext(self.data_centre, now)
         chosen = policy(candidates, context)
-        # The ramp counts what the policy would send. As a target that returned is
-        # idle, a ramp on the candidates alone would let it have far more.
+        # The ramp limits the share of the requests that the policy assigns to a
+        # returned target. Thinning out the candidates instead would let through
+        # far more, since a returned target is idle and the policy prefers it.
         if chosen.returned_at is None or random.random() < chosen.compute_return_share(
             now
         ):
             return chosen
         others = [state for state in candidates if state.returned_at is None]
-        # A return ramp protects the target less than a refusal hurts callers.
+        # With no other candidate, the ramp is ignored: refusing the call would
+        # do more harm than loading the returned target early.
         return policy(others, context) if others else chosen
 
     def _choose_cold(self, call, cold, has_warm):
-        """Return a decision for a leased target in cold start, or None."""
+        """Lease a slot of a target in cold start; return None if none is granted."""
         for state in self.leases.select(cold, has_warm):
             lease = self.leases.acquire(state, call.deadline, has_warm)
             if lease is not None:
@@ -368,7 +380,7 @@
         return None
 
     def _build_attempt(self, call, decision, number):
-        """Return the attempt with its headers and its guard."""
+        """Return the attempt for a decision, with its headers and its guard."""
         attempt_id = uuid.uuid4().hex
         headers = dict(call.headers)
         headers["Request-Id"] = call.request_id
@@ -395,7 +407,7 @@
         )
 
     def _check_send(self, decision, deadline):
-        """Return why the first byte must not be sent, or None."""
+        """Return the failure that forbids sending the first byte, or None."""
         refusal = self.membership.check_serving()
         if refusal is not None:
             return refusal
@@ -403,7 +415,8 @@
             return refuse(Reason.STALE_DECISION, "the target stopped taking work")
         if decision.lease is None and decision.state.is_cold:
             return refuse(Reason.STALE_DECISION, "the target turned cold")
-        # The clocks are read last, so that a pause before this point counts.
+        # The clocks are read last so that any pause before this point counts
+        # towards the age of the decision.
         if time.monotonic() - decision.time > MAX_DECISION_AGE_S:
             return refuse(Reason.STALE_DECISION, "the decision was too old to act on")
         if time.time() >= deadline:
@@ -411,15 +424,16 @@
         return None
 
     def _record_cancelled(self, decision, seconds):
-        """Note an attempt that this host ended because another was answered."""
+        """Record an attempt cancelled because another attempt was answered."""
         self.metrics.increment("attempts.cancelled")
         decision.state.record_cancelled(seconds)
         if decision.lease is not None:
-            # The target may still work on it, so the lease has to expire.
+            # The target may still be processing the request, so the lease is
+            # kept until it expires.
             self.leases.release_if_finished(decision.lease, finished=False)
 
     def _record_failure(self, decision, failure):
-        """Count a failed attempt against its target."""
+        """Record a failed attempt and release its lease if nothing ran."""
         self.metrics.increment(f"attempts.failed.{failure.reason}")
         if decision.lease is not None:
             self.leases.release_if_finished(
--- a/redwingspring/relay.py
+++ b/redwingspring/relay.py
@@ -106,7 +106,7 @@
                 if not data and self._length not in (None, self._got):
                     raise ResponseBroken(f"{self._got} of {self._length} bytes arrived")
             except ResponseBroken:
-                self._dispatcher.record_broken(self._relay)
+                self._dispatcher.record_broken_response(self._relay)
                 if not self._resume():
                     raise
                 continue
