Reword upstream.py and relay.py in terms of the field

Docstrings and comments name the mechanism (connection pool, resumption, progress) and its reason. Locals, private attributes and constants with vague names are renamed; RESUME_POLL_S becomes RESUME_RETRY_INTERVAL_S. The exception classes keep their names, since classify_error() writes type(error).__name__ into the detail that callers receive.

--- a/redwingspring/relay.py
+++ b/redwingspring/relay.py
@@ -1,4 +1,4 @@
-"""Response bodies on their way to callers, resumed when a target fails."""
+"""Relaying of response bodies to callers, with downloads resumed after a failure."""
 
 import time
 from dataclasses import replace
@@ -7,16 +7,16 @@
 from .verdict import Reason, Verdict, doubt
 
 # Statuses whose responses have no body.
-_NO_BODY = (204, 304)
-# Reasons for which the same request may succeed a little later.
-_WAIT_REASONS = frozenset(
+_BODYLESS_STATUSES = (204, 304)
+# Reasons for which the same request may succeed after a short wait.
+_TRANSIENT_REASONS = frozenset(
     (Reason.NO_CAPACITY, Reason.NO_LEASE, Reason.STALE_DECISION, Reason.TARGET_REFUSED)
 )
-RESUME_POLL_S = 0.05
+RESUME_RETRY_INTERVAL_S = 0.05
 
 
 class RelayBody:
-    """Iterable over a response body that ends only when the body is whole.
+    """Iterable over a response body that ends normally only if it is complete.
 
     Parameters
     ----------
@@ -25,11 +25,12 @@
     call : Call
         The caller's request.
     relay : Relay
-        The response that began.
+        The response, whose head has arrived.
     on_end : callable
-        Called once with the verdict.
+        Called once at the end, with the verdict.
     on_broken : callable
-        Called when the caller must see an error.
+        Called when the connection to the caller must end with an error, because
+        the body is incomplete.
     """
 
     def __init__(self, dispatcher, call, relay, on_end, on_broken):
@@ -39,38 +40,42 @@
         self._on_end = on_end
         self._on_broken = on_broken
         self._tried = {relay.state}
-        self._got = 0
-        self._resumed_at = 0
-        self._fruitless = 0
-        self._resume_until = 0.0
-        self._first = None
+        self._received_bytes = 0
+        self._resume_offset = 0
+        self._resumes_without_progress = 0
+        self._resume_deadline = 0.0
+        self._first_chunk = None
         self._ended = False
-        first = relay.response
-        self._status = first.status
-        self._length = first.length
-        self._etag = first.headers.get("etag", "")
-        self._empty = call.method == "HEAD" or first.status in _NO_BODY
+        first_response = relay.response
+        self._status = first_response.status
+        self._length = first_response.length
+        self._etag = first_response.headers.get("etag", "")
+        self._is_bodyless = (
+            call.method == "HEAD" or first_response.status in _BODYLESS_STATUSES
+        )
 
     def start(self):
-        """Read the first part, so that an early failure still has a response.
+        """Read the first chunk before the response to the caller is started.
+
+        A failure here can still be reported with an error response.
 
         Returns
         -------
         Failure or None
-            Why there is nothing to relay; the relay has then ended.
+            Why the body cannot be relayed; the relay has then ended.
         """
         try:
-            self._first = b"" if self._empty else self._read()
-        except ResponseBroken as broken:
+            self._first_chunk = b"" if self._is_bodyless else self._read()
+        except ResponseBroken as error:
             self._end(Verdict.MAY_HAVE_RUN)
-            return doubt(Reason.TRUNCATED, str(broken))
+            return doubt(Reason.TRUNCATED, str(error))
         return None
 
     def __iter__(self):
         return self
 
     def __next__(self):
-        data, self._first = self._first, None
+        data, self._first_chunk = self._first_chunk, None
         try:
             if data is None:
                 data = self._read()
@@ -84,10 +89,10 @@
         raise StopIteration
 
     def close(self):
-        """End the relay; a body that is not whole cancels the target's work."""
+        """End the relay; if the body is incomplete, cancel the target's work."""
         if not self._ended:
-            # The caller stalled or hung up. An orderly end would look like the
-            # end of the body to a caller that has no length.
+            # The caller stalled or hung up. Without a declared length, the caller
+            # would take a normal close for the end of the body.
             self._on_broken()
         self._end(Verdict.MAY_HAVE_RUN)
 
@@ -99,18 +104,20 @@
         self._on_end(verdict)
 
     def _read(self):
-        """Return the next part; continue from another target if one fails."""
+        """Return the next chunk; resume from another target if one fails."""
         while True:
             try:
                 data = self._relay.response.read()
-                if not data and self._length not in (None, self._got):
-                    raise ResponseBroken(f"{self._got} of {self._length} bytes arrived")
+                if not data and self._length not in (None, self._received_bytes):
+                    raise ResponseBroken(
+                        f"{self._received_bytes} of {self._length} bytes arrived"
+                    )
             except ResponseBroken:
                 self._dispatcher.record_broken_response(self._relay)
                 if not self._resume():
                     raise
                 continue
-            self._got += len(data)
+            self._received_bytes += len(data)
             return data
 
     @property
@@ -126,31 +133,36 @@
         )
 
     def _resume(self):
-        """Ask another target for the rest; return False if that fails."""
+        """Request the rest from another target; return False if that fails."""
         if not self._resumable:
             return False
         headers = dict(self._call.headers)
-        headers["Range"] = f"bytes={self._got}-"
+        headers["Range"] = f"bytes={self._received_bytes}-"
         headers["If-Range"] = self._etag
         configuration = self._dispatcher.directory.table.configuration
         wait = configuration.service_value("request.deadline", self._call.service)
-        most = configuration.service_value("retry.attempts", self._call.service)
-        if self._got > self._resumed_at or not self._fruitless:
-            # A target that failed earlier may have recovered; only without
-            # progress are the targets tried once each.
+        attempt_limit = configuration.service_value(
+            "retry.attempts", self._call.service
+        )
+        if (
+            self._received_bytes > self._resume_offset
+            or not self._resumes_without_progress
+        ):
+            # After progress, targets that failed earlier may be tried again, as
+            # they may have recovered. Without progress, each is tried only once.
             self._tried = {self._relay.state}
-            self._fruitless = 0
-            self._resume_until = time.time() + wait
-        elif self._fruitless >= most:
+            self._resumes_without_progress = 0
+            self._resume_deadline = time.time() + wait
+        elif self._resumes_without_progress >= attempt_limit:
             return False
-        self._fruitless += 1
-        self._resumed_at = self._got
-        call = replace(self._call, headers=headers, deadline=self._resume_until)
+        self._resumes_without_progress += 1
+        self._resume_offset = self._received_bytes
+        call = replace(self._call, headers=headers, deadline=self._resume_deadline)
         sent = 0
-        while sent < most and time.time() < call.deadline:
+        while sent < attempt_limit and time.time() < call.deadline:
             outcome = self._dispatcher.attempt(call, self._tried, sent + 1)
             if outcome.is_ok():
-                if self._continues(outcome.ok.response):
+                if self._is_continuation(outcome.ok.response):
                     self._dispatcher.end_relay(self._relay, False)
                     self._relay = outcome.ok
                     self._dispatcher.metrics.increment("downloads.resumed")
@@ -159,21 +171,21 @@
                 sent += 1
             elif outcome.error.reason is Reason.CALLER_GONE:
                 return False
-            elif outcome.error.reason in _WAIT_REASONS:
-                # All other targets are busy or there are none; from now on
-                # also the one that failed may take it.
-                time.sleep(RESUME_POLL_S)
+            elif outcome.error.reason in _TRANSIENT_REASONS:
+                # All other targets are busy or there are none. From now on the
+                # target that failed may also be chosen.
+                time.sleep(RESUME_RETRY_INTERVAL_S)
                 self._tried = set()
             else:
                 sent += 1
         return False
 
-    def _continues(self, response):
-        """Tell whether a response is exactly the rest of this body."""
-        expected = f"bytes {self._got}-{self._length - 1}/{self._length}"
+    def _is_continuation(self, response):
+        """Tell whether a response contains exactly the rest of this body."""
+        expected = f"bytes {self._received_bytes}-{self._length - 1}/{self._length}"
         return (
             response.status == 206
             and response.headers.get("etag") == self._etag
             and response.headers.get("content-range") == expected
-            and response.length == self._length - self._got
+            and response.length == self._length - self._received_bytes
         )
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -1,4 +1,7 @@
-"""Connections to targets, with proof of whether a request was sent."""
+"""Connection pools and the sending of requests to targets.
+
+Every failure states whether a byte of the request may have reached the target.
+"""
 
 import select
 import threading
@@ -22,18 +25,19 @@
 from .targetresponse import TargetResponse, check_head
 from .verdict import Reason, doubt, refuse
 
-# A target may close an idle connection at the moment a request is sent on it,
-# which leaves no proof; a recently used connection makes that unlikely.
+# A target may close an idle connection just as a request is sent on it, and then
+# it is unknown whether the request ran. Requests that are not idempotent use only
+# recently used connections, for which this is unlikely.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 MAX_IDLE_CONNECTIONS = 8
-# Up to 18 hosts share a target's connections, and hosts that are being replaced
-# exist twice for a while.
+# Up to 18 hosts share the connections of a target. During a replacement, the old
+# and the new host exist at the same time.
 MAX_HOSTS = 20
 
 
 @dataclass(frozen=True)
 class Attempt:
-    """One sending of a request to one target.
+    """A request to be sent once to one target.
 
     Attributes
     ----------
@@ -42,19 +46,21 @@
     path : str
         Path and query.
     headers : mapping of str to str
-        End-to-end headers and those of this system.
+        End-to-end headers and the headers that this system adds.
     body : RequestBody
         The request body.
     attempt_id : str
-        The value that the target must echo.
+        Id that the target must echo.
     deadline : float
         Unix time in seconds by which the response must begin.
     guard : callable
-        Called before the first byte; returns None or a Failure.
+        Called directly before the first byte is sent. Returns None to allow the
+        send or the Failure that forbids it.
     caller_socket : socket.socket or None
-        Watched for a hang-up while the target works.
+        Connection of the caller, monitored for a hang-up while waiting for the
+        response.
     idempotent : bool
-        Whether the request may be sent again without proof.
+        Whether the request may be sent again when it is unknown whether it ran.
     """
 
     method: str
@@ -69,14 +75,14 @@
 
 
 class TargetPool:
-    """Reusable connections to one target.
+    """Pool of reusable connections to one target.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the target.
     source : str or None, default=None
-        IP number that connections come from.
+        Source IP address of the connections.
     """
 
     def __init__(self, address, source=None):
@@ -92,24 +98,24 @@
         Parameters
         ----------
         limits : TargetLimits
-            Timeouts in force.
+            Limits and timeouts in force for the target.
         idempotent : bool
-            Whether a connection that was idle for long may be used.
+            Whether a connection that has been idle for long may be used.
 
         Returns
         -------
         TargetConnection
-            A connection used by nobody else.
+            A connection that is reserved for the caller of this method.
         """
-        # Each host uses at most one connection for each slot; what is left of
-        # its share of the connections may be idle.
+        # A host uses at most one connection per slot. The rest of its share of
+        # the target's connections may be idle.
         share = limits.connections // MAX_HOSTS - limits.slots
         self._max_idle = max(1, min(MAX_IDLE_CONNECTIONS, share))
-        longest = limits.idle_timeout
+        max_idle_s = limits.idle_timeout
         if not idempotent:
-            longest = min(longest, MAX_IDLE_NON_IDEMPOTENT_S)
+            max_idle_s = min(max_idle_s, MAX_IDLE_NON_IDEMPOTENT_S)
         now = time.monotonic()
-        oldest = now - longest
+        cutoff = now - max_idle_s
         self._drop_expired(now - limits.idle_timeout)
         while True:
             with self._lock:
@@ -118,25 +124,25 @@
                 return TargetConnection(
                     self.address, limits.connect_timeout, self._source
                 )
-            # A readable idle connection is closed or carries bytes that
-            # belong to no request; both make it unusable.
-            if connection.idle_since >= oldest and connection.is_connected:
+            # A readable idle connection has been closed by the target or has
+            # received data that belongs to no request. It cannot be reused.
+            if connection.idle_since >= cutoff and connection.is_connected:
                 return connection
             connection.close()
 
-    def _drop_expired(self, oldest):
-        """Close the connections at the far end that were idle too long."""
-        # The latest connection is taken first, so the others could stay idle
-        # for ever.
+    def _drop_expired(self, cutoff):
+        """Close the connections that have been idle since before ``cutoff``."""
+        # The pool is last in, first out, so the oldest connections might never
+        # be taken again and would stay open.
         expired = []
         with self._lock:
-            while self._idle and self._idle[0].idle_since < oldest:
+            while self._idle and self._idle[0].idle_since < cutoff:
                 expired.append(self._idle.popleft())
         for connection in expired:
             connection.close()
 
     def give_back(self, connection):
-        """Keep a connection whose last response was read whole.
+        """Return a connection whose last response was read completely.
 
         Parameters
         ----------
@@ -159,12 +165,12 @@
 
 
 class PoolDirectory:
-    """The pools of all targets, made on first use.
+    """Connection pools by target address, created on first use.
 
     Parameters
     ----------
     source : str or None, default=None
-        IP number that connections come from.
+        Source IP address of the connections.
     """
 
     def __init__(self, source=None):
@@ -173,7 +179,7 @@
         self._pools = {}
 
     def find(self, address):
-        """Return the pool of an address.
+        """Return the pool for an address.
 
         Parameters
         ----------
@@ -194,16 +200,16 @@
         return pool
 
     def retain(self, addresses):
-        """Close the pools of all other addresses.
+        """Close and remove the pools of all other addresses.
 
         Parameters
         ----------
         addresses : set of str
-            Addresses that stay.
+            Addresses whose pools are kept.
         """
         with self._lock:
-            gone = [a for a in self._pools if a not in addresses]
-            pools = [self._pools.pop(a) for a in gone]
+            removed = [a for a in self._pools if a not in addresses]
+            pools = [self._pools.pop(a) for a in removed]
         for pool in pools:
             pool.close()
 
@@ -216,9 +222,9 @@
     pool : TargetPool
         Connections to the target.
     limits : TargetLimits
-        Values in force for the target.
+        Limits and timeouts in force for the target.
     attempt : Attempt
-        What to send.
+        The request to send.
 
     Returns
     -------
@@ -242,7 +248,7 @@
 
 
 def _exchange(connection, attempt):
-    """Send the request and read the response's head on one connection."""
+    """Send the request and read the head of the response on a connection."""
     try:
         send_request(connection, attempt)
         _wait_for_response(connection, attempt)
@@ -252,14 +258,14 @@
 
 
 def classify_error(connection, error):
-    """Return the failure that an error on a connection to a target means.
+    """Return the failure for an exception on a connection to a target.
 
     Parameters
     ----------
     connection : TargetConnection
-        The connection; it knows whether a byte of the request was sent.
+        The connection, which records whether a byte of the request was sent.
     error : Exception
-        What was raised while it sent the request or read the response.
+        Raised while sending the request or reading the response.
 
     Returns
     -------
@@ -285,21 +291,21 @@
 
 
 def _build_failure(connection, reason, detail, status=503):
-    """Return a failure whose verdict follows from what was sent."""
+    """Return a failure; its verdict is ``NOT_RUN`` only if no byte was sent."""
     if connection.started:
         return doubt(reason, detail)
     return refuse(reason, detail, status)
 
 
 def send_request(connection, attempt):
-    """Send head and body; tolerate a target that responds before the end.
+    """Send head and body; accept a response before the request is complete.
 
     Parameters
     ----------
     connection : TargetConnection
         A connection that was prepared for the attempt.
     attempt : Attempt
-        What to send.
+        The request to send.
     """
     headers = dict(attempt.headers)
     headers.setdefault("Accept-Encoding", SKIP_HEADER)
@@ -318,15 +324,23 @@
     except EarlyResponse:
         pass
     except (BrokenPipeError, ConnectionResetError):
-        # The target may have refused the request early and closed; its
-        # response can still be in the receive buffer.
+        # The target may have refused the request early and closed the
+        # connection. Its response can still be in the receive buffer.
         if not connection.started or connection.sock is None:
             raise
         connection.unfinished = True
 
 
 def _wait_for_response(connection, attempt):
-    """Wait until the target responds, the caller hangs up or time is over."""
+    """Wait until the target responds.
+
+    Raises
+    ------
+    CallerGone
+        If the caller hangs up first.
+    TimeoutError
+        If the deadline passes first.
+    """
     poller = select.poll()
     target_fd = connection.sock.fileno()
     poller.register(target_fd, select.POLLIN)
@@ -343,7 +357,7 @@
 
 
 def _drain_refusal(response):
-    """Read the short body of a refusal so that the connection can be kept."""
+    """Read the short body of a refusal so that the connection can be reused."""
     if response.length is not None and response.length <= READ_SIZE:
         try:
             while response.read():
