Reword targetconnection.py and targetresponse.py

Docstrings and comments use the terms of HTTP (framing, excess data, parser, stall timeout). Renames within the data path: surplus -> has_excess_data, unfinished -> request_incomplete, _BoundedReader -> _DeadlineReader, _open -> _ensure_ready_to_send, _skip_lines -> _skip_header_lines, MAX_LINE -> MAX_LINE_BYTES, reader.stall -> reader.stall_timeout, _declared_length -> _parse_content_length.

--- a/redwingspring/targetconnection.py
+++ b/redwingspring/targetconnection.py
@@ -1,4 +1,4 @@
-"""Connections to targets that know what they sent and read responses strictly."""
+"""Connections to targets, which track what was sent and parse responses strictly."""
 
 import errno
 import http.client
@@ -15,26 +15,26 @@
 from .verdict import Reason
 
 READ_SIZE = 64 << 10
-# Responses with a smaller status are interim and end no request.
+# Responses with a smaller status are interim: the final response follows.
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 MAX_INTERIM_RESPONSES = 16
 MAX_INTERIM_BYTES = 8192
-# How often a half-received interim response is looked at again.
+# Interval of the checks of a partly received interim response.
 INTERIM_POLL_S = 0.005
-MAX_LINE = 8192
+MAX_LINE_BYTES = 8192
 MAX_TRAILER_LINES = 64
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:[ \t]*(?:;[^\r\n]*)?)\r\n")
 _INTERIM_START = re.compile(rb"HTTP/1\.[01] 1(?!01)")
 
 
 class SendRefused(Exception):
-    """The guard forbade the first byte of a request.
+    """The guard forbade sending the first byte of a request.
 
     Parameters
     ----------
     failure : Failure
-        Why; its verdict is ``NOT_RUN``.
+        The reason for the refusal; its verdict is ``NOT_RUN``.
     """
 
     def __init__(self, failure):
@@ -43,42 +43,43 @@
 
 
 class EarlyResponse(Exception):
-    """The target responded before it had the whole request."""
+    """The target responded before the request was sent completely."""
 
 
 class CallerGone(OSError):
-    """The caller hung up before its request or response was whole."""
+    """The caller hung up before its request or response was complete."""
 
     reason = Reason.CALLER_GONE
     status = 400
 
 
 class ResponseBroken(OSError):
-    """A response body ended before it was whole."""
+    """A response body ended or stalled before it was complete."""
 
 
-class _BoundedReader(io.RawIOBase):
-    """Reader of a socket that is bound to a deadline, then to a stall time."""
+class _DeadlineReader(io.RawIOBase):
+    """Raw reader of a socket with a deadline or, once set, a stall timeout."""
 
     def __init__(self, raw, sock, deadline, clock):
         self._raw = raw
         self._sock = sock
         self._clock = clock
         self.deadline = deadline
-        self.stall = None
+        self.stall_timeout = None
 
     def readable(self):
         return True
 
     def readinto(self, buffer):
-        if self.stall is not None:
-            self._sock.settimeout(self.stall)
+        if self.stall_timeout is not None:
+            self._sock.settimeout(self.stall_timeout)
         else:
-            # A timeout of the socket alone would restart with every byte.
-            left = self.deadline - self._clock()
-            if left <= 0:
+            # The socket timeout is set again for each read, because a fixed one
+            # would restart with every byte received.
+            remaining_s = self.deadline - self._clock()
+            if remaining_s <= 0:
                 raise TimeoutError("timed out")
-            self._sock.settimeout(left)
+            self._sock.settimeout(remaining_s)
         return self._raw.readinto(buffer)
 
     def close(self):
@@ -88,11 +89,11 @@
 
 
 class StrictResponse(http.client.HTTPResponse):
-    """Response reader that accepts only what has one meaning.
+    """Response parser that rejects malformed and ambiguous responses.
 
-    The base class takes a cut chunk size for a whole one, skips two bytes
-    after each chunk whatever they are, accepts signs in sizes and the end of
-    the connection within trailers, and ignores lines that are no headers.
+    The base class accepts a truncated chunk size line, skips any two bytes after
+    a chunk, accepts a sign in a chunk size and the end of the connection within
+    the trailers, and ignores malformed header lines.
 
     Parameters
     ----------
@@ -103,15 +104,15 @@
     method : str
         Method of the request.
     clock : callable, default=time.time
-        Clock of the deadline; returns seconds.
+        Clock that the deadline refers to; returns seconds.
     """
 
     def __init__(self, sock, deadline, method, clock=time.time):
         super().__init__(sock, method=method)
         self.request_method = method
-        self.reader = _BoundedReader(self.fp.detach(), sock, deadline, clock)
+        self.reader = _DeadlineReader(self.fp.detach(), sock, deadline, clock)
         self.fp = io.BufferedReader(self.reader)
-        self.surplus = False
+        self.has_excess_data = False
 
     def begin(self):
         """Read the head of the final response.
@@ -130,29 +131,29 @@
             version, status, reason = super()._read_status()
             if status >= FIRST_FINAL_STATUS or status == SWITCHING_PROTOCOLS:
                 return version, status, reason
-            self._skip_lines(MAX_TRAILER_LINES)
+            self._skip_header_lines(MAX_TRAILER_LINES)
         raise HTTPException("too many interim responses")
 
     def _read_next_chunk_size(self):
-        match = _CHUNK_LINE.fullmatch(self.fp.readline(MAX_LINE))
+        match = _CHUNK_LINE.fullmatch(self.fp.readline(MAX_LINE_BYTES))
         if match is None:
             raise IncompleteRead(b"")
         return int(match[1], 16)
 
     def _safe_read(self, amt):
-        # The base class reads two bytes only for the end of a chunk; bodies
-        # are read with ``read1``.
+        # For a chunked body, the base class calls this method only to read the
+        # CRLF after a chunk, since bodies are read with ``read1``.
         data = super()._safe_read(amt)
         if self.chunked and data != b"\r\n":
             raise IncompleteRead(b"")
         return data
 
     def _read_and_discard_trailer(self):
-        self._skip_lines(MAX_TRAILER_LINES)
+        self._skip_header_lines(MAX_TRAILER_LINES)
 
-    def _skip_lines(self, most):
-        for _ in range(most):
-            line = self.fp.readline(MAX_LINE)
+    def _skip_header_lines(self, line_limit):
+        for _ in range(line_limit):
+            line = self.fp.readline(MAX_LINE_BYTES)
             if not line.endswith(b"\n"):
                 break
             if line in (b"\r\n", b"\n"):
@@ -161,32 +162,32 @@
 
     def _close_conn(self):
         if self.fp is not None:
-            self.surplus = self._has_surplus()
+            self.has_excess_data = self._detect_excess_data()
             super()._close_conn()
 
-    def _has_surplus(self):
-        """Tell whether bytes follow the response that belong to no request."""
+    def _detect_excess_data(self):
+        """Tell whether data that belongs to no request follows the response."""
         try:
-            self.reader.stall = 0
+            self.reader.stall_timeout = 0
             return bool(self.fp.peek(1))
         except (OSError, ValueError):
             return True
 
 
 class TargetConnection(HTTPConnection):
-    """A connection that knows whether a byte of a request was sent.
+    """A connection that records whether a byte of the request was sent.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the target.
     connect_timeout : float
-        Seconds for a new connection.
+        Timeout in seconds for establishing the connection.
     source : str or None, default=None
-        IP number that the connection comes from.
+        Source IP address of the connection.
     """
 
-    # Clock of the attempts' deadlines; returns seconds.
+    # Clock that the deadlines of attempts refer to; returns seconds.
     clock = staticmethod(time.time)
 
     def __init__(self, address, connect_timeout, source=None):
@@ -200,27 +201,27 @@
         self.blocksize = READ_SIZE
         self.idle_since = 0.0
         self.started = False
-        self.unfinished = False
+        self.request_incomplete = False
         self.reused = False
         self.response = None
         self._connect_timeout = connect_timeout
         self._attempt = None
 
     def prepare(self, attempt):
-        """Set the attempt that is sent next.
+        """Set the attempt to send next.
 
         Parameters
         ----------
         attempt : Attempt
-            Gives the guard, the deadline and the caller's connection.
+            Provides the guard, the deadline and the connection of the caller.
         """
         self.started = False
-        self.unfinished = False
+        self.request_incomplete = False
         self._attempt = attempt
         self.reused = self.sock is not None
 
     def response_class(self, sock, method):
-        """Return a reader for the response to the present attempt.
+        """Return a parser for the response to the current attempt.
 
         Parameters
         ----------
@@ -232,33 +233,33 @@
         Returns
         -------
         StrictResponse
-            Its head is not yet read.
+            The parser; the head has not been read yet.
         """
         self.response = StrictResponse(sock, self._attempt.deadline, method, self.clock)
         return self.response
 
     @property
     def deadline(self):
-        """Time by which the response to the present attempt must begin."""
+        """Time by which the response to the current attempt must begin."""
         return self._attempt.deadline
 
     def extend_deadline(self, deadline):
-        """Set another deadline for the response to the present attempt.
+        """Set a new deadline for the response to the current attempt.
 
         Parameters
         ----------
         deadline : float
-            Seconds on the clock of the connection.
+            Time in seconds on the clock of the connection.
         """
         self._attempt = replace(self._attempt, deadline=deadline)
 
     def begin_connect(self):
-        """Start to connect; the socket becomes writable when that has ended.
+        """Start a non-blocking connect; the socket becomes writable at its end.
 
         Raises
         ------
         OSError
-            If no connection can be started.
+            If the connect fails immediately.
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -275,7 +276,7 @@
         self.sock = sock
 
     def send(self, data):
-        """Send bytes; ask the guard before the first ones.
+        """Send part of the request; check the guard before the first byte.
 
         Parameters
         ----------
@@ -287,14 +288,14 @@
         SendRefused
             If the guard forbids the request.
         EarlyResponse
-            If the target responds before the whole request was sent.
+            If the target responds before the request was sent completely.
         TimeoutError
             If the deadline passes.
         """
         if not self.started:
-            self._open()
+            self._ensure_ready_to_send()
         elif self._has_response():
-            self.unfinished = True
+            self.request_incomplete = True
             raise EarlyResponse
         view = memoryview(data)
         while view:
@@ -303,16 +304,24 @@
             except BlockingIOError:
                 self._wait_writable()
                 continue
-            # From here on the target may have the request; a send that
-            # failed before handed nothing to the socket.
+            # From here on the target may have received the request. Until then,
+            # no send has passed any data to the kernel.
             self.started = True
             view = view[sent:]
 
-    def _open(self):
-        """Make sure of a usable connection and of the permission to send."""
+    def _ensure_ready_to_send(self):
+        """Connect if necessary and check that the request may be sent.
+
+        Raises
+        ------
+        CallerGone
+            If the caller has hung up.
+        SendRefused
+            If the guard forbids the request.
+        """
         if self.sock is not None and not self.is_connected:
-            # The target closed the connection after it was taken; since
-            # nothing was sent, another one will do.
+            # The target closed the connection after it was taken from the pool.
+            # Nothing has been sent, so a new connection can replace it.
             self.sock.close()
             self.sock = None
         if self.sock is None:
@@ -322,8 +331,8 @@
         caller = self._attempt.caller_socket
         if caller is not None and _is_ready(caller, select.POLLRDHUP):
             raise CallerGone("the caller hung up before the request was sent")
-        # Connecting may take long or the process may have been stopped, so
-        # the check stands directly before the first byte.
+        # The guard is called directly before the first byte is sent, because
+        # connecting may take long and the process may have been paused.
         failure = self._attempt.guard()
         if failure is not None:
             raise SendRefused(failure)
@@ -331,28 +340,32 @@
         self.timeout = max(0.001, self._attempt.deadline - self.clock())
 
     def _wait_writable(self):
-        """Wait until the target takes more; stop if it responds instead."""
+        """Wait until the socket is writable; stop if the target responds first."""
         poller = select.poll()
         poller.register(self.sock.fileno(), select.POLLIN | select.POLLOUT)
-        left = self._attempt.deadline - self.clock()
-        if left <= 0:
+        remaining_s = self._attempt.deadline - self.clock()
+        if remaining_s <= 0:
             raise TimeoutError("timed out")
-        events = dict(poller.poll(left * 1000)).get(self.sock.fileno(), 0)
+        events = dict(poller.poll(remaining_s * 1000)).get(self.sock.fileno(), 0)
         if events and not events & select.POLLOUT:
             if self._has_response():
-                self.unfinished = True
+                self.request_incomplete = True
                 raise EarlyResponse
             time.sleep(INTERIM_POLL_S)
 
     def _has_response(self):
-        """Tell whether a final response or the end has arrived."""
+        """Tell whether a final response or the end of the connection has arrived.
+
+        Complete interim responses are discarded.
+        """
         while _is_ready(self.sock, select.POLLIN):
             data = self.sock.recv(MAX_INTERIM_BYTES, socket.MSG_PEEK)
             if not _INTERIM_START.match(data):
                 return True
             end = data.find(b"\r\n\r\n")
             if end < 0:
-                # The rest of an interim response is on its way.
+                # The interim response has not arrived completely. One that fills
+                # the buffer is left to the response parser.
                 return len(data) == MAX_INTERIM_BYTES
             self.sock.recv(end + 4)
         return False
@@ -365,7 +378,7 @@
 
 
 def enable_reset_on_close(sock):
-    """Make the next close send a reset instead of an orderly end.
+    """Make the next close of a socket send a reset (RST) instead of a FIN.
 
     Parameters
     ----------
--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -1,4 +1,4 @@
-"""Responses of targets: checks of the head, and the body."""
+"""Responses of targets: validation of the head and reading of the body."""
 
 from http.client import HTTPException
 
@@ -11,18 +11,19 @@
 
 
 class TargetResponse:
-    """A response whose head arrived and whose body is still to be read.
+    """A response whose head has arrived and whose body has yet to be read.
 
     Parameters
     ----------
     connection : TargetConnection
-        Where it arrives.
+        The connection on which the response arrives.
     pool : TargetPool
-        Where the connection returns to.
+        The pool that the connection is returned to.
     response : urllib3.HTTPResponse
         The response.
     stall_timeout : float or None
-        Seconds the body may pause; None binds it to the attempt's deadline.
+        Longest pause in seconds between parts of the body; None applies the
+        deadline of the attempt to the body.
     """
 
     def __init__(self, connection, pool, response, stall_timeout):
@@ -33,35 +34,35 @@
         self.reason = response.reason
         self.version = response.version
         self.headers = response.headers
-        self.length = _declared_length(response)
+        self.length = _parse_content_length(response)
         self.closed = False
-        # The connection forgets its socket when the response ends it, so the
-        # time is set on the reader.
-        self._parsed = connection.response
+        # The connection drops its socket when the response closes it, so the
+        # timeout is set on the reader of the response instead.
+        self._strict_response = connection.response
         self.set_stall_timeout(stall_timeout)
 
     def set_stall_timeout(self, seconds):
-        """Set how long the body may pause.
+        """Set the longest pause between parts of the body.
 
         Parameters
         ----------
         seconds : float or None
-            None binds the body to the deadline of its attempt.
+            None applies the deadline of the attempt to the body.
         """
-        self._parsed.reader.stall = seconds
+        self._strict_response.reader.stall_timeout = seconds
 
     def read(self):
-        """Return the next part of the body, empty at its end.
+        """Return the next part of the body.
 
         Returns
         -------
         bytes
-            At most ``READ_SIZE`` bytes.
+            At most ``READ_SIZE`` bytes; empty at the end of the body.
 
         Raises
         ------
         ResponseBroken
-            If the body ends or stalls before it is whole.
+            If the body ends or stalls before it is complete.
         """
         try:
             return self._response.read1(READ_SIZE, decode_content=False)
@@ -71,32 +72,33 @@
 
     @property
     def connection_is_reusable(self):
-        """Tell, after the whole body was read, whether the connection is usable."""
-        # This also looks for bytes that follow the response.
+        """Tell whether the connection can be reused after the body was read."""
+        # Closing the response also checks for excess data after it.
         self._response.close()
         return (
             self._connection.sock is not None
             and self._response.version >= 11
-            and not self._connection.unfinished
-            and not self._parsed.surplus
+            and not self._connection.request_incomplete
+            and not self._strict_response.has_excess_data
         )
 
     def finish(self):
-        """Return the connection for reuse after the whole body was read."""
+        """Return the connection to its pool after the body was read completely."""
         self.release_connection(False)
 
     def release_connection(self, keep):
-        """End the response after the whole body was read.
+        """End the response after the body was read completely.
 
         Parameters
         ----------
         keep : bool
-            Whether the connection stays with its user instead of its pool.
+            Whether the current owner keeps the connection. Otherwise it is
+            returned to its pool.
 
         Returns
         -------
         bool
-            False when the connection was closed.
+            False if the connection was closed.
         """
         if self.closed:
             return False
@@ -109,7 +111,7 @@
         return True
 
     def abort(self):
-        """Close the connection, which cancels the work at the target."""
+        """Close the connection, which cancels the request at the target."""
         if self.closed:
             return
         self.closed = True
@@ -117,7 +119,7 @@
         self._response.close()
 
 
-def _declared_length(response):
+def _parse_content_length(response):
     value = response.headers.get("content-length")
     if value is None or not value.isascii() or not value.isdigit():
         return None
@@ -125,33 +127,35 @@
 
 
 def check_head(response, limits, attempt, reused):
-    """Return why a response cannot be relayed.
+    """Return the failure that prevents relaying a response, if there is one.
 
     Parameters
     ----------
     response : TargetResponse
         The response.
     limits : TargetLimits
-        Values in force for the target.
+        Limits in force for the target.
     attempt : Attempt
-        What was sent.
+        The attempt that was sent.
     reused : bool
         Whether the connection carried an earlier request.
 
     Returns
     -------
     Failure or None
-        None when the response can be relayed.
+        None if the response can be relayed.
     """
     headers = response.headers
-    echo = headers.get("attempt-id")
-    if echo != attempt.attempt_id and (echo is not None or limits.echo_required):
-        detail = f"the response belongs to attempt {echo}"
+    echoed_id = headers.get("attempt-id")
+    if echoed_id != attempt.attempt_id and (
+        echoed_id is not None or limits.echo_required
+    ):
+        detail = f"the response belongs to attempt {echoed_id}"
         return doubt(Reason.CROSSED, detail)
     refused = headers.get("request-run") == "not-run"
     if response.status in REFUSAL_STATUSES and refused:
-        if echo is None and reused:
-            # It could be a late refusal of an earlier request.
+        if echoed_id is None and reused:
+            # It could be the late refusal of an earlier request.
             return doubt(Reason.CROSSED, "a refusal without an attempt id")
         return refuse(Reason.TARGET_REFUSED, "the target refused the request")
     if response.status < FIRST_FINAL_STATUS:
@@ -160,21 +164,21 @@
 
 
 def _check_framing(response, attempt):
-    """Return a failure if the end of the body could not be verified."""
+    """Return a failure if the end of the body cannot be verified, else None."""
     if not has_unambiguous_framing(response, attempt.method):
-        # Another reader could see another end of the body.
+        # Another HTTP parser could find a different end of the body.
         return doubt(Reason.TRUNCATED, "the response has no single valid framing")
     if attempt.method == "HEAD" or response.status in (204, 304):
         return None
     headers = response.headers
     if "content-length" not in headers and "transfer-encoding" not in headers:
-        # The end of such a body looks the same as a lost connection.
+        # The end of such a body cannot be distinguished from a lost connection.
         return doubt(Reason.TRUNCATED, "the response does not mark its end")
     return None
 
 
 def has_unambiguous_framing(response, method):
-    """Tell whether every reader sees the same end of a response's body.
+    """Tell whether every HTTP parser finds the same end of a response body.
 
     Parameters
     ----------
@@ -186,14 +190,14 @@
     Returns
     -------
     bool
-        True also for a body that ends with its connection.
+        True also for a body that is delimited by the close of the connection.
     """
     headers = response.headers
     if method == "HEAD" or response.status in (204, 304):
         return True
     if response.status == 205 and response.length != 0:
-        # The server for callers frames no body of this status, so bytes of
-        # one would pass for the next response.
+        # This host's server writes responses with this status without framing,
+        # so callers would parse a body as the start of the next response.
         return False
     lengths = set(headers.getlist("content-length"))
     coding = headers.get("transfer-encoding")
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -328,7 +328,7 @@
         # connection. Its response can still be in the receive buffer.
         if not connection.started or connection.sock is None:
             raise
-        connection.unfinished = True
+        connection.request_incomplete = True
 
 
 def _wait_for_response(connection, attempt):
