--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -1,7 +1,7 @@
-"""Runs the command line with mechanisms turned off or adapted to the harness.
+"""Command line with mutations: mechanisms disabled or changed for a scenario.
 
-``make prove-red`` uses it to show that each scenario fails without the
-mechanism that it proves. The product itself has no such switch.
+``make prove-red`` runs each scenario without the mechanism that it covers and
+checks that the scenario fails. The product itself cannot disable them.
 """
 
 import sys
@@ -22,8 +22,8 @@
 
 
 @mutations.register("proof")
-def forget_what_was_sent():
-    """Say not-run for every failed attempt."""
+def report_all_failures_not_run():
+    """Report every failed attempt as not-run."""
     from redwingspring import upstream
     from redwingspring.verdict import refuse
 
@@ -31,102 +31,102 @@
 
 
 @mutations.register("once")
-def retry_everything():
-    """Retry what may have run, idempotent or not."""
+def retry_non_idempotent():
+    """Retry requests that may have run, even if they are not idempotent."""
     from redwingspring.dispatch import Dispatcher
 
     may_repeat = Dispatcher._may_repeat
 
-    def repeat_doubtful(self, call, admission, failure):
+    def may_repeat_doubtful(self, call, admission, failure):
         if not failure.proves_not_run and call.body.repeatable:
             return True
         return may_repeat(self, call, admission, failure)
 
-    Dispatcher._may_repeat = repeat_doubtful
+    Dispatcher._may_repeat = may_repeat_doubtful
 
 
 @mutations.register("whole")
-def relay_unchecked():
-    """Relay responses without checks of their owner and their end."""
+def skip_response_checks():
+    """Relay responses without checking their attempt id and completeness."""
     from redwingspring import relay, upstream
 
     upstream._check_head = lambda response, limits, attempt: None
     read = relay.RelayBody._read
 
-    def read_short(self):
+    def end_body_early(self):
         try:
             return read(self)
         except upstream.ResponseBroken:
             return b""
 
-    relay.RelayBody._read = read_short
+    relay.RelayBody._read = end_body_early
 
 
 @mutations.register("guard")
-def send_unguarded():
-    """Send without the check before the first byte."""
+def skip_send_check():
+    """Send requests without the check before the first byte."""
     from redwingspring.dispatch import Dispatcher
 
     Dispatcher._check_send = lambda self, decision, deadline: None
 
 
 @mutations.register("leases")
-def lease_everything():
-    """Grant every lease to everybody."""
+def grant_all_leases():
+    """Grant every lease request."""
     from redwingspring.grants import GrantAnswer, GrantTable
 
     GrantTable.request = lambda self, *args: GrantAnswer(True, 99)
 
 
 @mutations.register("probe-leases")
-def probe_unleased():
-    """Probe without asking the grantors."""
+def probe_without_leases():
+    """Probe without requesting a lease from the grantors."""
     from redwingspring.quorum import PendingRequest, QuorumClient
     from redwingspring.slots import PROBE
 
     request_grants = QuorumClient.request_grants
 
-    def agree(self, grantors, request):
+    def grant_probe_requests(self, grantors, request):
         if request.kind != PROBE:
             return request_grants(self, grantors, request)
         pending = PendingRequest(1)
         pending.record(True, 1)
         return pending
 
-    QuorumClient.request_grants = agree
+    QuorumClient.request_grants = grant_probe_requests
 
 
 @mutations.register("probe-reports")
-def probe_reporting_targets():
-    """Probe targets whether they have reported their load or not."""
+def ignore_load_reports():
+    """Probe targets even if they have reported their load recently."""
     from redwingspring.probes import Watch
     from redwingspring.targets import NEVER, TargetState
 
-    never = property(lambda self: NEVER)
+    never_reported = property(lambda self: NEVER)
     Watch.own_report_time = Watch.peer_report_time = TargetState.latest_report_time = (
-        never
+        never_reported
     )
 
 
 @mutations.register("probe-lists")
-def forget_former_lists():
-    """Trust the grantors under a new host list at once."""
+def ignore_former_host_lists():
+    """Accept leases of the grantors of a new host list immediately."""
     from redwingspring import hosthistory
 
     hosthistory.quorums_intersect = lambda first, second: True
 
 
 @mutations.register("drain")
-def stop_at_once():
-    """End the process on SIGTERM without waiting."""
+def stop_without_drain():
+    """Stop the process on SIGTERM without draining."""
     from redwingspring.control import Entry
 
     Entry.drain = Entry.stop
 
 
 @mutations.register("leaving")
-def ignore_leaving():
-    """Give work to targets that leave or are out."""
+def ignore_leaving_targets():
+    """Send requests to targets that are leaving or out of service."""
     from redwingspring.targets import TargetState
 
     TargetState.accepts_work = lambda self, now: self.ejected_until <= now
@@ -136,8 +136,8 @@
 
 
 @mutations.register("distribution")
-def distribute_nothing():
-    """Neither push values to peers nor pull them, and poll rarely."""
+def disable_distribution():
+    """Neither push values to peers nor pull them, and poll the service rarely."""
     from redwingspring import publication
     from redwingspring.publication import Publication
 
@@ -157,29 +157,29 @@
     ValueStore.highest_revision = lambda self, key: 0
     read = ServiceReader.read
 
-    def read_at_once(self, key, after=0, wait=0):
+    def read_without_waiting(self, key, after=0, wait=0):
         time.sleep(0.2)
         return read(self, key, 0, 0)
 
-    ServiceReader.read = read_at_once
+    ServiceReader.read = read_without_waiting
 
 
 @mutations.register("isolation")
-def serve_alone():
-    """Serve as soon as a configuration is known, whoever is heard."""
+def ignore_isolation():
+    """Serve as soon as a configuration is known, without live peers."""
     from redwingspring.membership import Membership
 
     check = Membership.check_serving
 
-    def check_ready_only(self):
+    def check_configuration_only(self):
         return None if self._ready else check(self)
 
-    Membership.check_serving = check_ready_only
+    Membership.check_serving = check_configuration_only
 
 
 @mutations.register("news")
-def keep_news():
-    """Tell no other host that a target turned cold or leaves."""
+def suppress_target_news():
+    """Ignore news from other hosts that a target turned cold or is leaving."""
     from redwingspring.temperatures import TemperatureExchange
 
     TemperatureExchange.apply_message = lambda self, sender, news: None
@@ -187,7 +187,7 @@
 
 @mutations.register("clock-steps")
 def step_clock():
-    """Let the time of day jump by two seconds, forth and back."""
+    """Step the wall clock forwards and backwards by two seconds."""
     read_time = time.time
     time.time = lambda: read_time() + 2.0 * (int(time.monotonic() / 3) % 2)
 
