Reword the tests of the data path

Names of tests that the table in docs/verdicts.md lists are unchanged, and so are all checked values.

--- a/tests/datapath.py
+++ b/tests/datapath.py
@@ -1,4 +1,4 @@
-"""A data path in one process: callers' server, targets, and proxies that cut."""
+"""A data path in one process: entry server, targets, and fault-injecting proxies."""
 
 import http.client
 import select
@@ -31,16 +31,16 @@
 
 @dataclass
 class Cut:
-    """Where a proxy ends a connection.
+    """The point at which a proxy cuts a connection, and how.
 
     Attributes
     ----------
     direction : str
         ``up`` counts bytes to the target, ``down`` those to the entry host.
     after : int
-        Bytes that pass before the cut.
+        Number of bytes forwarded before the cut.
     kind : str
-        ``rst``, ``fin`` or ``drop`` (swallow and stay open).
+        ``rst``, ``fin`` or ``drop`` (discard all further data and stay open).
     """
 
     direction: str
@@ -49,7 +49,7 @@
 
 
 class CutProxy:
-    """Passes TCP bytes to a target until a cut strikes, once per connection."""
+    """TCP proxy of a target that applies a cut once to each connection."""
 
     def __init__(self, target_address):
         host, port = target_address.rsplit(":", 1)
@@ -59,8 +59,8 @@
         self.cut = None
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def arm(self, cut):
-        """Let a cut strike on all connections, counted from here."""
+    def set_cut(self, cut):
+        """Apply a cut to all connections; its byte count starts now."""
         self.cut = cut
 
     def close(self):
@@ -72,26 +72,28 @@
                 caller, _ = self._listener.accept()
             except OSError:
                 return
-            threading.Thread(target=self._pump, args=(caller,), daemon=True).start()
+            threading.Thread(
+                target=self._serve_connection, args=(caller,), daemon=True
+            ).start()
 
-    def _pump(self, caller):
+    def _serve_connection(self, caller):
         with socket.create_connection(self._target) as target, caller:
             for sock in (caller, target):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             try:
-                _Pump(self, caller, target).run()
+                _ProxiedConnection(self, caller, target).run()
             except OSError:
                 pass
 
 
-class _Pump:
-    """Passes the bytes of one connection until a cut ends it."""
+class _ProxiedConnection:
+    """Forwards the data of one connection until a cut is applied."""
 
     def __init__(self, proxy, caller, target):
         self.proxy = proxy
         self.routes = {caller: ("up", target), target: ("down", caller)}
         self.cut = None
-        self.left = 0
+        self.remaining_bytes = 0
         self.dropping = False
 
     def run(self):
@@ -99,11 +101,11 @@
             readable, _, _ = select.select(list(self.routes), [], [], 0.02)
             if self.proxy.cut is not self.cut:
                 self.cut = self.proxy.cut
-                self.left = self.cut.after if self.cut else 0
+                self.remaining_bytes = self.cut.after if self.cut else 0
                 self.dropping = False
-            # A cut at 0 strikes before anything is read, like a target that
-            # closes an idle connection at that moment.
-            if readable and self.cut and not self.left and self.strike():
+            # A cut after 0 bytes is applied before anything is read, like a
+            # target that closes an idle connection as a request arrives.
+            if readable and self.cut and not self.remaining_bytes and self.apply_cut():
                 return
             for sock in readable:
                 data = sock.recv(65536)
@@ -111,18 +113,18 @@
                     return
 
     def forward(self, sock, data):
-        """Pass data on; return whether the connection ends here."""
+        """Forward data up to the cut; return whether the connection ends."""
         direction, other = self.routes[sock]
-        ends = False
+        cut_reached = False
         if self.cut and direction == self.cut.direction and not self.dropping:
-            ends = len(data) >= self.left
-            data = data[: self.left]
-            self.left -= len(data)
+            cut_reached = len(data) >= self.remaining_bytes
+            data = data[: self.remaining_bytes]
+            self.remaining_bytes -= len(data)
         if not self.dropping:
             other.sendall(data)
-        return ends and self.strike()
+        return cut_reached and self.apply_cut()
 
-    def strike(self):
+    def apply_cut(self):
         if self.cut.kind == "rst":
             for sock in self.routes:
                 enable_reset_on_close(sock)
@@ -131,7 +133,7 @@
 
 
 class DataPath:
-    """An entry server with its data path, and services of stand-in targets.
+    """An entry server with its data path to the given targets.
 
     Parameters
     ----------
@@ -140,7 +142,7 @@
     defaults : dict, optional
         Configuration defaults in base units.
     settings : dict, optional
-        Settings of the host that differ.
+        Settings of the host that differ from the defaults.
     """
 
     def __init__(self, services, defaults=None, **settings):
@@ -154,14 +156,14 @@
             "target.connections": 100_000,
             "eject.failures": 1 << 30,
         }
-        declared = {
+        services_by_name = {
             name: Service(name, tuple(Target(name, a, "akl-a") for a in addresses))
             for name, addresses in services.items()
         }
         self.directory.apply(
             Configuration(
                 MappingProxyType({**values, **(defaults or {})}),
-                MappingProxyType(declared),
+                MappingProxyType(services_by_name),
             )
         )
         self.admissions.apply(self.directory.table)
@@ -184,14 +186,16 @@
         )
         tree = _cptree.Tree()
         tree.graft(self.forwarder, "")
-        own = Settings("entry", "akl-a", "127.0.0.1:0", "", "", "key", **settings)
-        self.server = EntryServer("127.0.0.1:0", tree, own, self.metrics)
+        entry_settings = Settings(
+            "entry", "akl-a", "127.0.0.1:0", "", "", "key", **settings
+        )
+        self.server = EntryServer("127.0.0.1:0", tree, entry_settings, self.metrics)
         self.server.prepare()
         self.port = self.server.socket.getsockname()[1]
         threading.Thread(target=self.server.serve, daemon=True).start()
 
-    def warm(self, start_ids):
-        """Mark all targets warm; ``start_ids`` maps addresses to start ids."""
+    def mark_targets_warm(self, start_ids):
+        """Mark all targets warm, with start ids by address."""
         for states in self.directory.table.services.values():
             for state in states:
                 state.mark_warm(start_ids[state.target.address])
@@ -200,7 +204,7 @@
         return socket.create_connection(("127.0.0.1", self.port), timeout=20)
 
     def exchange(self, raw):
-        """Send raw bytes; return all responses' bytes until the end."""
+        """Send raw bytes; return everything received until the connection ends."""
         with self.connect() as sock:
             sock.sendall(raw)
             return read_all(sock)
@@ -211,7 +215,7 @@
 
 
 def read_all(sock):
-    """Return what arrives until the end or a reset."""
+    """Return the data received until the end; a reset adds ``<reset>``."""
     parts = []
     try:
         while data := sock.recv(65536):
@@ -222,7 +226,7 @@
 
 
 def read_response(sock, method):
-    """Return status, headers, body and whether the response is whole."""
+    """Return status, headers, body and whether the response is complete."""
     response = http.client.HTTPResponse(sock, method=method)
     try:
         response.begin()
@@ -231,20 +235,20 @@
     headers = {name.lower(): value for name, value in response.getheaders()}
     parts = []
     try:
-        # Small reads keep what arrived before a reset.
+        # Reading in parts keeps the data that arrived before a reset.
         while data := response.read1(65536):
             parts.append(data)
     except (OSError, http.client.HTTPException):
         return response.status, headers, b"".join(parts), False
     body = b"".join(parts)
-    # Without a declared length, an orderly end looks whole to a caller.
+    # Without a declared length, a caller takes a normal close for the end.
     length = headers.get("content-length")
     whole = method == "HEAD" or length is None or int(length) == len(body)
     return response.status, headers, body, whole
 
 
 class DataPathFixture:
-    """Targets and a data path that a test tears down at its end."""
+    """Targets and a data path that are closed at the end of the test."""
 
     def __init__(self, test, targets=1, defaults=None, behaviour=None, **settings):
         behaviour = behaviour or TargetBehaviour(slots=500, work_s=0.0)
@@ -252,7 +256,9 @@
         self.path = DataPath(
             {SERVICE: [target.address for target in self.targets]}, defaults, **settings
         )
-        self.path.warm({t.address: t.record.start_id for t in self.targets})
+        self.path.mark_targets_warm(
+            {t.address: t.record.start_id for t in self.targets}
+        )
         test.addCleanup(self.close)
 
     def close(self):
@@ -260,13 +266,13 @@
         for target in self.targets:
             target.stop()
 
-    def settle(self):
-        """Wait until all requests have ended and their connections are back."""
+    def wait_idle(self):
+        """Wait until all requests have ended and returned their connections."""
         admission = self.path.admissions.find(SERVICE)
         assert wait_until(lambda: admission.in_flight == 0)
 
     def runs(self, request_id=None):
-        """Return the runs of all targets, or those of one request."""
+        """Return the requests that the targets ran, or the runs of one request."""
         return [
             run
             for target in self.targets
@@ -303,13 +309,13 @@
 
 
 class RawTarget:
-    """A target that answers each request with what a function writes.
+    """A target whose responses are written to the socket by a function.
 
     Parameters
     ----------
     answer : callable
-        Called with the connection, the request's head and its attempt id, once
-        for each request head; the connection ends when it returns a true value.
+        Called for each request head with the connection, the head and its attempt
+        id; the connection is closed when it returns a true value.
     """
 
     def __init__(self, answer):
@@ -333,7 +339,7 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
-        # Unbuffered, so that the answer can read the request's body.
+        # Unbuffered, so that ``answer`` can read the request body.
         stream = sock.makefile("rb", buffering=0)
         with sock, stream:
             try:
@@ -360,11 +366,11 @@
         self.targets = []
         self.raw = RawTarget(answer)
         self.path = DataPath({SERVICE: [self.raw.address]}, defaults, **settings)
-        self.path.warm({self.raw.address: ""})
+        self.path.mark_targets_warm({self.raw.address: ""})
         test.addCleanup(self.raw.close)
         test.addCleanup(self.close)
 
 
 def answer_with(template):
-    """Return an answer that writes bytes with ``ID`` as the attempt id."""
+    """Return an ``answer`` that writes a template with ``ID`` as the attempt id."""
     return lambda sock, head, attempt: sock.sendall(template.replace(b"ID", attempt))
--- a/tests/fuzzverdict.py
+++ b/tests/fuzzverdict.py
@@ -1,4 +1,4 @@
-"""Seeded fuzz of the failure point along the data path."""
+"""Seeded fuzzing of the data path with failures at random points."""
 
 import random
 import socket
@@ -14,7 +14,8 @@
 from .datapath import Cut, CutProxy, DataPath, read_response, start_target
 
 NON_IDEMPOTENT = ("POST", "PUT", "DELETE")
-# A body that crosses with the target's own id cannot be told from the outside.
+# ``crossed-body`` is left out: a response with the body of another request but the
+# right attempt id cannot be detected by the data path.
 FAULTS = (
     "conflicting-lengths", "crossed-id", "early-response", "extra-bytes", "fail",
     "interim", "late-answer", "missing-id", "no-answer", "over-long", "refuse",
@@ -26,7 +27,7 @@
 
 @dataclass
 class Case:
-    """One request of the fuzz and what became of it.
+    """One request of the fuzz and its outcome.
 
     Attributes
     ----------
@@ -35,19 +36,19 @@
     method : str
         HTTP method.
     path : str
-        Path at the target, with the target's own fault.
+        Path at the target, with the fault to inject there in the query.
     body : bytes
         Request body.
     chunked : bool
-        Whether the body is sent in chunks.
+        Whether the body is sent with chunked transfer coding.
     hang_up : str
-        Where the caller hangs up; empty for nowhere.
+        Point at which the caller hangs up; empty if it does not.
     cuts : tuple of Cut or None
-        Armed on the proxies of the lane.
+        Cuts set on the proxies of the lane.
     fresh : bool
         Whether pooled connections are closed first.
     deadline_s : float
-        Seconds until the request's deadline.
+        Seconds until the deadline of the request.
     """
 
     request_id: str
@@ -65,7 +66,7 @@
     whole: bool = False
 
     def expected(self):
-        """Return the body of a whole response with status 200."""
+        """Return the body of a complete response with status 200."""
         if self.method == "HEAD" or "/status/204" in self.path:
             return b""
         if self.path.startswith("/echo"):
@@ -77,69 +78,67 @@
 
     def describe(self):
         """Return the case and its outcome in one line."""
-        got = self.headers.get("request-run"), self.headers.get("failure-reason")
+        reported = self.headers.get("request-run"), self.headers.get("failure-reason")
         return (
             f"{self.request_id} {self.method} {self.path} body={len(self.body)} "
             f"chunked={self.chunked} hang_up={self.hang_up!r} cuts={self.cuts} "
-            f"fresh={self.fresh} -> {self.status} {got} whole={self.whole}"
+            f"fresh={self.fresh} -> {self.status} {reported} whole={self.whole}"
         )
 
 
-def make_case(random_, request_id, faults=FAULTS):
-    """Return a random case, with faults out of the given ones."""
-    method = random_.choice(("GET", "GET", "HEAD", "POST", "POST", "PUT", "DELETE"))
-    kind = random_.choice(("plain", "plain", "echo", "download", "empty"))
+def make_case(rng, request_id, faults=FAULTS):
+    """Return a random case, with target faults chosen from ``faults``."""
+    method = rng.choice(("GET", "GET", "HEAD", "POST", "POST", "PUT", "DELETE"))
+    kind = rng.choice(("plain", "plain", "echo", "download", "empty"))
     path = {
         "plain": f"/x/{request_id}?",
         "echo": "/echo?",
-        "download": f"/download/{random_.choice((1, 500, 70_000, 300_000))}?",
+        "download": f"/download/{rng.choice((1, 500, 70_000, 300_000))}?",
         "empty": "/status/204?",
     }[kind]
     size = 0
-    if method in ("POST", "PUT") or (method == "GET" and random_.random() < 0.1):
-        size = random_.choice((0, 10, 2_000, 60_000, 150_000, 400_000))
-    body = random_.randbytes(size)
-    options = [f"start={random_.choice(('head', 'body'))}"]
-    if random_.random() < 0.4:
+    if method in ("POST", "PUT") or (method == "GET" and rng.random() < 0.1):
+        size = rng.choice((0, 10, 2_000, 60_000, 150_000, 400_000))
+    body = rng.randbytes(size)
+    options = [f"start={rng.choice(('head', 'body'))}"]
+    if rng.random() < 0.4:
         options.append("chunked=1")
-    if random_.random() < 0.15:
+    if rng.random() < 0.15:
         options.append("close=1")
     deadline_s, cuts, hang_up = 4.0, (None, None), ""
-    draw = random_.random()
+    draw = rng.random()
     if draw < 0.3:
-        fault = random_.choice(faults)
+        fault = rng.choice(faults)
         options.append(f"fault={fault}")
         deadline_s = 0.4 if fault in SLOW_FAULTS else 4.0
     elif draw < 0.7:
-        cut = _make_cut(random_, size)
+        cut = _make_cut(rng, size)
         deadline_s = 0.5 if cut.kind == "drop" else 4.0
-        cuts = (cut, random_.choice((cut, None)))
+        cuts = (cut, rng.choice((cut, None)))
     elif draw < 0.85:
-        hang_up = random_.choice(("head", "body", "sent", "half", "response"))
-        options.append(f"work_ms={random_.choice((0, 30))}")
+        hang_up = rng.choice(("head", "body", "sent", "half", "response"))
+        options.append(f"work_ms={rng.choice((0, 30))}")
     return Case(
         request_id=request_id,
         method=method,
         path=path + "&".join(options),
         body=body,
-        chunked=size > 0 and random_.random() < 0.4,
+        chunked=size > 0 and rng.random() < 0.4,
         hang_up=hang_up,
         cuts=cuts,
-        fresh=random_.random() < 0.4,
+        fresh=rng.random() < 0.4,
         deadline_s=deadline_s,
     )
 
 
-def _make_cut(random_, size):
-    direction = random_.choice(("up", "down"))
-    points = [0, 1, random_.randrange(1, 300), random_.randrange(100, 700)]
+def _make_cut(rng, size):
+    direction = rng.choice(("up", "down"))
+    offsets = [0, 1, rng.randrange(1, 300), rng.randrange(100, 700)]
     if direction == "up":
-        points += [300 + random_.randrange(0, size + 2) for _ in range(2)]
+        offsets += [300 + rng.randrange(0, size + 2) for _ in range(2)]
     else:
-        points += [random_.randrange(200, 300_000) for _ in range(2)]
-    return Cut(
-        direction, random_.choice(points), random_.choice(("rst", "fin", "drop"))
-    )
+        offsets += [rng.randrange(200, 300_000) for _ in range(2)]
+    return Cut(direction, rng.choice(offsets), rng.choice(("rst", "fin", "drop")))
 
 
 class Lane:
@@ -163,7 +162,7 @@
 
 
 class VerdictFuzz:
-    """Runs cases in several lanes and judges them by the targets' records.
+    """Runs cases in parallel lanes and checks them against the targets' records.
 
     Parameters
     ----------
@@ -172,9 +171,9 @@
     cases : int
         Number of cases.
     lanes : int, default=8
-        Cases in progress at once.
+        Number of cases in progress at the same time.
     faults : tuple of str, default=FAULTS
-        Faults of the targets to choose from.
+        Target faults to choose from.
     """
 
     def __init__(self, seed, cases, lanes=8, faults=FAULTS):
@@ -190,27 +189,30 @@
         start_ids = {}
         for lane in self.lanes:
             start_ids.update(lane.start_ids())
-        self.path.warm(start_ids)
-        random_ = random.Random(seed)
-        self.cases = [make_case(random_, f"f{seed}-{n}", faults) for n in range(cases)]
+        self.path.mark_targets_warm(start_ids)
+        rng = random.Random(seed)
+        self.cases = [make_case(rng, f"f{seed}-{n}", faults) for n in range(cases)]
 
     def run(self):
         """Run all cases; return self."""
-        shares = [self.cases[n :: len(self.lanes)] for n in range(len(self.lanes))]
+        cases_by_lane = [
+            self.cases[n :: len(self.lanes)] for n in range(len(self.lanes))
+        ]
         threads = [
             threading.Thread(target=self._run_lane, args=(lane, share))
-            for lane, share in zip(self.lanes, shares, strict=True)
+            for lane, share in zip(self.lanes, cases_by_lane, strict=True)
         ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        # A target may still read what was on its way when the caller heard.
+        # A target may still be receiving data that was in transit when the caller
+        # received its response.
         time.sleep(0.3)
         return self
 
     def close(self):
-        """End the servers."""
+        """Stop the entry server, the proxies and the targets."""
         self.path.close()
         for lane in self.lanes:
             lane.close()
@@ -221,10 +223,10 @@
                 for proxy in lane.proxies:
                     self.path.pools.find(proxy.address).close()
             for proxy, cut in zip(lane.proxies, case.cuts, strict=True):
-                proxy.arm(cut)
+                proxy.set_cut(cut)
             self._send(lane, case)
             for proxy in lane.proxies:
-                proxy.arm(None)
+                proxy.set_cut(None)
 
     def _send(self, lane, case):
         deadline = int((time.time() + case.deadline_s) * 1000)
@@ -240,7 +242,7 @@
         elif case.body:
             lines.append(f"Content-Length: {len(case.body)}")
         head = ("\r\n".join(lines) + "\r\n\r\n").encode()
-        body = _chunk(case.body) if case.chunked else case.body
+        body = _encode_chunked(case.body) if case.chunked else case.body
         with self.path.connect() as sock:
             try:
                 if case.hang_up == "head":
@@ -265,7 +267,7 @@
                 case.status, case.headers, case.data, case.whole = outcome
 
     def count_runs(self):
-        """Return how often each request started to run at any target."""
+        """Return how many times each request started to run, at any target."""
         return Counter(
             run["request"]
             for lane in self.lanes
@@ -274,47 +276,49 @@
         )
 
     def find_violations(self):
-        """Return a line for each case that broke a promise."""
+        """Return a line for each violation of what a verdict guarantees."""
         runs = self.count_runs()
-        faults = []
+        violations = []
         for case in self.cases:
-            for message in self._judge(case, runs[case.request_id]):
-                faults.append(f"{message}: {case.describe()}")
-        return faults
-
-    def _judge(self, case, runs):
-        said = case.headers.get("request-run")
-        page = self.path.requests.find(case.request_id)
-        if runs and said == "not-run":
+            for message in self._find_case_violations(case, runs[case.request_id]):
+                violations.append(f"{message}: {case.describe()}")
+        return violations
+
+    def _find_case_violations(self, case, runs):
+        reported_verdict = case.headers.get("request-run")
+        page_state = self.path.requests.find(case.request_id)
+        if runs and reported_verdict == "not-run":
             yield f"false not-run in the response ({runs} runs)"
-        if runs and page is RequestState.NOT_RUN:
+        if runs and page_state is RequestState.NOT_RUN:
             yield f"false not-run on the page ({runs} runs)"
-        # ``ran`` means that a whole response arrived; an early response comes
-        # from a target that did not start.
+        # ``ran`` means that a complete response arrived. An early response is sent
+        # by a target that has not started to run the request.
         early = "early-response" in case.path
-        if not runs and page is RequestState.RAN and not early:
+        if not runs and page_state is RequestState.RAN and not early:
             yield "false ran on the page"
         if case.method in NON_IDEMPOTENT and runs > 1:
             yield f"ran {runs} times"
-        if page is RequestState.RUNNING:
+        if page_state is RequestState.RUNNING:
             yield "still running on the page"
-        answered = case.whole and said is None and case.status in (200, 204)
+        answered = case.whole and reported_verdict is None and case.status in (200, 204)
         if answered and case.data != case.expected():
             yield f"wrong body of {len(case.data)} bytes"
         own_id = case.headers.get("request-id") == case.request_id
-        if case.status is not None and said is None and not own_id:
+        if case.status is not None and reported_verdict is None and not own_id:
             yield "another request's id"
         if not (case.hang_up or case.status or case.cuts[0] or "fault=" in case.path):
             yield "no response"
 
     def summarise(self):
-        """Return counts of outcomes and of needless ``may-have-run``."""
+        """Return counts of verdicts and of ``may-have-run`` without a run."""
         runs = self.count_runs()
         verdicts, needless = Counter(), Counter()
         for case in self.cases:
-            said = case.headers.get("request-run") or ("none", "whole")[case.whole]
-            verdicts[said] += 1
-            if said == "may-have-run" and not runs[case.request_id]:
+            reported_verdict = (
+                case.headers.get("request-run") or ("none", "whole")[case.whole]
+            )
+            verdicts[reported_verdict] += 1
+            if reported_verdict == "may-have-run" and not runs[case.request_id]:
                 needless[case.headers.get("failure-reason")] += 1
         share = sum(needless.values()) / max(1, verdicts["may-have-run"])
         return {
@@ -324,7 +328,7 @@
         }
 
 
-def _chunk(body):
+def _encode_chunked(body):
     step = max(1, len(body) // 5)
     parts = [body[at : at + step] for at in range(0, len(body), step)]
     return b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n"
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,4 +1,4 @@
-"""Choice of a target while some of them return to service."""
+"""Choice of a target while some targets ramp up after their return to service."""
 
 import random
 import time
@@ -11,8 +11,8 @@
 RAMP_SHARE = 0.125
 
 
-class State:
-    """A warm target; one that returned is idle and has a ramp."""
+class StubTargetState:
+    """State of a warm target, which has a return ramp if it has returned."""
 
     is_cold = False
     outlier_detector = SimpleNamespace(review=lambda now: 0)
@@ -29,14 +29,14 @@
 
 
 def choose_least_loaded(candidates, context):
-    """Return the less loaded of two, as the policies by load do."""
-    drawn = random.sample(candidates, min(2, len(candidates)))
-    return min(drawn, key=lambda state: state.load)
+    """Return the less loaded of two random targets, as load-based policies do."""
+    sampled = random.sample(candidates, min(2, len(candidates)))
+    return min(sampled, key=lambda state: state.load)
 
 
 class ReturnRampTest(RedwingspringTestCase):
     def count_returned(self, states):
-        """Return how many of 2,000 requests go to targets that returned."""
+        """Return how many of 2,000 requests go to returned targets."""
         configuration = SimpleNamespace(service_value=lambda key, service: "")
         table = SimpleNamespace(services={"desk": states}, configuration=configuration)
         dispatcher = Dispatcher(
@@ -51,12 +51,15 @@
         chosen = [dispatcher._choose(call, set()).ok.state for _ in range(2000)]
         return sum(state.returned_at is not None for state in chosen)
 
-    def test_idle_targets_that_return_get_only_the_share_of_the_ramp(self):
-        # In the scenario data-centre-out-and-back they got 14% to 18% of all
-        # requests in the first second, and 12.5% of a third is their share.
-        states = [State(True, 0) for _ in range(4)] + [State(False, 1)] * 8
-        # Of the pairs that the policy draws, 58% hold an idle target.
+    def test_idle_returned_targets_get_only_the_share_of_the_ramp(self):
+        # Guards against idle targets exceeding their ramp: in the scenario
+        # data-centre-out-and-back they received 14% to 18% of all requests in the
+        # first second, but their share is 12.5% of one third.
+        states = [StubTargetState(True, 0) for _ in range(4)] + [
+            StubTargetState(False, 1)
+        ] * 8
+        # 58% of the pairs that the policy samples contain an idle target.
         self.assertTrue(self.count_returned(states) < 2000 * 0.58 * RAMP_SHARE * 1.25)
 
-    def test_targets_that_return_take_all_requests_where_there_are_no_others(self):
-        self.assertEqual(2000, self.count_returned([State(True, 0)] * 4))
+    def test_returned_targets_take_all_requests_if_there_are_no_others(self):
+        self.assertEqual(2000, self.count_returned([StubTargetState(True, 0)] * 4))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -15,11 +15,11 @@
         self.fixture = DataPathFixture(self, targets, **options)
         return self.fixture.path.metrics
 
-    def break_off(self, target, at, rate=1.0, name="reset-in-body"):
+    def inject_fault(self, target, at, rate=1.0, name="reset-in-body"):
         fault = {"name": name, "at": at, "rate": rate, "path": "/download/"}
         target.record.change({"faults": [fault]})
 
-    def assert_whole(self, path=f"/download/{SIZE}"):
+    def assert_complete(self, path=f"/download/{SIZE}"):
         status, headers, body, whole = self.fixture.send("GET", path)
         self.assertEqual((200, True), (status, whole))
         self.assertTrue(body == CONTENT, "the content differs")
@@ -27,48 +27,48 @@
     def test_an_interrupted_download_is_whole(self):
         metrics = self.start()
         for target in self.fixture.targets:
-            self.break_off(target, 150_000, rate=0.5)
+            self.inject_fault(target, 150_000, rate=0.5)
         for _ in range(10):
-            self.assert_whole()
+            self.assert_complete()
         self.assertGreater(metrics.snapshot().get("downloads.resumed", 0), 0)
 
     def test_a_download_survives_more_interruptions_than_there_are_targets(self):
         metrics = self.start()
         for target in self.fixture.targets:
-            self.break_off(target, 60_000, name="truncated")
-        # Each answer brings 60,000 bytes, so there are six interruptions.
-        self.assert_whole()
+            self.inject_fault(target, 60_000, name="truncated")
+        # Each response delivers 60,000 bytes, so there are six interruptions.
+        self.assert_complete()
         self.assertEqual(6, metrics.snapshot()["downloads.resumed"])
 
-    def test_an_orderly_end_within_the_body_is_an_interruption(self):
+    def test_a_normal_close_within_the_body_is_an_interruption(self):
         self.start()
         for target in self.fixture.targets:
-            self.break_off(target, 200_000, name="truncated")
-        self.assert_whole()
+            self.inject_fault(target, 200_000, name="truncated")
+        self.assert_complete()
 
     def test_a_resumed_download_waits_for_a_slot(self):
         self.start(behaviour=TargetBehaviour(slots=1, work_s=0.0))
         first, second = self.fixture.targets
         for target in (first, second):
-            self.break_off(target, 100_000)
-        # The work occupies the slot that the rest of the download needs.
-        second_busy = threading.Thread(
+            self.inject_fault(target, 100_000)
+        # This request occupies the slot that the rest of the download needs.
+        busy_request = threading.Thread(
             target=self.fixture.send, args=("GET", "/x?work_ms=600")
         )
-        second_busy.start()
+        busy_request.start()
         self.assertTrue(wait_until(lambda: self.fixture.runs()))
-        self.assert_whole()
-        second_busy.join()
+        self.assert_complete()
+        busy_request.join()
 
     def test_a_service_with_one_target_resumes_there(self):
         self.start(1)
-        self.break_off(self.fixture.targets[0], 150_000, name="truncated")
-        self.assert_whole()
+        self.inject_fault(self.fixture.targets[0], 150_000, name="truncated")
+        self.assert_complete()
 
-    def test_a_target_with_other_content_does_not_continue_it(self):
+    def test_a_target_with_other_content_does_not_resume_a_download(self):
         self.start()
         for number, target in enumerate(self.fixture.targets):
-            self.break_off(target, 100_000, name="truncated")
+            self.inject_fault(target, 100_000, name="truncated")
             target.record.change({"content": str(number + 1)})
         _, headers, body, whole = self.fixture.send("GET", f"/download/{SIZE}")
         content = headers["etag"][1]
@@ -111,7 +111,7 @@
         headers["If-Range"] = '"other"'
         self.assertEqual(200, self.fixture.send("GET", path, headers=headers)[0])
 
-    def test_another_range_than_asked_for_ends_in_a_reset(self):
+    def test_another_range_than_requested_ends_in_a_reset(self):
         def answer(sock, head, attempt):
             start = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
             data = b"abc"
@@ -130,19 +130,21 @@
         status, _, body, whole = fixture.send("GET", "/download/6")
         self.assertEqual((200, b"abc", False), (status, body, whole))
 
-    def test_a_get_with_a_body_that_was_passed_on_is_not_resumed(self):
-        # Its body is gone, so the other target would wait for it in vain.
+    def test_a_get_with_a_streamed_body_is_not_resumed(self):
+        # The request body is no longer available, so the other target would wait
+        # for a body that never arrives.
         self.start()
         for target in self.fixture.targets:
-            self.break_off(target, 100_000)
+            self.inject_fault(target, 100_000)
         started = time.monotonic()
         answer = self.fixture.send("GET", f"/download/{SIZE}", body=b"x" * 200_000)
         self.assertFalse(answer[3])
         self.assertLess(time.monotonic() - started, 3.0)
 
     def test_a_target_whose_bodies_break_off_is_ejected(self):
-        # Its heads arrive fast, which must not make it look good. Of 6 targets
-        # one must get a third failure among 13, and the others bear the load.
+        # Fast response heads must not count as successes. With 13 requests to 6
+        # targets, one target has at least three failures and is ejected; the
+        # others carry its load.
         self.start(6, defaults={"eject.failures": 3})
         for _ in range(13):
             path = "/echo?chunked=1&fault=truncated&at=1"
@@ -152,7 +154,7 @@
         self.assertGreater(last, time.monotonic())
 
 
-class BrokenTest(RedwingspringTestCase):
+class TruncatedBodyTest(RedwingspringTestCase):
     def test_a_body_that_breaks_before_its_first_byte_gives_a_page(self):
         fixture = DataPathFixture(self)
         path = "/echo?chunked=1&fault=reset-in-body&at=0"
@@ -181,7 +183,8 @@
                 )
 
     def test_a_caller_that_stalls_gets_no_orderly_end(self):
-        # Without a length, an orderly end would make the short body look whole.
+        # Without a declared length, a normal close would make the truncated body
+        # look complete.
         fixture = DataPathFixture(self, caller_timeout=0.5)
         with fixture.path.connect() as sock:
             path = b"/desk/download/30000000?chunked=1"
@@ -197,7 +200,7 @@
         answer = fixture.path.exchange(raw + b"Content-Length: 4\r\n\r\nabcd")
         self.assertTrue(answer.endswith(b"ab<reset>") or answer == b"<reset>", answer)
 
-    def test_places_and_counts_are_free_after_each_kind_of_end(self):
+    def test_slots_and_counts_are_released_after_each_kind_of_end(self):
         fixture = DataPathFixture(self)
         for path in ("/x", "/echo?fault=truncated", "/x?fault=reset-after-work"):
             fixture.send("POST", path, body=b"hello")
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -54,7 +54,7 @@
         old = OK.replace(b"1.1", b"1.0")
         self.assert_broken(old + chunked + b"\r\n0\r\n\r\n")
 
-    def test_a_body_that_callers_do_not_expect_is_not_relayed(self):
+    def test_a_205_response_with_a_body_is_not_relayed(self):
         reset = OK.replace(b"200 OK", b"205 Reset Content")
         chunked = b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
         self.assert_broken(reset + chunked)
@@ -70,7 +70,7 @@
             OK + line + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "reset"
         )
 
-    def test_a_broken_chunk_never_looks_like_the_end(self):
+    def test_a_malformed_chunk_is_not_taken_for_the_end(self):
         chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
         for rest in (
             b"0",
@@ -113,9 +113,10 @@
         self.assertEqual("0", headers["content-length"])
         self.assertNotIn("\n", headers["x-long"])
 
-    def test_a_target_cannot_speak_for_this_system(self):
-        # Only a refusal by 429 or 503 is proof; on another status the header
-        # would make callers send a request again that did run.
+    def test_verdict_headers_of_a_target_are_not_relayed(self):
+        # Only a refusal with status 429 or 503 proves that a request did not run.
+        # With another status, the header would make callers repeat a request that
+        # did run.
         _, headers, _, _ = self.send(
             OK + b"Request-Run: not-run\r\nFailure-Reason: x\r\n"
             b"Content-Length: 0\r\n\r\n"
@@ -134,7 +135,7 @@
             {"response.echo": "when-present", "retry.attempts": 1},
         )
         self.assertEqual(200, fixture.send("POST", "/x")[0])
-        fixture.settle()
+        fixture.wait_idle()
         _, headers, _, _ = fixture.send("POST", "/x")
         self.assertEqual("may-have-run", headers["request-run"])
 
@@ -150,8 +151,9 @@
         self.assertEqual((504, "deadline"), (status, headers["failure-reason"]))
         self.assertLess(time.monotonic() - started, 1.0)
 
-    def test_a_closing_response_may_pause_longer_than_its_deadline_is_off(self):
-        # The rest of the deadline used to bound the pauses of such a body.
+    def test_a_closing_response_may_pause_longer_than_its_remaining_deadline(self):
+        # The time left until the deadline was once applied to the pauses of such a
+        # body, instead of the stall timeout.
         def answer(sock, head, attempt):
             time.sleep(1.0)
             start = OK.replace(b"ID", attempt) + b"Connection: close\r\n"
@@ -170,7 +172,7 @@
         fixture = RawFixture(self, answer_with(template))
         for _ in range(3):
             fixture.send(method, "/x")
-            fixture.settle()
+            fixture.wait_idle()
         return fixture.raw.accepted
 
     def test_connections_are_reused_after_each_kind_of_response(self):
@@ -207,22 +209,22 @@
             thread.start()
         for thread in threads:
             thread.join()
-        fixture.settle()
+        fixture.wait_idle()
         pool = fixture.path.pools.find(fixture.targets[0].address)
         self.assertEqual(4, len(pool._idle))
         for _ in range(8):
             fixture.send("GET", "/x")
-            fixture.settle()
+            fixture.wait_idle()
             time.sleep(0.05)
         self.assertEqual(1, len(pool._idle))
 
     def test_a_connection_reset_before_the_first_byte_proves_not_run(self):
         fixture = DataPathFixture(self, defaults={"retry.attempts": 1})
         fixture.send("POST", "/first")
-        fixture.settle()
+        fixture.wait_idle()
         pool = fixture.path.pools.find(fixture.targets[0].address)
         stale = pool._idle[0]
-        # The reset arrives after the last look at the connection.
+        # Simulates a reset that arrives after the last check of the connection.
         stale.sock.shutdown(socket.SHUT_WR)
         with mock.patch.object(TargetConnection, "is_connected", True):
             _, headers, _, _ = fixture.send("POST", "/second")
@@ -239,17 +241,18 @@
 
         fixture = RawFixture(self, answer)
         fixture.send("POST", "/x")
-        fixture.settle()
-        check = TargetConnection.is_connected.fget
+        fixture.wait_idle()
+        read_is_connected = TargetConnection.is_connected.fget
 
         def close_then_check(connection):
-            # The first look, in the pool, is just before the target closes.
+            # The first check, by the pool, takes place just before the target
+            # closes the connection.
             if closing:
                 enable_reset_on_close(closing[0])
                 closing.pop().shutdown(socket.SHUT_RDWR)
                 return True
             time.sleep(0.02)
-            return check(connection)
+            return read_is_connected(connection)
 
         with mock.patch.object(
             TargetConnection, "is_connected", property(close_then_check)
@@ -279,7 +282,8 @@
 
     def test_a_response_during_the_upload_reaches_the_caller(self):
         def answer(sock, head, attempt):
-            # It neither reads the body nor closes, so only the response tells.
+            # The target neither reads the body nor closes the connection, so only
+            # the response shows that it has refused the request.
             start = OK.replace(b"ID", attempt).replace(b"200 OK", b"413 Too Large")
             sock.sendall(start + b"Content-Length: 2\r\n\r\nno")
             time.sleep(4.0)
@@ -315,7 +319,7 @@
 
 class CallerGoneTest(RedwingspringTestCase):
     def assert_ends_not_run(self, fixture, request_id):
-        """Check the page and the target's record after the request's end."""
+        """Check the request page and the runs of the target after the request."""
         find = fixture.path.requests.find
         self.assertTrue(
             wait_until(lambda: str(find(request_id)) not in ("running", "unknown"))
@@ -329,7 +333,7 @@
         acquire_slot = admission.acquire_slot
 
         def acquire_slot_late(deadline):
-            # As if the request had waited in the queue.
+            # Simulates a wait in the queue.
             time.sleep(0.2)
             return acquire_slot(deadline)
 
@@ -352,8 +356,9 @@
 
 
 class PoolTest(RedwingspringTestCase):
-    def test_idle_connections_of_all_hosts_pass_what_a_target_bears(self):
-        # 200 connections, 20 hosts and 6 slots leave 4 idle ones for each host.
+    def test_idle_connections_of_all_hosts_stay_within_the_limit_of_a_target(self):
+        # 200 connections shared by 20 hosts are 10 per host; with 6 slots in use,
+        # 4 connections may be idle.
         pool = TargetPool("127.0.0.1:1")
         limits = SimpleNamespace(
             connections=200, slots=6, idle_timeout=30.0, connect_timeout=0.1
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -96,7 +96,7 @@
     def send_to(self, address, **defaults):
         self.start().path.close()
         self.fixture.path = DataPath({SERVICE: [address]}, defaults)
-        self.fixture.path.warm({address: ""})
+        self.fixture.path.mark_targets_warm({address: ""})
         return self.fixture.send("POST", "/x")
 
     def test_a_refused_connection(self):
@@ -107,7 +107,7 @@
     def test_a_connection_that_takes_too_long(self):
         with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
             port = full.getsockname()[1]
-            # With a full listen queue, further connections get no answer.
+            # With a full listen queue, further connection attempts get no answer.
             waiting = [socket.socket() for _ in range(3)]
             for sock in waiting:
                 self.addCleanup(sock.close)
@@ -117,7 +117,7 @@
         self.assert_failure(answer, 503, "not-run", "connect")
 
     def test_a_decision_that_is_too_old_when_connected(self):
-        # As after a pause of the process between decision and send.
+        # Simulates a pause of the process between the decision and the send.
         fixture = self.start(defaults={"retry.attempts": 1})
         connect = TargetConnection.connect
 
@@ -192,7 +192,7 @@
         self.assert_failure(answer, 502, "may-have-run", "no-answer")
 
     def test_a_large_chunked_body_beyond_the_limit(self):
-        # Its beginning has reached the target when the limit shows.
+        # The start of the body has reached the target when the limit is exceeded.
         fixture = self.start(defaults={"request.body": 300_000})
         with fixture.path.connect() as sock:
             sock.sendall(
