--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -188,8 +188,8 @@
                 reported_failure.proves_not_run and not no_target_found
             ):
                 reported_failure = failure
-            last = number + 1 == attempt_limit
-            if last or not self._may_repeat(call, admission, failure):
+            is_last_attempt = number + 1 == attempt_limit
+            if is_last_attempt or not self._may_repeat(call, admission, failure):
                 break
         return Error(reported_failure)
 
@@ -423,10 +423,10 @@
             return refuse(Reason.DEADLINE, "the deadline passed before the send")
         return None
 
-    def _record_cancelled(self, decision, seconds):
+    def _record_cancelled(self, decision, elapsed_s):
         """Record an attempt cancelled because another attempt was answered."""
         self.metrics.increment("attempts.cancelled")
-        decision.state.record_cancelled(seconds)
+        decision.state.record_cancelled(elapsed_s)
         if decision.lease is not None:
             # The target may still be processing the request, so the lease is
             # kept until it expires.
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -1,6 +1,6 @@
 """Connection pools and the sending of requests to targets.
 
-Every failure states whether a byte of the request may have reached the target.
+Every failure states whether the request may have run.
 """
 
 import select
