--- a/redwingspring/publication.py
+++ b/redwingspring/publication.py
@@ -152,7 +152,9 @@
             value = self._reader.read(key, self._values.highest_revision(key), wait)
             if value is not None and self._values.is_settled(key, value.stamp):
                 # A peer may have delivered a different value of this revision before.
-                self._values.note_stamp(key, value.stamp, "read from the service")
+                self._values.check_for_conflict(
+                    key, value.stamp, "read from the service"
+                )
                 # Raise to wait before the retry. A service that ignores ``after`` would
                 # otherwise be read in a loop without a pause.
                 raise StaleResponseError(value.stamp.revision)
@@ -180,7 +182,7 @@
 
     def _handle_stamp(self, sender, key, stamp):
         """Pull a value if the heartbeat of a peer shows a newer one."""
-        self._values.note_stamp(key, stamp, sender)
+        self._values.check_for_conflict(key, stamp, sender)
         if self._values.is_settled(key, stamp):
             return
         now = time.monotonic()
@@ -211,7 +213,7 @@
         if key not in KEYS or len(message.text.encode()) > MAX_VALUE_BYTES:
             self._metrics.increment("publication.bad_values")
             return
-        self._values.note_stamp(key, stamp, sender)
+        self._values.check_for_conflict(key, stamp, sender)
         if self._values.is_settled(key, stamp):
             self._metrics.increment("publication.ignored")
             return
