Name YAML nodes, key bounds and selector specificity by their usual terms

yamltree.Entry -> Node Entry.strip_places -> Node.strip_positions Key.least -> minimum Key.most -> maximum Size.least, Size.most, Seconds.least, Seconds.most -> minimum, maximum HOUR -> HOUR_S ConfigurationException.precision -> specificity RoutedSettings.source -> source_ip RoutedSettings.seed_peers -> seed_peer_addresses

'Entry' meant both a parsed YAML value and the entry process.

--- a/redwingspring/configuration.py
+++ b/redwingspring/configuration.py
@@ -89,7 +89,7 @@
         )
 
     @property
-    def precision(self):
+    def specificity(self):
         """Rank of the selector; a higher rank takes precedence."""
         return (
             4 * (self.target is not None)
@@ -179,7 +179,7 @@
             return [
                 exception
                 for exception in self._index.get(service, ())
-                if exception.service == service and exception.precision == 2
+                if exception.service == service and exception.specificity == 2
             ]
         parts = {target.address, service, target.data_centre}
         found = [
@@ -188,7 +188,7 @@
             for exception in self._index.get(part, ())
             if exception.matches(target)
         ]
-        return sorted(found, key=lambda exception: -exception.precision)
+        return sorted(found, key=lambda exception: -exception.specificity)
 
     def default_value(self, key):
         """Return the fleet-wide value of a key.
@@ -275,19 +275,17 @@
     source = YamlSource(text, name)
     # ``services`` is required so that an empty file, as a failed write leaves
     # it, does not remove all services.
-    entries = source.read_mapping(
-        source.root, ("services",), ("defaults", "exceptions")
-    )
-    declared = source.read_mapping(entries.get("defaults"))
+    nodes = source.read_mapping(source.root, ("services",), ("defaults", "exceptions"))
+    declared = source.read_mapping(nodes.get("defaults"))
     defaults = _read_values(source, declared)
     for key in defaults:
         if KEYS[key].exception_only:
             message = "can be set only by an exception, which records a reason"
             source.report(declared[key], message)
-    services, complete = _read_services(source, entries.get("services"))
+    services, complete = _read_services(source, nodes.get("services"))
     readings = [
-        _read_exception(source, entry)
-        for entry in source.read_items(entries.get("exceptions"))
+        _read_exception(source, node)
+        for node in source.read_items(nodes.get("exceptions"))
     ]
     check_contradictions(source, readings)
     # An exception for a target that could not be read would seem to match
@@ -303,46 +301,46 @@
     )
 
 
-def _read_values(source, entries, check=None):
+def _read_values(source, nodes, check=None):
     """Return values in base units by key; ``check`` reports further faults."""
     values = {}
-    for name, entry in entries.items():
+    for name, node in nodes.items():
         key = KEYS.get(name)
         if key is None:
-            source.report(entry, f"unknown key{source.suggest(name, KEYS)}")
+            source.report(node, f"unknown key{source.suggest(name, KEYS)}")
             continue
         if check is not None:
-            check(key, entry)
+            check(key, node)
         try:
-            values[name] = parse_value(key, entry.strip_places())
+            values[name] = parse_value(key, node.strip_positions())
         except ValueError as error:
-            source.report(entry, str(error))
+            source.report(node, str(error))
     return values
 
 
-def _read_checked(source, entry, check):
+def _read_checked(source, node, check):
     """Return a text that passes a check, or None."""
-    text = source.read_text(entry)
+    text = source.read_text(node)
     if text is None:
         return None
     try:
         return check(text)
     except ValueError as error:
-        source.report(entry, str(error))
+        source.report(node, str(error))
         return None
 
 
-def _read_services(source, entry):
+def _read_services(source, node):
     """Return services by name, and whether every part of them was read."""
-    if entry is None:
+    if node is None:
         return {}, False
-    if entry.value is None:
-        source.report(entry, "must be a mapping; write {} for no services")
+    if node.value is None:
+        source.report(node, "must be a mapping; write {} for no services")
         return {}, False
     services = {}
     problems = len(source.problems)
     duplicates = 0
-    for name, body in source.read_mapping(entry).items():
+    for name, body in source.read_mapping(node).items():
         try:
             check_name(name)
         except ValueError as error:
@@ -364,15 +362,15 @@
     return services, len(source.problems) == problems + duplicates
 
 
-def _read_exception(source, entry):
+def _read_exception(source, node):
     """Return the parts of an exception by name, and the exception."""
-    parts = source.read_mapping(entry, ("set", "reason"), SELECTOR_PARTS)
+    parts = source.read_mapping(node, ("set", "reason"), SELECTOR_PARTS)
     service = _read_checked(source, parts.get("service"), check_name)
     target = _read_checked(source, parts.get("target"), check_address)
     centre = _read_checked(source, parts.get("data_centre"), check_name)
-    if isinstance(entry.value, dict) and parts.keys().isdisjoint(SELECTOR_PARTS):
+    if isinstance(node.value, dict) and parts.keys().isdisjoint(SELECTOR_PARTS):
         message = "needs a selector: service, target, data_centre or several of them"
-        source.report(entry, message)
+        source.report(node, message)
 
     def _check_scope(key, value):
         if key.scope == "service" and parts.keys() & {"target", "data_centre"}:
@@ -385,6 +383,6 @@
     values = _read_values(source, values, _check_scope)
     reason = source.read_text(parts.get("reason"))
     exception = ConfigurationException(
-        service, target, centre, MappingProxyType(values), reason, entry.line
+        service, target, centre, MappingProxyType(values), reason, node.line
     )
     return parts, exception
--- a/redwingspring/conflicts.py
+++ b/redwingspring/conflicts.py
@@ -2,15 +2,15 @@
 
 
 def check_contradictions(source, readings):
-    """Report exceptions that give one key two values with equal precision.
+    """Report exceptions that give one key two values with equal specificity.
 
-    Two selectors of equal precision overlap only when they are equal.
+    Two selectors of equal specificity overlap only when they are equal.
 
     Parameters
     ----------
     source : YamlSource
         Collects the problems.
-    readings : iterable of tuple of (dict of str to Entry, ConfigurationException)
+    readings : iterable of tuple of (dict of str to Node, ConfigurationException)
         The parts of each exception by name, and the exception.
     """
     first = {}
@@ -35,7 +35,7 @@
     ----------
     source : YamlSource
         Collects the problems.
-    readings : iterable of tuple of (dict of str to Entry, ConfigurationException)
+    readings : iterable of tuple of (dict of str to Node, ConfigurationException)
         The parts of each exception by name, and the exception.
     services : mapping of str to Service
         All services.
--- a/redwingspring/defaults.py
+++ b/redwingspring/defaults.py
@@ -35,7 +35,7 @@
     choices : tuple of str or callable, default=()
         Allowed values of the kinds ``choice`` and ``names``, or a function
         that returns them.
-    least, most : float or int or None, default=None
+    minimum, maximum : float or int or None, default=None
         Bounds in base units; None sets no bound.
     scope : {"target", "service"}, default="target"
         ``service`` marks a key that has one value for a whole service, so an
@@ -49,8 +49,8 @@
     default: object
     doc: str
     choices: tuple | Callable = ()
-    least: float | int | None = None
-    most: float | int | None = None
+    minimum: float | int | None = None
+    maximum: float | int | None = None
     scope: str = "target"
     exception_only: bool = False
 
@@ -65,7 +65,7 @@
         return self.choices() if callable(self.choices) else self.choices
 
 
-HOUR = 3600.0
+HOUR_S = 3600.0
 
 KEYS = {
     key.name: key
@@ -83,8 +83,8 @@
             "duration",
             10.0,
             "Longest time until a response begins.",
-            least=0.001,
-            most=HOUR,
+            minimum=0.001,
+            maximum=HOUR_S,
             scope="service",
         ),
         Key(
@@ -92,8 +92,8 @@
             "size",
             64 << 20,
             "Largest request body.",
-            least=0,
-            most=1 << 30,
+            minimum=0,
+            maximum=1 << 30,
             scope="service",
         ),
         Key(
@@ -101,8 +101,8 @@
             "size",
             64 << 10,
             "Largest request body that is buffered so that it can be sent again.",
-            least=0,
-            most=16 << 20,
+            minimum=0,
+            maximum=16 << 20,
             scope="service",
         ),
         Key(
@@ -125,48 +125,48 @@
             "duration",
             10.0,
             "Longest pause within a response body.",
-            least=0.01,
-            most=HOUR,
+            minimum=0.01,
+            maximum=HOUR_S,
         ),
         Key(
             "target.slots",
             "count",
             3,
             "Requests that a target runs at once.",
-            least=1,
-            most=10_000,
+            minimum=1,
+            maximum=10_000,
         ),
         Key(
             "target.connections",
             "count",
             250,
             "Connections that a target accepts, summed over all hosts.",
-            least=1,
-            most=1_000_000,
+            minimum=1,
+            maximum=1_000_000,
         ),
         Key(
             "target.connect",
             "duration",
             0.25,
             "Longest time for a new connection.",
-            least=0.001,
-            most=60.0,
+            minimum=0.001,
+            maximum=60.0,
         ),
         Key(
             "target.idle",
             "duration",
             30.0,
             "How long an unused connection to a target is kept.",
-            least=0,
-            most=HOUR,
+            minimum=0,
+            maximum=HOUR_S,
         ),
         Key(
             "cold.slots",
             "count",
             1,
             "Requests that a target in cold start runs at once, over all hosts.",
-            least=1,
-            most=10_000,
+            minimum=1,
+            maximum=10_000,
         ),
         # A host that has just started grants no lease for 2 s, so that leases
         # granted before the restart have expired. A longer lease would outlive that.
@@ -175,8 +175,8 @@
             "duration",
             2.0,
             "Longest lease on a slot of a target in cold start.",
-            least=0.05,
-            most=2.0,
+            minimum=0.05,
+            maximum=2.0,
         ),
         Key(
             "cold.ramp",
@@ -190,8 +190,8 @@
             "count",
             5,
             "Complete responses after which a ramp opens its next slot.",
-            least=1,
-            most=1_000_000,
+            minimum=1,
+            maximum=1_000_000,
         ),
         Key(
             "balance.policy",
@@ -206,8 +206,8 @@
             "ratio",
             0.1,
             "Retries as a share of first attempts.",
-            least=0,
-            most=1,
+            minimum=0,
+            maximum=1,
             scope="service",
         ),
         Key(
@@ -215,8 +215,8 @@
             "count",
             3,
             "Most attempts for one request.",
-            least=1,
-            most=10,
+            minimum=1,
+            maximum=10,
             scope="service",
         ),
         Key(
@@ -224,8 +224,8 @@
             "ratio",
             0.0,
             "Hedges as a share of first attempts.",
-            least=0,
-            most=1,
+            minimum=0,
+            maximum=1,
             scope="service",
         ),
         Key(
@@ -233,8 +233,8 @@
             "count",
             64,
             "Requests of a service that wait at one host.",
-            least=0,
-            most=100_000,
+            minimum=0,
+            maximum=100_000,
             scope="service",
         ),
         Key(
@@ -242,8 +242,8 @@
             "duration",
             0.5,
             "Longest wait in the queue.",
-            least=0,
-            most=60.0,
+            minimum=0,
+            maximum=60.0,
             scope="service",
         ),
         Key(
@@ -251,40 +251,40 @@
             "count",
             3,
             "Failures in a row after which a target is ejected.",
-            least=1,
-            most=1_000_000,
+            minimum=1,
+            maximum=1_000_000,
         ),
         Key(
             "eject.time",
             "duration",
             2.0,
             "How long an ejected target receives no requests.",
-            least=0,
-            most=HOUR,
+            minimum=0,
+            maximum=HOUR_S,
         ),
         Key(
             "eject.outlier",
             "count",
             5,
             "Multiple of the median latency that ejects a target; 0 never does.",
-            least=0,
-            most=1_000_000,
+            minimum=0,
+            maximum=1_000_000,
         ),
         Key(
             "probe.after",
             "duration",
             5.0,
             "Age of the last load report after which a target is probed.",
-            least=0.01,
-            most=HOUR,
+            minimum=0.01,
+            maximum=HOUR_S,
         ),
         Key(
             "probe.budget",
             "rate",
             1.0,
             "Probes sent to a target, summed over all hosts.",
-            least=0,
-            most=1000.0,
+            minimum=0,
+            maximum=1000.0,
         ),
         Key(
             "probe.path",
@@ -297,16 +297,16 @@
             "duration",
             10.0,
             "Time in which a returned data centre rises to its full share.",
-            least=0,
-            most=HOUR,
+            minimum=0,
+            maximum=HOUR_S,
         ),
         Key(
             "address.keep",
             "duration",
             30.0,
             "How long a caller keeps the address of a host.",
-            least=0,
-            most=HOUR,
+            minimum=0,
+            maximum=HOUR_S,
             scope="service",
         ),
     )
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -34,7 +34,7 @@
     prefix = f"redwingspring.{settings.name.replace('.', '_')}"
     entry.metrics = Metrics(connect_statsd(settings.statsd, prefix))
     entry.decisions = DecisionLog(entry.metrics)
-    entry.directory = InstanceDirectory(settings.source)
+    entry.directory = InstanceDirectory(settings.source_ip)
     entry.knowledge = Knowledge(
         entry.directory, decode_change, entry.metrics, entry.decisions
     )
@@ -86,7 +86,7 @@
     entry.gossip = GossipNetwork(
         entry.members,
         settings.peer_address,
-        settings.seed_peers,
+        settings.seed_peer_addresses,
         entry.metrics,
         entry.decisions,
     )
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -129,7 +129,7 @@
         settings : RoutedSettings
             The new settings.
         """
-        self.gossip.set_seeds(settings.seed_peers)
+        self.gossip.set_seeds(settings.seed_peer_addresses)
         changed = settings != self.settings
         self.decisions.record("settings read again", changed=changed)
 
--- a/redwingspring/routedsettings.py
+++ b/redwingspring/routedsettings.py
@@ -90,12 +90,12 @@
     link_mbit: _Amount = 1000.0
 
     @property
-    def source(self):
+    def source_ip(self):
         """IP number that connections of this host come from."""
         return self.address.rsplit(":", 1)[0]
 
     @property
-    def seed_peers(self):
+    def seed_peer_addresses(self):
         """``ip:port`` of the seeds for datagrams."""
         port = self.peer_address.rsplit(":", 1)[1]
         return tuple(f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self.seeds)
@@ -143,8 +143,8 @@
         With one message for each fault.
     """
     source = YamlSource(text, name)
-    settings, entries = check_settings(source, RoutedSettings)
+    settings, nodes = check_settings(source, RoutedSettings)
     if settings is not None and settings.data_centre not in settings.data_centres:
-        source.report(entries["data_centre"], "is none of data_centres")
+        source.report(nodes["data_centre"], "is none of data_centres")
     source.raise_problems()
     return settings
--- a/redwingspring/settings.py
+++ b/redwingspring/settings.py
@@ -42,25 +42,25 @@
 class Size(int):
     """A number of bytes between two bounds."""
 
-    least, most = 0, 1 << 62
+    minimum, maximum = 0, 1 << 62
 
 
 class HeaderSize(Size):
     """A size of 1 KiB to 1 MiB."""
 
-    least, most = 1 << 10, 1 << 20
+    minimum, maximum = 1 << 10, 1 << 20
 
 
 class BodySize(Size):
     """A size of up to 1 TiB."""
 
-    least, most = 0, 1 << 40
+    minimum, maximum = 0, 1 << 40
 
 
 class Seconds(float):
     """A time above 0 and up to an hour."""
 
-    least, most = 0, 3600
+    minimum, maximum = 0, 3600
 
 
 _TEXTS = {Address: check_address, Name: check_name, Url: _check_url}
@@ -88,10 +88,10 @@
     if isinstance(value, bool) or not isinstance(value, accepted):
         raise ValueError(f"must be a {_QUANTITIES[kind]}, not {describe(value)}")
     # A comparison with a value that is no number is never true.
-    if kind is Seconds and not value > kind.least:
-        raise ValueError(f"must be greater than {kind.least}, not {describe(value)}")
-    if not kind.least <= value <= kind.most:
-        limits = f"from {kind.least} to {kind.most}"
+    if kind is Seconds and not value > kind.minimum:
+        raise ValueError(f"must be greater than {kind.minimum}, not {describe(value)}")
+    if not kind.minimum <= value <= kind.maximum:
+        limits = f"from {kind.minimum} to {kind.maximum}"
         raise ValueError(f"must be {limits}, not {describe(value)}")
     return kind(value)
 
@@ -179,10 +179,10 @@
         With one message for each fault.
     """
     source = YamlSource(text, name)
-    settings, entries = check_settings(source, Settings)
+    settings, nodes = check_settings(source, Settings)
     if settings is not None and settings.address == settings.peer_address:
         message = "must differ from address, which serves callers"
-        source.report(entries["peer_address"], message)
+        source.report(nodes["peer_address"], message)
     source.raise_problems()
     return settings
 
@@ -203,41 +203,41 @@
         The settings, None when there are faults, and the entries by key.
     """
     hints = get_type_hints(model, include_extras=True)
-    entries = source.read_mapping(source.root, (), tuple(hints))
-    if not entries:
+    nodes = source.read_mapping(source.root, (), tuple(hints))
+    if not nodes:
         # The text may be no mapping at all; missing keys would only distract.
         source.raise_problems()
     values = {}
     for item in fields(model):
-        entry = entries.get(item.name)
-        if entry is None:
+        node = nodes.get(item.name)
+        if node is None:
             if item.default is MISSING:
                 source.report_missing(source.root, item.name)
             continue
         try:
             values[item.name] = msgspec.convert(
-                entry.strip_places(), hints[item.name], dec_hook=_read_value
+                node.strip_positions(), hints[item.name], dec_hook=_read_value
             )
         except msgspec.ValidationError as error:
-            _report_fault(source, item.name, entry, hints[item.name], str(error))
+            _report_fault(source, item.name, node, hints[item.name], str(error))
     required = {item.name for item in fields(model) if item.default is MISSING}
-    complete = required <= values.keys() and entries.keys() <= values.keys()
-    return (model(**values) if complete else None), entries
+    complete = required <= values.keys() and nodes.keys() <= values.keys()
+    return (model(**values) if complete else None), nodes
 
 
-def _report_fault(source, key, entry, hint, fault):
+def _report_fault(source, key, node, hint, fault):
     """Add one fault that msgspec found, at the place of its entry."""
     if key == "peer_key":
         # The value is a secret and stays out of messages.
-        source.report(entry, "must be text of 16 to 1024 characters")
+        source.report(node, "must be text of 16 to 1024 characters")
         return
     place = _PLACE.search(fault)
     if place:
         fault = fault[: place.start()]
         index = re.fullmatch(r"\[(\d+)\]", place[1])
-        if index and isinstance(entry.value, tuple):
-            entry = entry.value[int(index[1])]
-    source.report(entry, _phrase_fault(fault, hint, entry.value))
+        if index and isinstance(node.value, tuple):
+            node = node.value[int(index[1])]
+    source.report(node, _phrase_fault(fault, hint, node.value))
 
 
 def _phrase_fault(fault, hint, value):
--- a/redwingspring/units.py
+++ b/redwingspring/units.py
@@ -228,7 +228,7 @@
 
 
 def _check_range(key, value):
-    low, high = key.least, key.most
+    low, high = key.minimum, key.maximum
     if (low is None or value >= low) and (high is None or value <= high):
         return
     parts = []
--- a/redwingspring/yamlsource.py
+++ b/redwingspring/yamlsource.py
@@ -78,7 +78,7 @@
     Parameters
     ----------
     value : object
-        The value of an Entry.
+        The value of an Node.
 
     Returns
     -------
@@ -103,7 +103,7 @@
     Parameters
     ----------
     value : object
-        The value of an Entry; not a str.
+        The value of an Node; not a str.
 
     Returns
     -------
@@ -129,7 +129,7 @@
 
     Attributes
     ----------
-    root : Entry or None
+    root : Node or None
         The whole document; None when the text is not YAML.
     problems : list of Problem
         In the order in which they were found.
@@ -142,30 +142,30 @@
         self._omitted = 0
         self.root = self._parse(text)
 
-    def report(self, entry, message):
+    def report(self, node, message):
         """Add a problem with an entry.
 
         Parameters
         ----------
-        entry : Entry
+        node : Node
             The entry that is wrong.
         message : str
             What is wrong and what is allowed.
         """
-        self._add(entry.line, entry.key, message)
+        self._add(node.line, node.key, message)
 
-    def report_missing(self, entry, name):
+    def report_missing(self, node, name):
         """Add the problem that a mapping lacks a key.
 
         Parameters
         ----------
-        entry : Entry
+        node : Node
             The mapping.
         name : str
             The missing name.
         """
-        key = name if entry is self.root else f"{entry.key}.{name}"
-        self._add(entry.line, key, "is missing")
+        key = name if node is self.root else f"{node.key}.{name}"
+        self._add(node.line, key, "is missing")
 
     def raise_problems(self):
         """Raise all problems together, sorted by line.
@@ -209,12 +209,12 @@
             return f"; known are: {', '.join(known)}"
         return ""
 
-    def read_mapping(self, entry, required=(), optional=None):
+    def read_mapping(self, node, required=(), optional=None):
         """Return the entries of a mapping by name.
 
         Parameters
         ----------
-        entry : Entry or None
+        node : Node or None
             The mapping; empty counts as a mapping without entries, and None
             stands for a missing entry that is reported elsewhere.
         required : sequence of str, default=()
@@ -224,52 +224,52 @@
 
         Returns
         -------
-        dict of str to Entry
+        dict of str to Node
             The entries with allowed names; empty for other kinds of value.
         """
-        if entry is None or (entry.value is None and not required):
+        if node is None or (node.value is None and not required):
             return {}
-        if not isinstance(entry.value, dict):
-            self.report(entry, f"must be a mapping, not {describe(entry.value)}")
+        if not isinstance(node.value, dict):
+            self.report(node, f"must be a mapping, not {describe(node.value)}")
             return {}
         if optional is None:
-            return entry.value
+            return node.value
         known = (*required, *optional)
-        for name, child in entry.value.items():
+        for name, child in node.value.items():
             if name not in known:
                 self.report(child, f"unknown key{self.suggest(name, known)}")
         for name in required:
-            if name not in entry.value:
-                self.report_missing(entry, name)
-        return {name: child for name, child in entry.value.items() if name in known}
+            if name not in node.value:
+                self.report_missing(node, name)
+        return {name: child for name, child in node.value.items() if name in known}
 
-    def read_items(self, entry):
+    def read_items(self, node):
         """Return the entries of a list.
 
         Parameters
         ----------
-        entry : Entry or None
+        node : Node or None
             The list; empty counts as a list without entries, and None stands
             for a missing entry that is reported elsewhere.
 
         Returns
         -------
-        tuple of Entry
+        tuple of Node
             The items; empty for other kinds of value.
         """
-        if entry is None or entry.value is None:
+        if node is None or node.value is None:
             return ()
-        if not isinstance(entry.value, tuple):
-            self.report(entry, f"must be a list, not {describe(entry.value)}")
+        if not isinstance(node.value, tuple):
+            self.report(node, f"must be a list, not {describe(node.value)}")
             return ()
-        return entry.value
+        return node.value
 
-    def read_text(self, entry):
+    def read_text(self, node):
         """Return a text that is not blank.
 
         Parameters
         ----------
-        entry : Entry or None
+        node : Node or None
             The entry; None when it is missing, which is reported elsewhere.
 
         Returns
@@ -277,15 +277,15 @@
         str or None
             The text without surrounding space; None for other values.
         """
-        if entry is None:
+        if node is None:
             return None
-        if not isinstance(entry.value, str):
-            self.report(entry, describe_text_fault(entry.value))
+        if not isinstance(node.value, str):
+            self.report(node, describe_text_fault(node.value))
             return None
-        if not entry.value.strip():
-            self.report(entry, "must not be empty")
+        if not node.value.strip():
+            self.report(node, "must not be empty")
             return None
-        return entry.value.strip()
+        return node.value.strip()
 
     def _add(self, line, key, message):
         if len(self.problems) < MAX_PROBLEMS:
--- a/redwingspring/yamltree.py
+++ b/redwingspring/yamltree.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Entry:
+class Node:
     """One value of a document and its place.
 
     Attributes
@@ -34,14 +34,14 @@
     line : int
         Line of the key, or of the item of a list.
     value : object
-        A dict of name to Entry, a tuple of Entry, or a scalar.
+        A dict of name to Node, a tuple of Node, or a scalar.
     """
 
     key: str
     line: int
     value: object
 
-    def strip_places(self):
+    def strip_positions(self):
         """Return the value without the places of its parts.
 
         Returns
@@ -50,9 +50,9 @@
             A dict, a tuple or a scalar.
         """
         if isinstance(self.value, dict):
-            return {name: part.strip_places() for name, part in self.value.items()}
+            return {name: part.strip_positions() for name, part in self.value.items()}
         if isinstance(self.value, tuple):
-            return tuple(part.strip_places() for part in self.value)
+            return tuple(part.strip_positions() for part in self.value)
         return self.value
 
 
@@ -125,7 +125,7 @@
 
         Returns
         -------
-        Entry
+        Node
             The whole document; its value is None when the text is empty.
 
         Raises
@@ -156,7 +156,7 @@
             elif isinstance(event, yaml.DocumentStartEvent) and self._root is not None:
                 message = "only one document is allowed in a file"
                 raise StructureError(line, "document", message)
-        return self._root or Entry("document", 1, None)
+        return self._root or Node("document", 1, None)
 
     def _open(self, items, line):
         """Begin a mapping or list."""
@@ -177,11 +177,11 @@
     def _add(self, name, value, line):
         """Add a finished value, or the name of the next one, to its parent."""
         if not self._stack:
-            self._root = Entry("document", 1, value)
+            self._root = Node("document", 1, value)
             return
         frame = self._stack[-1]
         if isinstance(frame.items, list):
-            frame.items.append(Entry(frame.join(), line, value))
+            frame.items.append(Node(frame.join(), line, value))
             return
         if frame.name is None:
             frame.name = name
@@ -192,8 +192,8 @@
             message = f"is given twice; the first one is in line {first}"
             self._report(frame.name_line, frame.join(), message)
         else:
-            entry = Entry(frame.join(), frame.name_line, value)
-            frame.items[frame.name] = entry
+            node = Node(frame.join(), frame.name_line, value)
+            frame.items[frame.name] = node
         frame.name = None
 
     def _check_tag(self, event, line):
--- a/scripts/key_table.py
+++ b/scripts/key_table.py
@@ -19,10 +19,10 @@
     if key.kind == "flag":
         return "`true`, `false`"
     bounds = []
-    if key.least is not None:
-        bounds.append(f"from `{format_value(key, key.least)}`")
-    if key.most is not None:
-        bounds.append(f"to `{format_value(key, key.most)}`")
+    if key.minimum is not None:
+        bounds.append(f"from `{format_value(key, key.minimum)}`")
+    if key.maximum is not None:
+        bounds.append(f"to `{format_value(key, key.maximum)}`")
     return " ".join((key.kind, *bounds))
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -92,7 +92,7 @@
         for service in configuration.services.values():
             for target in service.targets:
                 found = [e for e in configuration.exceptions if e.matches(target)]
-                best = max(found, key=lambda e: e.precision, default=None)
+                best = max(found, key=lambda e: e.specificity, default=None)
                 expected = best.values["target.slots"] if best else 3
                 value = configuration.target_value("target.slots", target)
                 self.assertEqual(expected, value)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -64,7 +64,9 @@
     def test_the_settings_of_a_host_are_valid(self):
         settings = parse_routed_settings(render(self.template))
         self.assertEqual("10.1.0.10:7720", settings.peer_address)
-        self.assertEqual(("10.1.0.10:7720", "10.2.0.40:7720"), settings.seed_peers)
+        self.assertEqual(
+            ("10.1.0.10:7720", "10.2.0.40:7720"), settings.seed_peer_addresses
+        )
         self.assertEqual("aotearoa-north", settings.regions["ham-b"])
         self.assertEqual((6.0, 64.0), (settings.grace, settings.retry_slack))
         self.assertEqual((3, 0.717), (settings.cores, settings.core_share))
@@ -74,7 +76,7 @@
         settings = parse_routed_settings(
             render(self.template, {**SECTIONS, "seeds": []})
         )
-        self.assertEqual((), settings.seed_peers)
+        self.assertEqual((), settings.seed_peer_addresses)
 
     def test_a_missing_or_broken_value_is_named_with_its_line(self):
         text = render(self.template)
--- a/tests/test_yamlsource.py
+++ b/tests/test_yamlsource.py
@@ -31,11 +31,11 @@
 
     def test_text_that_only_looks_like_a_number_or_time_stays_text(self):
         text = "[1:30, 0x10, 010, 1e3, .inf, 2026-12-04, '5', 1_000]"
-        values = YamlSource(text, "f").root.strip_places()
+        values = YamlSource(text, "f").root.strip_positions()
         self.assertTrue(all(isinstance(value, str) for value in values), values)
         self.assertEqual(
             (5, -2, 1.5, True, False, None),
-            YamlSource("[5, -2, 1.5, yes, off, ~]", "f").root.strip_places(),
+            YamlSource("[5, -2, 1.5, yes, off, ~]", "f").root.strip_positions(),
         )
 
     def test_small_texts_that_expand_or_recurse_are_refused(self):
