--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -1,4 +1,4 @@
-"""The command line: parses arguments and reports results."""
+"""Command-line interface."""
 
 import json
 import logging
@@ -16,8 +16,8 @@
 from .version import __version__
 from .yamlsource import read_file
 
-# Each command loads what it needs when it runs: a restarted host answers nobody
-# until its process has loaded.
+# Each command imports the modules that it needs when it runs, because a restarted host
+# serves no callers until its process has finished importing.
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +25,7 @@
     help="Load balancer for servers whose load shifts in milliseconds.",
     no_args_is_help=True,
 )
-standin = typer.Typer(help="Run small stand-ins for outside systems.")
+standin = typer.Typer(help="Run stand-ins for external systems, for tests.")
 app.add_typer(standin, name="standin")
 
 EXIT_CHANGED = 1
@@ -35,7 +35,7 @@
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
 
 
-def _report_version(value):
+def _print_version(value):
     if value:
         typer.echo(f"redwingspring {__version__}")
         raise typer.Exit
@@ -45,7 +45,7 @@
 def main(
     version: Annotated[
         bool,
-        typer.Option("--version", callback=_report_version, is_eager=True),
+        typer.Option("--version", callback=_print_version, is_eager=True),
     ] = False,
 ):
     """Load balancer for servers whose load shifts in milliseconds."""
@@ -56,24 +56,24 @@
     settings: Annotated[Path, typer.Option(help="YAML file of this host's settings.")],
 ):
     """Run the entry process of this host until SIGTERM."""
-    hangup = HeldSignal(signal.SIGHUP)
+    hangup_signal = HeldSignal(signal.SIGHUP)
     with pause_collection():
         from .routedsettings import is_routed
 
     try:
         text = read_file(settings)
         if is_routed(text):
-            run_routed(text, settings, hangup)
+            run_with_store(text, settings, hangup_signal)
         else:
-            hangup.release()
-            run_plain(text, settings)
+            hangup_signal.release()
+            run_with_configuration_service(text, settings)
     except RedwingspringError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(EXIT_INVALID) from error
 
 
-def run_plain(text, path):
-    """Run an entry process with the product's own configuration service."""
+def run_with_configuration_service(text, path):
+    """Run an entry process that uses the configuration service."""
     with pause_collection():
         from .control import Entry
         from .logs import configure_logs
@@ -88,8 +88,8 @@
     process.wait()
 
 
-def run_routed(text, path, hangup):
-    """Run an entry process that follows a store, until it stops."""
+def run_with_store(text, path, hangup_signal):
+    """Run an entry process that uses a store, until it stops."""
     with pause_collection():
         from .logs import configure_logs
         from .routedentry import RoutedEntry
@@ -101,22 +101,25 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: process.drain())
     process.start()
-    hangup.pass_to(lambda *_: reload_settings(process, path))
+    hangup_signal.pass_to(lambda *_: reload_settings(process, path))
     process.wait()
     writer.stop()
-    # Threads that wait for targets would keep the interpreter from ending.
+    # Threads that wait for targets would keep the interpreter from exiting.
     os._exit(0)
 
 
 def reload_settings(process, path):
-    """Read the settings again; invalid ones change nothing."""
+    """Reload the settings; keep the current ones if the file is invalid."""
     from .routedsettings import parse_routed_settings
 
     try:
         process.reload(parse_routed_settings(read_file(path), str(path)))
     except RedwingspringError as error:
         fields = {"cause": str(error)}
-        logger.warning("settings not read again", extra={"fields": fields})
+        logger.warning(
+            "settings reload failed; keeping the current settings",
+            extra={"fields": fields},
+        )
 
 
 @app.command()
@@ -131,15 +134,15 @@
     ] = DocumentKind.configuration,
     as_json: JsonOption = False,
 ):
-    """Check a file before it is published; nothing is changed.
+    """Check a file without publishing or changing it.
 
-    Prints every problem as FILE:LINE: KEY: MESSAGE. The exit code is 0 for a
+    Prints each problem as FILE:LINE: KEY: MESSAGE. The exit code is 0 for a
     valid file and 2 for an invalid one.
     """
     from .validation import check_file
 
     report = check_file(file, kind.value)
-    _print(report.to_json() if as_json else report.to_text())
+    _print_output(report.to_json() if as_json else report.to_text())
     if report.problems:
         raise typer.Exit(EXIT_INVALID)
 
@@ -156,9 +159,9 @@
     ] = None,
     as_json: JsonOption = False,
 ):
-    """Tell which values are in force, and which default or exception gives them.
+    """Show the values in force and the default or exception that sets each of them.
 
-    Each value is shown with the line of the file that gives it and, for an
+    Each value is shown with the line of the file that sets it and, for an
     exception, with its reason. The exit code is 2 when the file is invalid or
     the service, target or key does not exist.
     """
@@ -166,13 +169,13 @@
 
     configuration = _load_configuration(file, as_json)
     try:
-        found = explain_values(configuration, service, target, key)
+        explanations = explain_values(configuration, service, target, key)
     except RedwingspringError as error:
-        _fail(error, as_json)
+        _exit_with_error(error, as_json)
     if as_json:
-        _print([item.to_json() for item in found])
+        _print_output([item.to_json() for item in explanations])
     else:
-        _print("\n".join(item.to_text() for item in found))
+        _print_output("\n".join(item.to_text() for item in explanations))
 
 
 @app.command()
@@ -181,10 +184,10 @@
     new: Annotated[Path, typer.Argument(help="The file that would replace it.")],
     as_json: JsonOption = False,
 ):
-    """Tell what would change if one configuration file replaced another.
+    """Show what would change if one configuration file replaced another.
 
-    Compares services, targets and the values in force; comments and order do
-    not count. The exit code is 0 for no change, 1 for changes and 2 when a
+    Compares services, targets and the values in force; comments and order are
+    ignored. The exit code is 0 for no change, 1 for changes and 2 when a
     file is invalid.
     """
     from .comparison import compare, describe_changes
@@ -192,9 +195,9 @@
     before = _load_configuration(old, as_json)
     changes = compare(before, _load_configuration(new, as_json))
     if as_json:
-        _print([change.to_json() for change in changes])
+        _print_output([change.to_json() for change in changes])
     else:
-        _print("\n".join(describe_changes(changes)) or "no change")
+        _print_output("\n".join(describe_changes(changes)) or "no change")
     if changes:
         raise typer.Exit(EXIT_CHANGED)
 
@@ -205,22 +208,22 @@
     try:
         return parse_configuration(read_file(path), str(path))
     except DocumentError as error:
-        _fail(error, as_json)
+        _exit_with_error(error, as_json)
 
 
-def _fail(error, as_json):
+def _exit_with_error(error, as_json):
     if not as_json:
         typer.echo(str(error), err=True)
     elif isinstance(error, DocumentError):
-        from .validation import list_problems
+        from .validation import serialize_problems
 
-        _print({"problems": list_problems(error.problems)})
+        _print_output({"problems": serialize_problems(error.problems)})
     else:
-        _print({"problems": [{"message": str(error)}]})
+        _print_output({"problems": [{"message": str(error)}]})
     raise typer.Exit(EXIT_INVALID) from error
 
 
-def _print(output):
+def _print_output(output):
     typer.echo(output if isinstance(output, str) else json.dumps(output, indent=2))
 
 
@@ -228,19 +231,24 @@
 def status(
     url: Annotated[str, typer.Argument(help="http://ip:port of an entry host.")],
     service: Annotated[
-        str | None, typer.Option(help="Ask whether this service is taken there.")
+        str | None,
+        typer.Option(help="Ask whether the host accepts requests for this service."),
     ] = None,
     request: Annotated[
-        str | None, typer.Option(help="Ask what became of this request id.")
+        str | None,
+        typer.Option(help="Ask for the outcome of the request with this id."),
     ] = None,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
 ):
-    """Ask an entry host; the exit code is the answer (docs/status-page.md)."""
+    """Query the status of an entry host; the exit code is the result.
+
+    The exit codes are listed in docs/status-page.md.
+    """
     from .inspection import ExitCode, inspect_host, inspect_request, inspect_service
     from .logs import escape_controls
 
     if service is not None and request is not None:
-        typer.echo("--service and --request exclude each other", err=True)
+        typer.echo("--service and --request are mutually exclusive", err=True)
         raise typer.Exit(ExitCode.USAGE)
     try:
         if service is not None:
@@ -263,10 +271,10 @@
 def audit(
     url: Annotated[str, typer.Argument(help="http://ip:port of an entry host.")],
     after: Annotated[
-        int, typer.Option(min=0, help="Number of the last entry already known.")
+        int, typer.Option(min=0, help="Print only entries after this number.")
     ] = 0,
     follow: Annotated[
-        bool, typer.Option("--follow", help="Go on with new entries.")
+        bool, typer.Option("--follow", help="Wait for new entries and print them.")
     ] = False,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON lines.")] = False,
 ):
@@ -287,33 +295,44 @@
 
 
 def _report_page_error(error):
-    """Print an error; return the exit that stands for it."""
+    """Print an error and return the typer exit with its exit code."""
     from .inspection import ExitCode, NoAnswerError
 
     typer.echo(str(error), err=True)
-    missing = isinstance(error, NoAnswerError)
-    return typer.Exit(ExitCode.NO_ANSWER if missing else ExitCode.NOT_UNDERSTOOD)
+    unanswered = isinstance(error, NoAnswerError)
+    return typer.Exit(ExitCode.NO_ANSWER if unanswered else ExitCode.NOT_UNDERSTOOD)
 
 
 @app.command()
 def load(
-    url: Annotated[str, typer.Argument(help="Where each request goes.")],
-    rate: Annotated[float, typer.Option(help="Requests a second.")],
-    duration: Annotated[float, typer.Option(help="Seconds.")],
+    url: Annotated[str, typer.Argument(help="URL of each request.")],
+    rate: Annotated[float, typer.Option(help="Requests per second.")],
+    duration: Annotated[float, typer.Option(help="Duration of the load in seconds.")],
     method: Annotated[str, typer.Option(help="HTTP method.")] = "GET",
-    body_bytes: Annotated[int, typer.Option(help="Length of each body.")] = 0,
-    connections: Annotated[int, typer.Option(help="Connections at once.")] = 64,
-    warm_up: Annotated[float, typer.Option(help="First seconds, not counted.")] = 0.0,
-    timeout: Annotated[float, typer.Option(help="Seconds for one request.")] = 10.0,
+    body_bytes: Annotated[
+        int, typer.Option(help="Length of each request body in bytes.")
+    ] = 0,
+    connections: Annotated[
+        int, typer.Option(help="Maximum number of concurrent connections.")
+    ] = 64,
+    warm_up: Annotated[
+        float, typer.Option(help="Initial seconds left out of the result.")
+    ] = 0.0,
+    timeout: Annotated[
+        float, typer.Option(help="Timeout of a request in seconds.")
+    ] = 10.0,
     seed: Annotated[
-        int | None, typer.Option(help="Seed of Poisson arrivals; even without it.")
+        int | None,
+        typer.Option(
+            help="Seed of Poisson arrivals; without a seed, requests are evenly spaced."
+        ),
     ] = None,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
     any_address: Annotated[
         bool, typer.Option(help="Allow addresses other than loopback.")
     ] = False,
 ):
-    """Send open-loop load and print the percentiles of the latency."""
+    """Send open-loop load and print latency percentiles."""
     from .load import LoadGenerator, LoadPlan, render_result
 
     plan = LoadPlan(
@@ -345,26 +364,36 @@
 @standin.command("target")
 def standin_target(
     listen: Annotated[str, typer.Option(help="ip:port to listen on.")],
-    slots: Annotated[int, typer.Option(help="Requests run at once.")] = 3,
-    work_ms: Annotated[float, typer.Option(help="Time of one request.")] = 5.0,
-    connections: Annotated[int, typer.Option(help="Connections at once.")] = 250,
-    latency: Annotated[float, typer.Option(help="Factor on work-ms.")] = 1.0,
-    cold_ms: Annotated[float, typer.Option(help="Time of a cold start.")] = 0.0,
+    slots: Annotated[
+        int, typer.Option(help="Number of requests run concurrently.")
+    ] = 3,
+    work_ms: Annotated[
+        float, typer.Option(help="Processing time of a request in milliseconds.")
+    ] = 5.0,
+    connections: Annotated[
+        int, typer.Option(help="Maximum number of concurrent connections.")
+    ] = 250,
+    latency: Annotated[
+        float, typer.Option(help="Factor by which work-ms is multiplied.")
+    ] = 1.0,
+    cold_ms: Annotated[
+        float, typer.Option(help="Minimum duration of a cold start in milliseconds.")
+    ] = 0.0,
     cold_responses: Annotated[
-        int, typer.Option(help="Whole responses that a cold start lasts.")
+        int, typer.Option(help="Minimum number of complete responses in a cold start.")
     ] = 0,
     cold_slots: Annotated[
-        int, typer.Option(help="Requests borne at once in cold start.")
+        int, typer.Option(help="Number of requests run concurrently in cold start.")
     ] = 1,
     behaviour: Annotated[
-        str, typer.Option(help="Further fields of the behaviour, as JSON.")
+        str, typer.Option(help="Further fields of the behaviour, as a JSON object.")
     ] = "{}",
 ):
     """Run a stand-in for a target."""
     from .standinbehaviour import TargetBehaviour
     from .standintarget import TargetStandIn
 
-    declared = TargetBehaviour(
+    target_behaviour = TargetBehaviour(
         slots=slots,
         work_s=work_ms / 1000,
         connections=connections,
@@ -374,8 +403,8 @@
         cold_slots=cold_slots,
     )
     try:
-        declared = declared.change(json.loads(behaviour))
+        target_behaviour = target_behaviour.change(json.loads(behaviour))
     except (TypeError, ValueError) as error:
         typer.echo(f"behaviour: {error}", err=True)
         raise typer.Exit(EXIT_INVALID) from error
-    TargetStandIn(listen, declared).run()
+    TargetStandIn(listen, target_behaviour).run()
--- a/redwingspring/comparison.py
+++ b/redwingspring/comparison.py
@@ -1,11 +1,11 @@
-"""Compares two configurations and words what would change."""
+"""Comparison of two configurations, as JSON and as text."""
 
 from dataclasses import dataclass, replace
 
 from .defaults import KEYS
 from .explanation import list_default_origins, list_origins
 
-# A longer list of targets is shortened in text; JSON names every target.
+# Bounds the length of a text line; the JSON output names every target.
 MAX_LISTED_TARGETS = 6
 
 
@@ -26,9 +26,9 @@
     key : str or None, default=None
         The key whose value changes.
     old, new : str or None, default=None
-        Value or data centre before and after.
+        Value of the key, or data centre of the target, before and after.
     old_origin, new_origin : Origin or None, default=None
-        What gives the value of the key before and after.
+        Default or exception that sets the value before and after.
     """
 
     kind: str
@@ -57,10 +57,10 @@
 
 
 def compare(old, new):
-    """Return what would change when a configuration replaces another.
+    """Return the changes that replacing one configuration by another makes.
 
-    Only services, targets and values in force count; a change of a comment, a
-    reason or the order of exceptions changes nothing.
+    Only services, targets and values in force are compared; comments, reasons
+    and the order of exceptions are ignored.
 
     Parameters
     ----------
@@ -90,7 +90,9 @@
 
 
 def describe_changes(changes):
-    """Return changes in words, one line for each group of equal ones.
+    """Return changes as text, one line for each group of equal changes.
+
+    Changes that differ only in the target form a group.
 
     Parameters
     ----------
@@ -109,22 +111,22 @@
     }
     groups = {}
     for change in changes:
-        if _follows_default(change):
+        if _is_due_to_default(change):
             defaults[change.key, change.old, change.new].append(change)
         else:
             groups.setdefault(replace(change, target=None), []).append(change.target)
     lines = []
     for change, targets in groups.items():
-        line = _describe(change, targets)
+        line = _describe_change(change, targets)
         if change.kind == "default":
-            followers = defaults[change.key, change.old, change.new]
-            line += _count_followers(followers)
+            inherited_changes = defaults[change.key, change.old, change.new]
+            line += _describe_default_effect(inherited_changes)
         lines.append(line)
     return lines
 
 
-def _follows_default(change):
-    """Tell whether a value changes only because the fleet-wide default does."""
+def _is_due_to_default(change):
+    """Return whether a value changes only because its fleet-wide default does."""
     return (
         change.kind in ("service-value", "target-value")
         and change.old_origin.kind != "exception"
@@ -132,8 +134,8 @@
     )
 
 
-def _count_followers(changes):
-    """Return the end of a line that tells where a new default is in force."""
+def _describe_default_effect(changes):
+    """Return the end of a line that names the services a new default affects."""
     services = {change.service for change in changes}
     targets = {(change.service, change.target) for change in changes if change.target}
     if not services:
@@ -143,41 +145,43 @@
 
 
 def _compare_service(old, new, name):
-    before, after = _index_targets(old, name), _index_targets(new, name)
-    changes = _compare_targets(name, before, after)
+    old_targets, new_targets = _index_targets(old, name), _index_targets(new, name)
+    changes = _compare_targets(name, old_targets, new_targets)
     for key in KEYS:
         if KEYS[key].scope == "service":
             if old.service_value(key, name) != new.service_value(key, name):
-                was = list_origins(old, key, name)[0]
-                now = list_origins(new, key, name)[0]
-                changes.append(_make_change("service-value", name, None, key, was, now))
+                before = list_origins(old, key, name)[0]
+                after = list_origins(new, key, name)[0]
+                changes.append(
+                    _make_change("service-value", name, None, key, before, after)
+                )
             continue
-        for address in sorted(before.keys() & after.keys()):
-            member, next_member = before[address], after[address]
-            if old.target_value(key, member) != new.target_value(key, next_member):
-                was = list_origins(old, key, name, member)[0]
-                now = list_origins(new, key, name, next_member)[0]
-                change = _make_change("target-value", name, address, key, was, now)
+        for address in sorted(old_targets.keys() & new_targets.keys()):
+            old_target, new_target = old_targets[address], new_targets[address]
+            if old.target_value(key, old_target) != new.target_value(key, new_target):
+                before = list_origins(old, key, name, old_target)[0]
+                after = list_origins(new, key, name, new_target)[0]
+                change = _make_change("target-value", name, address, key, before, after)
                 changes.append(change)
     return changes
 
 
-def _compare_targets(name, before, after):
+def _compare_targets(name, old_targets, new_targets):
     changes = []
-    for address in sorted({*before, *after}):
-        if address not in after:
-            centre = before[address].data_centre
+    for address in sorted({*old_targets, *new_targets}):
+        if address not in new_targets:
+            centre = old_targets[address].data_centre
             changes.append(Change("target-removed", name, address, old=centre))
-        elif address not in before:
-            centre = after[address].data_centre
+        elif address not in old_targets:
+            centre = new_targets[address].data_centre
             changes.append(Change("target-added", name, address, new=centre))
-        elif before[address] != after[address]:
+        elif old_targets[address] != new_targets[address]:
             change = Change(
                 "target-moved",
                 name,
                 address,
-                old=before[address].data_centre,
-                new=after[address].data_centre,
+                old=old_targets[address].data_centre,
+                new=new_targets[address].data_centre,
             )
             changes.append(change)
     return changes
@@ -187,36 +191,38 @@
     return {target.address: target for target in configuration.services[name].targets}
 
 
-def _make_change(kind, service, target, key, was, now):
-    return Change(kind, service, target, key, was.value, now.value, was, now)
+def _make_change(kind, service, target, key, before, after):
+    return Change(kind, service, target, key, before.value, after.value, before, after)
 
 
-def _describe(change, targets):
+def _describe_change(change, targets):
     value = ""
     if change.key is not None:
         old, new = change.old_origin.describe(), change.new_origin.describe()
-        was = "" if old == new else f" [{old}]"
-        value = f"{change.key} changes from {change.old}{was} to {change.new} [{new}]"
-    listed = _list_targets(targets)
+        old_note = "" if old == new else f" [{old}]"
+        value = (
+            f"{change.key} changes from {change.old}{old_note} to {change.new} [{new}]"
+        )
+    selected = _describe_targets(targets)
     texts = {
         "default": f"defaults: {value}",
         "service-added": f"service {change.service}: is added",
         "service-removed": f"service {change.service}: is removed with its targets",
         "service-value": f"service {change.service}: {value}",
-        "target-value": f"service {change.service}, {listed}: {value}",
-        "target-added": f"service {change.service}, {listed}: added in {change.new}",
+        "target-value": f"service {change.service}, {selected}: {value}",
+        "target-added": f"service {change.service}, {selected}: added in {change.new}",
         "target-removed": (
-            f"service {change.service}, {listed}: removed from {change.old}"
+            f"service {change.service}, {selected}: removed from {change.old}"
         ),
         "target-moved": (
-            f"service {change.service}, {listed}: moved from {change.old} "
+            f"service {change.service}, {selected}: moved from {change.old} "
             f"to {change.new}"
         ),
     }
     return texts[change.kind]
 
 
-def _list_targets(targets):
+def _describe_targets(targets):
     if targets[0] is None:
         return ""
     targets = sorted(targets)
--- a/redwingspring/configuration.py
+++ b/redwingspring/configuration.py
@@ -1,4 +1,4 @@
-"""The published configuration: services, targets, defaults and exceptions."""
+"""Published configuration: services, targets, defaults and exceptions."""
 
 from dataclasses import dataclass, field
 from types import MappingProxyType
@@ -32,14 +32,14 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A named set of targets.
+    """A service and its targets.
 
     Attributes
     ----------
     name : str
-        First segment of the paths that belong to the service.
+        Name of the service, which is the first segment of its request paths.
     targets : tuple of Target
-        All targets, also those out of service.
+        All targets, including those taken out of service.
     """
 
     name: str
@@ -48,18 +48,18 @@
 
 @dataclass(frozen=True)
 class ConfigurationException:
-    """Values that differ from the defaults, with a reason.
+    """Values that override the defaults for selected targets, with a reason.
 
     Attributes
     ----------
     service, target, data_centre : str or None
-        The selector; None matches all.
+        Parts of the selector; None matches everything.
     values : mapping of str to object
         Values by key, in base units.
     reason : str
-        Why the exception is made.
+        Why the exception exists.
     line : int, default=0
-        Where it begins in its document.
+        Line of the document on which the exception begins.
     """
 
     service: str | None
@@ -70,7 +70,7 @@
     line: int = field(default=0, compare=False)
 
     def matches(self, target):
-        """Tell whether the selector includes a target.
+        """Return whether the selector matches a target.
 
         Parameters
         ----------
@@ -80,7 +80,7 @@
         Returns
         -------
         bool
-            True if every given part of the selector is equal.
+            True if every part of the selector that is set equals that of the target.
         """
         return (
             self.service in (None, target.service)
@@ -90,7 +90,7 @@
 
     @property
     def specificity(self):
-        """Rank of the selector; a higher rank takes precedence."""
+        """Specificity of the selector; the exception with the highest one applies."""
         return (
             4 * (self.target is not None)
             + 2 * (self.service is not None)
@@ -108,8 +108,8 @@
 class Configuration:
     """A checked configuration.
 
-    The values in force are computed once, because every request looks several
-    of them up.
+    The values in force are computed when the configuration is created, because
+    every request looks up several of them.
 
     Attributes
     ----------
@@ -118,9 +118,9 @@
     services : mapping of str to Service
         Services by name.
     exceptions : tuple of ConfigurationException
-        In the order of the document.
+        Exceptions in the order of the document.
     lines : mapping of str to int
-        Where the document sets each key of ``defaults``.
+        Line of the document that sets each key of ``defaults``.
     """
 
     defaults: MappingProxyType = field(default_factory=lambda: MappingProxyType({}))
@@ -130,62 +130,64 @@
         default_factory=lambda: MappingProxyType({}), compare=False
     )
     _values: dict = field(init=False, repr=False, compare=False)
-    _index: dict = field(init=False, repr=False, compare=False)
+    _exceptions_by_name: dict = field(init=False, repr=False, compare=False)
     _service_values: dict = field(init=False, repr=False, compare=False)
     _target_values: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
         values = {name: key.default for name, key in KEYS.items()}
         values.update(self.defaults)
-        # Indexing by the most telling part of the selector keeps the cost per
-        # target independent of the number of exceptions.
-        index = {}
+        # An index by the most specific part of the selector keeps the cost per target
+        # independent of the number of exceptions.
+        exceptions_by_name = {}
         for exception in self.exceptions:
             part = exception.target or exception.service or exception.data_centre
-            index.setdefault(part, []).append(exception)
+            exceptions_by_name.setdefault(part, []).append(exception)
         object.__setattr__(self, "_values", values)
-        object.__setattr__(self, "_index", index)
+        object.__setattr__(self, "_exceptions_by_name", exceptions_by_name)
         services = {
-            name: self._merge(self.find_exceptions(name)) for name in self.services
+            name: self._merge_values(self.find_exceptions(name))
+            for name in self.services
         }
         object.__setattr__(self, "_service_values", services)
-        shared = {}
+        values_by_exceptions = {}
         targets = {}
         for service in self.services.values():
             for target in service.targets:
                 found = self.find_exceptions(target.service, target)
-                group = tuple(map(id, found))
-                if group not in shared:
-                    shared[group] = self._merge(found)
-                targets[target] = shared[group]
+                exception_ids = tuple(map(id, found))
+                if exception_ids not in values_by_exceptions:
+                    values_by_exceptions[exception_ids] = self._merge_values(found)
+                targets[target] = values_by_exceptions[exception_ids]
         object.__setattr__(self, "_target_values", targets)
 
     def find_exceptions(self, service, target=None):
-        """Return the exceptions that apply, the most precise one first.
+        """Return the exceptions that apply, the most specific one first.
 
         Parameters
         ----------
         service : str
             Name of the service.
         target : Target or None, default=None
-            A target of the service; None asks for the service as a whole.
+            A target of the service; None stands for the service as a whole.
 
         Returns
         -------
         list of ConfigurationException
-            For a whole service, those whose selector is the service alone.
+            Matching exceptions; for a service as a whole, those that select by
+            service alone.
         """
         if target is None:
             return [
                 exception
-                for exception in self._index.get(service, ())
+                for exception in self._exceptions_by_name.get(service, ())
                 if exception.service == service and exception.specificity == 2
             ]
         parts = {target.address, service, target.data_centre}
         found = [
             exception
             for part in parts
-            for exception in self._index.get(part, ())
+            for exception in self._exceptions_by_name.get(part, ())
             if exception.matches(target)
         ]
         return sorted(found, key=lambda exception: -exception.specificity)
@@ -235,15 +237,15 @@
         Returns
         -------
         object
-            The value in base units; the most precise exception takes precedence.
+            The value in base units; the most specific exception takes precedence.
         """
         values = self._target_values.get(target)
         if values is None:
-            values = self._merge(self.find_exceptions(target.service, target))
+            values = self._merge_values(self.find_exceptions(target.service, target))
         return values[key]
 
-    def _merge(self, exceptions):
-        """Return all values under exceptions, given most precise first."""
+    def _merge_values(self, exceptions):
+        """Return all values with exceptions applied, given most specific first."""
         if not exceptions:
             return self._values
         values = dict(self._values)
@@ -253,7 +255,7 @@
 
 
 def parse_configuration(text, name="configuration"):
-    """Return the configuration that a document declares.
+    """Parse and check a configuration document.
 
     Parameters
     ----------
@@ -270,39 +272,39 @@
     Raises
     ------
     DocumentError
-        With one message for each fault.
+        With one message for each problem found.
     """
     source = YamlSource(text, name)
-    # ``services`` is required so that an empty file, as a failed write leaves
-    # it, does not remove all services.
+    # ``services`` is required so that an empty file, which a failed write may leave
+    # behind, does not remove all services.
     nodes = source.read_mapping(source.root, ("services",), ("defaults", "exceptions"))
-    declared = source.read_mapping(nodes.get("defaults"))
-    defaults = _read_values(source, declared)
+    default_nodes = source.read_mapping(nodes.get("defaults"))
+    defaults = _read_values(source, default_nodes)
     for key in defaults:
         if KEYS[key].exception_only:
             message = "can be set only by an exception, which records a reason"
-            source.report(declared[key], message)
+            source.report(default_nodes[key], message)
     services, complete = _read_services(source, nodes.get("services"))
-    readings = [
+    parsed_exceptions = [
         _read_exception(source, node)
         for node in source.read_items(nodes.get("exceptions"))
     ]
-    check_contradictions(source, readings)
-    # An exception for a target that could not be read would seem to match
-    # nothing.
+    check_contradictions(source, parsed_exceptions)
+    # If a target could not be parsed, an exception for it would be reported as
+    # matching nothing.
     if complete:
-        check_matches(source, readings, services)
+        check_matches(source, parsed_exceptions, services)
     source.raise_problems()
     return Configuration(
         MappingProxyType(defaults),
         MappingProxyType(services),
-        tuple(exception for _, exception in readings),
-        MappingProxyType({key: declared[key].line for key in defaults}),
+        tuple(exception for _, exception in parsed_exceptions),
+        MappingProxyType({key: default_nodes[key].line for key in defaults}),
     )
 
 
 def _read_values(source, nodes, check=None):
-    """Return values in base units by key; ``check`` reports further faults."""
+    """Return values in base units by key; ``check`` may report further problems."""
     values = {}
     for name, node in nodes.items():
         key = KEYS.get(name)
@@ -318,8 +320,8 @@
     return values
 
 
-def _read_checked(source, node, check):
-    """Return a text that passes a check, or None."""
+def _read_validated_text(source, node, check):
+    """Return a text if it passes a check; otherwise report a problem."""
     text = source.read_text(node)
     if text is None:
         return None
@@ -331,43 +333,49 @@
 
 
 def _read_services(source, node):
-    """Return services by name, and whether every part of them was read."""
+    """Return services by name, and whether all of their targets could be parsed."""
     if node is None:
         return {}, False
     if node.value is None:
         source.report(node, "must be a mapping; write {} for no services")
         return {}, False
     services = {}
-    problems = len(source.problems)
-    duplicates = 0
-    for name, body in source.read_mapping(node).items():
+    problem_count = len(source.problems)
+    duplicate_count = 0
+    for name, service_node in source.read_mapping(node).items():
         try:
             check_name(name)
         except ValueError as error:
-            source.report(body, str(error))
-        parts = source.read_mapping(body, ("targets",), ())
+            source.report(service_node, str(error))
+        service_fields = source.read_mapping(service_node, ("targets",), ())
         targets = {}
-        for item in source.read_items(parts.get("targets")):
-            fields = source.read_mapping(item, ("address", "data_centre"), ())
-            address = _read_checked(source, fields.get("address"), check_address)
-            centre = _read_checked(source, fields.get("data_centre"), check_name)
+        for target_node in source.read_items(service_fields.get("targets")):
+            target_fields = source.read_mapping(
+                target_node, ("address", "data_centre"), ()
+            )
+            address = _read_validated_text(
+                source, target_fields.get("address"), check_address
+            )
+            centre = _read_validated_text(
+                source, target_fields.get("data_centre"), check_name
+            )
             if address in targets and address is not None:
-                first = targets[address][1]
-                message = f"{address} is also the target in line {first}"
-                source.report(fields["address"], message)
-                duplicates += 1
+                first_line = targets[address][1]
+                message = f"{address} is also the target in line {first_line}"
+                source.report(target_fields["address"], message)
+                duplicate_count += 1
             elif address is not None:
-                targets[address] = Target(name, address, centre), item.line
+                targets[address] = Target(name, address, centre), target_node.line
         services[name] = Service(name, tuple(target for target, _ in targets.values()))
-    return services, len(source.problems) == problems + duplicates
+    return services, len(source.problems) == problem_count + duplicate_count
 
 
 def _read_exception(source, node):
-    """Return the parts of an exception by name, and the exception."""
+    """Return the nodes of an exception by name, and the exception."""
     parts = source.read_mapping(node, ("set", "reason"), SELECTOR_PARTS)
-    service = _read_checked(source, parts.get("service"), check_name)
-    target = _read_checked(source, parts.get("target"), check_address)
-    centre = _read_checked(source, parts.get("data_centre"), check_name)
+    service = _read_validated_text(source, parts.get("service"), check_name)
+    target = _read_validated_text(source, parts.get("target"), check_address)
+    centre = _read_validated_text(source, parts.get("data_centre"), check_name)
     if isinstance(node.value, dict) and parts.keys().isdisjoint(SELECTOR_PARTS):
         message = "needs a selector: service, target, data_centre or several of them"
         source.report(node, message)
--- a/redwingspring/defaults.py
+++ b/redwingspring/defaults.py
@@ -1,11 +1,12 @@
-"""The one table of configuration keys: default, kind and documentation."""
+"""Table of all configuration keys with their kinds, defaults and documentation."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
 
 def _list_policies():
-    # Imported late: policies may import modules that read this table.
+    # Imported here to avoid an import cycle: policies may import modules that read
+    # this table.
     from .policies import policies
 
     return policies.names()
@@ -19,7 +20,7 @@
 
 @dataclass(frozen=True)
 class Key:
-    """One configuration key.
+    """A configuration key.
 
     Attributes
     ----------
@@ -29,19 +30,19 @@
         One of ``duration``, ``size``, ``ratio``, ``rate``, ``count``,
         ``choice``, ``names``, ``flag`` and ``path``.
     default : object
-        Value in base units: seconds, bytes, a fraction, events a second.
+        Default in base units: seconds, bytes, a fraction, events per second.
     doc : str
-        One sentence for operators.
+        Documentation for operators, one sentence.
     choices : tuple of str or callable, default=()
         Allowed values of the kinds ``choice`` and ``names``, or a function
         that returns them.
     minimum, maximum : float or int or None, default=None
-        Bounds in base units; None sets no bound.
+        Inclusive bounds in base units; None means no bound.
     scope : {"target", "service"}, default="target"
         ``service`` marks a key that has one value for a whole service, so an
         exception for a target or data centre cannot set it.
     exception_only : bool, default=False
-        True when ``defaults`` of a document cannot set the key.
+        Whether only an exception, not ``defaults`` of a document, can set the key.
     """
 
     name: str
@@ -168,8 +169,8 @@
             minimum=1,
             maximum=10_000,
         ),
-        # A host that has just started grants no lease for 2 s, so that leases
-        # granted before the restart have expired. A longer lease would outlive that.
+        # A restarted host grants no lease for 2 s, so that all leases that it granted
+        # before the restart have expired. A longer lease would outlast this period.
         Key(
             "cold.lease",
             "duration",
--- a/redwingspring/explanation.py
+++ b/redwingspring/explanation.py
@@ -1,4 +1,4 @@
-"""Explains which default or exception gives the value of a key."""
+"""Lookup of the default or exception that sets the value of a key."""
 
 import difflib
 from dataclasses import dataclass
@@ -10,19 +10,19 @@
 
 @dataclass(frozen=True)
 class Origin:
-    """A place that gives a value.
+    """A default or exception that sets a value of a key.
 
     Attributes
     ----------
     kind : {"built-in", "default", "exception"}
-        The table in ``defaults``, ``defaults`` of the document, or an
-        exception of the document.
+        ``built-in`` for the table in ``defaults.py``, ``default`` for the
+        ``defaults`` of the document, ``exception`` for one of its exceptions.
     value : str
         The value as operators write it.
     line : int or None, default=None
-        Where the document gives it.
+        Line of the document that sets it; None for a built-in default.
     selector : str, default=""
-        Selector of the exception.
+        Selector of the exception as text.
     reason : str, default=""
         Reason of the exception.
     """
@@ -34,7 +34,7 @@
     reason: str = ""
 
     def describe(self):
-        """Return the place in words.
+        """Return the origin as text.
 
         Returns
         -------
@@ -72,10 +72,10 @@
     key : str
         The key.
     origins : tuple of Origin
-        Every place that gives a value, the one in force first.
+        Every default and exception that sets the key, the one in force first.
     narrower : tuple of Origin
-        Exceptions that give some targets of the service another value; empty
-        when the explanation is for a target.
+        Exceptions that set another value for some targets of the service;
+        empty when the explanation is for a single target.
     """
 
     key: str
@@ -109,7 +109,7 @@
         Returns
         -------
         str
-            The value, where it comes from, and which values it overrides.
+            The value, its origin, and the values that it overrides.
         """
         lines = [
             f"{self.key}: {self.value}",
@@ -150,19 +150,19 @@
     UnknownNameError
         If the service, target or key does not exist.
     """
-    found = _find("service", service, configuration.services)
+    found = _look_up("service", service, configuration.services)
     target = None
     if address is not None:
         targets = {target.address: target for target in found.targets}
-        target = _find(f"target of service {service}", address, targets)
+        target = _look_up(f"target of service {service}", address, targets)
     if key is not None:
-        _find("key", key, KEYS)
+        _look_up("key", key, KEYS)
     names = KEYS if key is None else (key,)
     return [_explain_key(configuration, name, service, target) for name in names]
 
 
 def list_origins(configuration, key, service, target=None):
-    """Return every place that gives a value for a service or target.
+    """Return every origin of a value for a service or target.
 
     Parameters
     ----------
@@ -189,7 +189,7 @@
 
 
 def list_default_origins(configuration, key):
-    """Return the places that give the fleet-wide value of a key.
+    """Return the origins of the fleet-wide value of a key.
 
     Parameters
     ----------
@@ -214,11 +214,11 @@
     origins = list_origins(configuration, key, service, target)
     narrower = {}
     if target is None:
-        whole = configuration.find_exceptions(service)
+        service_exceptions = configuration.find_exceptions(service)
         for member in configuration.services[service].targets:
             for exception in configuration.find_exceptions(service, member):
                 if key in exception.values:
-                    if exception not in whole:
+                    if exception not in service_exceptions:
                         narrower[id(exception)] = _make_origin(key, exception)
                     break
     return Explanation(key, origins, tuple(narrower.values()))
@@ -234,12 +234,12 @@
     )
 
 
-def _find(kind, name, known):
-    """Return the entry of a name; the error names the nearest known one."""
+def _look_up(kind, name, known):
+    """Return the item of a name; the error suggests a similar known name."""
     if name in known:
         return known[name]
-    near = difflib.get_close_matches(name, known, 1)
-    hint = f"; did you mean {near[0]!r}?" if near else ""
-    if not near and len(known) <= 12:
+    close_matches = difflib.get_close_matches(name, known, 1)
+    hint = f"; did you mean {close_matches[0]!r}?" if close_matches else ""
+    if not close_matches and len(known) <= 12:
         hint = f"; known are: {', '.join(known) or 'none'}"
     raise UnknownNameError(f"there is no {kind} {name!r}{hint}")
--- a/redwingspring/routedsettings.py
+++ b/redwingspring/routedsettings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry process that follows a store, read from a YAML file."""
+"""Settings of an entry process that reads its configuration from a store."""
 
 from dataclasses import dataclass, field
 from types import MappingProxyType
@@ -6,64 +6,67 @@
 
 import msgspec
 
-from .settings import Address, Name, Seconds, check_settings
+from .settings import Address, Name, Seconds, convert_settings
 from .yamlsource import YamlSource
 
-_Factor = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
-_Amount = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+_NonNegative = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Positive = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 
 
 @dataclass(frozen=True)
 class RoutedSettings:
-    """Settings of one entry process.
+    """Settings of an entry process that uses a store.
 
     Attributes
     ----------
     name : str
         Unique name of the host.
     data_centre : str
-        Where the host is.
+        Data centre of the host.
     data_centres : mapping of str to str
         Region of each data centre.
     address : str
-        ``ip:port`` for callers.
+        ``ip:port`` to listen on for callers.
     ready_address : str
-        ``ip:port`` that tells whether this host takes new connections.
+        ``ip:port`` of the readiness endpoint, which tells whether this host accepts
+        new connections.
     directory_address : str
-        ``ip:port`` that tells callers which addresses to use.
+        ``ip:port`` of the directory, which tells callers which addresses to use.
     peer_address : str
-        ``ip:port`` for datagrams of other entry hosts; the port is the same on
-        all hosts.
+        ``ip:port`` for gossip datagrams; the port is the same on all hosts.
     store : str
         ``ip:port`` of the store.
     seeds : tuple of str, default=()
-        ``ip:port`` of some hosts; only the IP number is used.
+        ``ip:port`` of hosts to contact first; only the IP address is used.
     metrics_address : str or None, default=None
-        ``ip:port`` that serves counters and histograms.
+        ``ip:port`` that serves metrics.
     statsd : str or None, default=None
         ``ip:port`` of a statsd daemon.
     log_level : str, default="INFO"
-        Lowest level that is logged.
+        Minimum level of logged messages.
     max_connections : int, default=1024
-        Caller connections at once.
+        Maximum number of concurrent caller connections.
     grace : float, default=6.0
-        Seconds from SIGTERM to the end of the process.
+        Shutdown time: seconds from SIGTERM to the end of the process.
     address_keep : float, default=2.0
-        Seconds that callers keep an answer of the directory.
+        Seconds that callers may cache a response of the directory.
     retry_ratio : float, default=0.2
-        Arrivals at targets beyond the first, for each request, over all hosts.
+        Retry budget as a ratio: additional attempts that reach targets, per
+        request, over all hosts.
     retry_slack : float, default=0.0
-        Such arrivals in each window beside those, over all hosts.
+        Fixed number of such attempts that each window allows in addition, over
+        all hosts.
     retry_window : float, default=10.0
-        Length of that window in seconds.
+        Length of the window of the retry budget in seconds.
     probe_rate : float, default=20.0
-        Probes a second that each target may get, over all hosts.
+        Maximum number of probes per second that each target receives, over all
+        hosts.
     cores : float, default=1.0
-        Processor cores of the host.
+        Number of processor cores of the host.
     core_share : float, default=1.0
-        Part of each core that the process may use.
+        Fraction of each core that the process may use.
     link_mbit : float, default=1000.0
-        Speed of the host's link in Mbit/s.
+        Bandwidth of the host's network link in Mbit/s.
     """
 
     name: Name
@@ -81,22 +84,22 @@
     max_connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1024
     grace: Seconds = 6.0
     address_keep: Seconds = 2.0
-    retry_ratio: _Factor = 0.2
-    retry_slack: _Factor = 0.0
+    retry_ratio: _NonNegative = 0.2
+    retry_slack: _NonNegative = 0.0
     retry_window: Seconds = 10.0
-    probe_rate: _Amount = 20.0
-    cores: _Amount = 1.0
-    core_share: _Amount = 1.0
-    link_mbit: _Amount = 1000.0
+    probe_rate: _Positive = 20.0
+    cores: _Positive = 1.0
+    core_share: _Positive = 1.0
+    link_mbit: _Positive = 1000.0
 
     @property
     def source_ip(self):
-        """IP number that connections of this host come from."""
+        """IP address that this host opens its connections from."""
         return self.address.rsplit(":", 1)[0]
 
     @property
     def seed_peer_addresses(self):
-        """``ip:port`` of the seeds for datagrams."""
+        """``ip:port`` of the seeds for gossip datagrams."""
         port = self.peer_address.rsplit(":", 1)[1]
         return tuple(f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self.seeds)
 
@@ -107,7 +110,7 @@
 
 
 def is_routed(text):
-    """Tell whether a settings file is one of an entry process with a store.
+    """Return whether a settings file is for an entry process that uses a store.
 
     Parameters
     ----------
@@ -117,13 +120,13 @@
     Returns
     -------
     bool
-        True when it names a store.
+        True if the file has a ``store`` key at the top level.
     """
     return any(line.startswith("store:") for line in text.splitlines())
 
 
 def parse_routed_settings(text, name="settings"):
-    """Return the settings that a YAML document declares.
+    """Parse and check the settings file of an entry process that uses a store.
 
     Parameters
     ----------
@@ -140,11 +143,11 @@
     Raises
     ------
     DocumentError
-        With one message for each fault.
+        With one message for each problem found.
     """
     source = YamlSource(text, name)
-    settings, nodes = check_settings(source, RoutedSettings)
+    settings, nodes = convert_settings(source, RoutedSettings)
     if settings is not None and settings.data_centre not in settings.data_centres:
-        source.report(nodes["data_centre"], "is none of data_centres")
+        source.report(nodes["data_centre"], "is not a key of data_centres")
     source.raise_problems()
     return settings
--- a/redwingspring/settings.py
+++ b/redwingspring/settings.py
@@ -1,4 +1,4 @@
-"""A host's own settings, read from a YAML file."""
+"""Settings of a single host, read from a YAML file."""
 
 import re
 from dataclasses import MISSING, dataclass, field, fields
@@ -8,7 +8,7 @@
 import msgspec
 
 from .units import check_address, check_name, parse_quantity
-from .yamlsource import YamlSource, describe, describe_text_fault
+from .yamlsource import YamlSource, describe_text_error, describe_value
 
 
 def _check_url(text):
@@ -28,11 +28,11 @@
 
 
 class Address(str):
-    """An ``ip:port``."""
+    """An IPv4 address and a port, ``ip:port``."""
 
 
 class Name(str):
-    """A name that appears in the names of metrics."""
+    """A name of a host or data centre, safe as part of a metric name."""
 
 
 class Url(str):
@@ -40,7 +40,7 @@
 
 
 class Size(int):
-    """A number of bytes between two bounds."""
+    """A number of bytes from ``minimum`` to ``maximum``."""
 
     minimum, maximum = 0, 1 << 62
 
@@ -58,16 +58,16 @@
 
 
 class Seconds(float):
-    """A time above 0 and up to an hour."""
+    """A duration in seconds, greater than 0 and at most one hour."""
 
     minimum, maximum = 0, 3600
 
 
-_TEXTS = {Address: check_address, Name: check_name, Url: _check_url}
-_QUANTITIES = {HeaderSize: "size", BodySize: "size", Seconds: "duration"}
-_PLACE = re.compile(r" - at `[^`]*\$([^`]*)`$")
-_EXPECTED = re.compile(r"Expected (.+?)(?:, got .+)?$")
-_TYPE_NAMES = {
+_TEXT_CHECKS = {Address: check_address, Name: check_name, Url: _check_url}
+_QUANTITY_KINDS = {HeaderSize: "size", BodySize: "size", Seconds: "duration"}
+_ERROR_PATH = re.compile(r" - at `[^`]*\$([^`]*)`$")
+_EXPECTED_TYPE = re.compile(r"Expected (.+?)(?:, got .+)?$")
+_TYPE_DESCRIPTIONS = {
     "`int`": "a whole number",
     "`float`": "a number",
     "`str`": "text",
@@ -76,23 +76,27 @@
 }
 
 
-def _read_value(kind, value):
-    """Return a value of one of the types above; a hook of msgspec."""
-    if kind in _TEXTS:
+def _decode_value(kind, value):
+    """Convert a value to one of the types above; the ``dec_hook`` of msgspec."""
+    if kind in _TEXT_CHECKS:
         if not isinstance(value, str):
-            raise ValueError(describe_text_fault(value))
-        return kind(_TEXTS[kind](value))
+            raise ValueError(describe_text_error(value))
+        return kind(_TEXT_CHECKS[kind](value))
     if isinstance(value, str):
-        value = parse_quantity(_QUANTITIES[kind], value)
-    accepted = int if issubclass(kind, Size) else int | float
-    if isinstance(value, bool) or not isinstance(value, accepted):
-        raise ValueError(f"must be a {_QUANTITIES[kind]}, not {describe(value)}")
-    # A comparison with a value that is no number is never true.
+        value = parse_quantity(_QUANTITY_KINDS[kind], value)
+    accepted_types = int if issubclass(kind, Size) else int | float
+    if isinstance(value, bool) or not isinstance(value, accepted_types):
+        raise ValueError(
+            f"must be a {_QUANTITY_KINDS[kind]}, not {describe_value(value)}"
+        )
+    # ``not >`` also rejects NaN, for which every comparison is false.
     if kind is Seconds and not value > kind.minimum:
-        raise ValueError(f"must be greater than {kind.minimum}, not {describe(value)}")
+        raise ValueError(
+            f"must be greater than {kind.minimum}, not {describe_value(value)}"
+        )
     if not kind.minimum <= value <= kind.maximum:
         limits = f"from {kind.minimum} to {kind.maximum}"
-        raise ValueError(f"must be {limits}, not {describe(value)}")
+        raise ValueError(f"must be {limits}, not {describe_value(value)}")
     return kind(value)
 
 
@@ -105,36 +109,36 @@
     name : str
         Unique name of the host.
     data_centre : str
-        Where the host is.
+        Data centre of the host.
     address : str
-        ``ip:port`` for callers; the process listens there.
+        ``ip:port`` to listen on for callers.
     peer_address : str
-        ``ip:port`` for other entry hosts.
+        ``ip:port`` at which other entry hosts reach this one.
     configuration_service : str
         Base URL of the configuration service.
     peer_key : str
-        Shared secret of all entry hosts.
+        Secret that all entry hosts share.
     seeds : tuple of str, default=()
-        Peer addresses to contact before a host list is known.
+        Peer addresses to contact before a host list is available.
     peer_listen : str or None, default=None
         ``ip:port`` to listen on for other hosts, where it differs from
         ``peer_address`` because of address translation.
     statsd : str or None, default=None
         ``ip:port`` of a statsd daemon.
     log_style : {"text", "json"}, default="text"
-        Form of log lines.
+        Format of log lines.
     log_level : str, default="INFO"
-        Lowest level that is logged.
+        Minimum level of logged messages.
     max_connections : int, default=1024
-        Caller connections at once.
+        Maximum number of concurrent caller connections.
     max_header_bytes : int, default=32768
-        Size of a request's line and headers.
+        Maximum size of a request line with its headers.
     max_body_bytes : int, default=1073741824
-        Size of a request body, for every service.
+        Maximum size of a request body, for all services.
     caller_timeout : float, default=30.0
-        Seconds that a caller may stall within a request or response.
+        Seconds that a caller may stall while a request or response is in transit.
     keep_alive : float, default=30.0
-        Seconds that an unused caller connection is kept.
+        Seconds that an idle caller connection is kept open.
     """
 
     name: Name
@@ -142,7 +146,7 @@
     address: Address
     peer_address: Address
     configuration_service: Url
-    # A short key could be found by trying all keys against a recorded frame.
+    # A short key could be found by brute force against a captured frame.
     peer_key: Annotated[str, msgspec.Meta(min_length=16, max_length=1024)] = field(
         repr=False
     )
@@ -159,7 +163,7 @@
 
 
 def parse_settings(text, name="settings"):
-    """Return the settings that a YAML document declares.
+    """Parse and check a settings file.
 
     Parameters
     ----------
@@ -176,10 +180,10 @@
     Raises
     ------
     DocumentError
-        With one message for each fault.
+        With one message for each problem found.
     """
     source = YamlSource(text, name)
-    settings, nodes = check_settings(source, Settings)
+    settings, nodes = convert_settings(source, Settings)
     if settings is not None and settings.address == settings.peer_address:
         message = "must differ from address, which serves callers"
         source.report(nodes["peer_address"], message)
@@ -187,70 +191,77 @@
     return settings
 
 
-def check_settings(source, model):
-    """Return the settings of a document, checked against their types.
+def convert_settings(source, settings_class):
+    """Convert a document to settings and check them against their types.
 
     Parameters
     ----------
     source : YamlSource
-        The document; faults are reported to it.
-    model : type
-        Data class of the settings.
+        The document; collects the reported problems.
+    settings_class : type
+        Dataclass of the settings.
 
     Returns
     -------
     tuple of (object or None, dict)
-        The settings, None when there are faults, and the entries by key.
+        The settings, or None if a setting is missing or invalid, and the nodes
+        by key.
     """
-    hints = get_type_hints(model, include_extras=True)
-    nodes = source.read_mapping(source.root, (), tuple(hints))
+    annotations = get_type_hints(settings_class, include_extras=True)
+    nodes = source.read_mapping(source.root, (), tuple(annotations))
     if not nodes:
-        # The text may be no mapping at all; missing keys would only distract.
+        # If the document is not a mapping, messages about missing keys do not help.
         source.raise_problems()
     values = {}
-    for item in fields(model):
-        node = nodes.get(item.name)
+    for setting in fields(settings_class):
+        node = nodes.get(setting.name)
         if node is None:
-            if item.default is MISSING:
-                source.report_missing(source.root, item.name)
+            if setting.default is MISSING:
+                source.report_missing(source.root, setting.name)
             continue
         try:
-            values[item.name] = msgspec.convert(
-                node.strip_positions(), hints[item.name], dec_hook=_read_value
+            values[setting.name] = msgspec.convert(
+                node.strip_positions(),
+                annotations[setting.name],
+                dec_hook=_decode_value,
             )
         except msgspec.ValidationError as error:
-            _report_fault(source, item.name, node, hints[item.name], str(error))
-    required = {item.name for item in fields(model) if item.default is MISSING}
+            _report_conversion_error(
+                source, setting.name, node, annotations[setting.name], str(error)
+            )
+    required = {
+        setting.name for setting in fields(settings_class) if setting.default is MISSING
+    }
     complete = required <= values.keys() and nodes.keys() <= values.keys()
-    return (model(**values) if complete else None), nodes
+    return (settings_class(**values) if complete else None), nodes
 
 
-def _report_fault(source, key, node, hint, fault):
-    """Add one fault that msgspec found, at the place of its entry."""
+def _report_conversion_error(source, key, node, annotation, error_text):
+    """Report an error of msgspec at the node that caused it."""
     if key == "peer_key":
-        # The value is a secret and stays out of messages.
+        # The value is a secret, which must not appear in messages.
         source.report(node, "must be text of 16 to 1024 characters")
         return
-    place = _PLACE.search(fault)
-    if place:
-        fault = fault[: place.start()]
-        index = re.fullmatch(r"\[(\d+)\]", place[1])
+    path_match = _ERROR_PATH.search(error_text)
+    if path_match:
+        error_text = error_text[: path_match.start()]
+        index = re.fullmatch(r"\[(\d+)\]", path_match[1])
         if index and isinstance(node.value, tuple):
             node = node.value[int(index[1])]
-    source.report(node, _phrase_fault(fault, hint, node.value))
+    source.report(node, _format_conversion_error(error_text, annotation, node.value))
 
 
-def _phrase_fault(fault, hint, value):
-    """Return a fault as users read it."""
-    if fault.startswith("Invalid enum value"):
-        options = " or ".join(map(repr, get_args(hint)))
-        return f"must be {options}, not {describe(value)}"
-    expected = _EXPECTED.fullmatch(fault)
+def _format_conversion_error(error_text, annotation, value):
+    """Return an error of msgspec in the wording of the other messages."""
+    if error_text.startswith("Invalid enum value"):
+        options = " or ".join(map(repr, get_args(annotation)))
+        return f"must be {options}, not {describe_value(value)}"
+    expected = _EXPECTED_TYPE.fullmatch(error_text)
     if not expected:
-        return fault
-    wanted = expected[1]
-    if wanted == "`str`":
-        return describe_text_fault(value)
-    for name, words in _TYPE_NAMES.items():
-        wanted = wanted.replace(name, words)
-    return f"must be {wanted}, not {describe(value)}"
+        return error_text
+    expected_type = expected[1]
+    if expected_type == "`str`":
+        return describe_text_error(value)
+    for name, description in _TYPE_DESCRIPTIONS.items():
+        expected_type = expected_type.replace(name, description)
+    return f"must be {expected_type}, not {describe_value(value)}"
--- a/redwingspring/units.py
+++ b/redwingspring/units.py
@@ -1,4 +1,4 @@
-"""Values with units: reads and writes the texts that operators use."""
+"""Parsing, formatting and validation of configuration values with units."""
 
 import ipaddress
 import re
@@ -24,24 +24,24 @@
 
 
 def parse_quantity(kind, raw):
-    """Return a number with a unit in base units.
+    """Parse a number with a unit and return it in base units.
 
     Parameters
     ----------
     kind : {"duration", "size", "ratio", "rate"}
         What the number measures.
     raw : object
-        Such as ``250ms``.
+        Value from the document, such as ``250ms``.
 
     Returns
     -------
     float or int
-        Seconds, bytes (int), a fraction, or events a second.
+        Seconds, bytes (int), a fraction, or events per second.
 
     Raises
     ------
     ValueError
-        If the text, the number or the unit is wrong; the message says what is
+        If the text, the number or the unit is invalid; the message says what is
         allowed.
     """
     units = UNITS[kind]
@@ -66,7 +66,7 @@
 
 
 def format_quantity(kind, value):
-    """Return a number in base units as text with a unit.
+    """Format a number in base units as text with a unit.
 
     Parameters
     ----------
@@ -78,32 +78,34 @@
     Returns
     -------
     str
-        With the largest unit that needs no fraction.
+        The number in the largest unit in which it is a whole number; otherwise in
+        the base unit, with a fraction.
     """
     if kind == "ratio":
         return f"{value * 100:.9g}%"
     units = UNITS[kind]
-    base = next(unit for unit, factor in units.items() if factor == 1)
+    base_unit = next(unit for unit, factor in units.items() if factor == 1)
     if value == 0:
-        return f"0{base}"
-    # A rate grows with the length of its unit, so its shortest unit is tried first.
-    ordered = units.items() if kind == "rate" else reversed(units.items())
-    for unit, factor in ordered:
+        return f"0{base_unit}"
+    # The unit of a rate with the longest period gives the largest number, so rates try
+    # the shortest period first.
+    ordered_units = units.items() if kind == "rate" else reversed(units.items())
+    for unit, factor in ordered_units:
         number = value * float(factor) if kind == "rate" else value / float(factor)
         if number >= 1 and abs(number - round(number)) < 1e-6:
             return f"{round(number)}{unit}"
-    return f"{value:.9g}{base}"
+    return f"{value:.9g}{base_unit}"
 
 
 def parse_value(key, raw):
-    """Return the value of a configuration key in base units.
+    """Parse and check the value of a configuration key.
 
     Parameters
     ----------
     key : Key
-        An entry of the table in ``defaults``.
+        A key of the table in ``defaults``.
     raw : object
-        The value as the document gives it; a list is a tuple.
+        Value from the document; a list is given as a tuple.
 
     Returns
     -------
@@ -147,19 +149,19 @@
 
 
 def format_value(key, value):
-    """Return a value in base units as operators write it.
+    """Format a value in base units as operators write it.
 
     Parameters
     ----------
     key : Key
-        An entry of the table in ``defaults``.
+        A key of the table in ``defaults``.
     value : object
         The value in base units.
 
     Returns
     -------
     str
-        Text that ``parse_value`` would accept, or a list in brackets.
+        Text that ``parse_value`` accepts, or a list of names in brackets.
     """
     if key.kind in UNITS:
         return format_quantity(key.kind, value)
@@ -171,7 +173,7 @@
 
 
 def check_address(text):
-    """Return a text if it is an IPv4 address and a port.
+    """Check that a text is an IPv4 address and a port.
 
     Parameters
     ----------
@@ -202,7 +204,7 @@
 
 
 def check_name(text):
-    """Return a text if it may name a host, service or data centre.
+    """Check that a text is a valid name of a host, service or data centre.
 
     Parameters
     ----------
@@ -228,12 +230,12 @@
 
 
 def _check_range(key, value):
-    low, high = key.minimum, key.maximum
-    if (low is None or value >= low) and (high is None or value <= high):
+    minimum, maximum = key.minimum, key.maximum
+    if (minimum is None or value >= minimum) and (maximum is None or value <= maximum):
         return
-    parts = []
-    if low is not None:
-        parts.append(f"at least {format_value(key, low)}")
-    if high is not None:
-        parts.append(f"at most {format_value(key, high)}")
-    raise ValueError(f"must be {' and '.join(parts)}, not {format_value(key, value)}")
+    bounds = []
+    if minimum is not None:
+        bounds.append(f"at least {format_value(key, minimum)}")
+    if maximum is not None:
+        bounds.append(f"at most {format_value(key, maximum)}")
+    raise ValueError(f"must be {' and '.join(bounds)}, not {format_value(key, value)}")
--- a/redwingspring/validation.py
+++ b/redwingspring/validation.py
@@ -1,4 +1,4 @@
-"""Checks files of each kind and describes the outcome."""
+"""Validation of files of each kind, and reports of the result."""
 
 from dataclasses import dataclass
 
@@ -15,18 +15,18 @@
 
 @dataclass(frozen=True)
 class CheckReport:
-    """The outcome of the check of one file.
+    """The result of checking one file.
 
     Attributes
     ----------
     file : str
-        The file.
+        Path of the file.
     kind : str
         Name of the kind of document.
     problems : tuple of Problem
         Empty for a valid file.
     summary : str
-        What a valid file declares.
+        Counts or names of what a valid file declares; empty for an invalid one.
     """
 
     file: str
@@ -47,7 +47,7 @@
             "kind": self.kind,
             "valid": not self.problems,
             "summary": self.summary,
-            "problems": list_problems(self.problems),
+            "problems": serialize_problems(self.problems),
         }
 
     def to_text(self):
@@ -63,7 +63,7 @@
         return f"{self.file}: valid {self.kind}: {self.summary}"
 
 
-def list_problems(problems):
+def serialize_problems(problems):
     """Return problems as objects for JSON.
 
     Parameters
@@ -88,19 +88,19 @@
 
 
 def check_file(path, kind):
-    """Check a file without acting on it.
+    """Check a file without applying its content.
 
     Parameters
     ----------
     path : pathlib.Path
         The file.
     kind : str
-        A name of ``document_kinds``.
+        Name of a registered kind in ``document_kinds``.
 
     Returns
     -------
     CheckReport
-        The outcome.
+        The result.
     """
     summarize = document_kinds.find(kind)
     try:
@@ -115,10 +115,10 @@
     targets = sum(len(service.targets) for service in configuration.services.values())
     return ", ".join(
         (
-            _count(len(configuration.services), "service"),
-            _count(targets, "target"),
-            _count(len(configuration.defaults), "default"),
-            _count(len(configuration.exceptions), "exception"),
+            _format_count(len(configuration.services), "service"),
+            _format_count(targets, "target"),
+            _format_count(len(configuration.defaults), "default"),
+            _format_count(len(configuration.exceptions), "exception"),
         )
     )
 
@@ -134,8 +134,8 @@
 def _summarize_hosts(text, name):
     hosts = parse_host_list(text, name)
     leaving = sum(host.state == "leaving" for host in hosts)
-    return f"{_count(len(hosts), 'host')}, {leaving} of them leaving"
+    return f"{_format_count(len(hosts), 'host')}, {leaving} of them leaving"
 
 
-def _count(number, noun):
+def _format_count(number, noun):
     return f"{number} {noun}{'' if number == 1 else 's'}"
--- a/redwingspring/yamlsource.py
+++ b/redwingspring/yamlsource.py
@@ -1,4 +1,4 @@
-"""YAML text with file, line and key for each value; collects all errors."""
+"""Parsed YAML documents that collect problems with file, line and key."""
 
 import difflib
 from pathlib import Path
@@ -9,15 +9,15 @@
 from .yamltree import StructureError, TreeBuilder
 
 MAX_DOCUMENT_BYTES = 1_000_000
-# Bounds the memory and time that a malformed document of the largest size takes.
+# Bounds memory and time for an invalid document of the maximum size.
 MAX_PROBLEMS = 1000
-# A suggestion compares the name with every known name, of which there may be
-# thousands, so only the first problems get one.
+# A suggestion compares an unknown name with every known name, of which there may be
+# thousands, so only the first unknown names get one.
 MAX_SUGGESTIONS = 20
 
 
 class Problem(str):
-    """A message ``FILE:LINE: KEY: what is wrong`` and its parts.
+    """A message of the form ``FILE:LINE: KEY: MESSAGE`` with its parts as attributes.
 
     Attributes
     ----------
@@ -34,7 +34,7 @@
     __slots__ = ("file", "key", "line", "message")
 
     def __new__(cls, file, line, key, message):
-        """Return the message with its parts as attributes."""
+        """Build the full message and set its parts as attributes."""
         problem = super().__new__(cls, f"{file}:{line}: {key}: {message}")
         problem.file = file
         problem.line = line
@@ -44,17 +44,17 @@
 
 
 def read_file(path):
-    """Return the text of a file.
+    """Read a UTF-8 text file.
 
     Parameters
     ----------
     path : pathlib.Path or str
-        The file.
+        Path of the file.
 
     Returns
     -------
     str
-        Its text.
+        Content of the file.
 
     Raises
     ------
@@ -72,18 +72,18 @@
         raise DocumentError([problem]) from error
 
 
-def describe(value):
+def describe_value(value):
     """Return a value as error messages show it.
 
     Parameters
     ----------
     value : object
-        The value of an Node.
+        The value of a Node.
 
     Returns
     -------
     str
-        The kind of a list or mapping; at most 60 characters of a scalar.
+        The type of a list or mapping; at most 60 characters of a scalar.
     """
     if isinstance(value, dict):
         return "a mapping"
@@ -97,28 +97,28 @@
     return text if len(text) <= 60 else text[:57] + "..."
 
 
-def describe_text_fault(value):
+def describe_text_error(value):
     """Return the message for a value that should be text.
 
     Parameters
     ----------
     value : object
-        The value of an Node; not a str.
+        The value of a Node; not a str.
 
     Returns
     -------
     str
-        What is wrong and, for scalars that YAML does not read as text, what
-        to do.
+        What is wrong; for a scalar that YAML reads as another type, also the
+        advice to quote it.
     """
-    message = f"must be text, not {describe(value)}"
+    message = f"must be text, not {describe_value(value)}"
     if isinstance(value, dict | tuple | None):
         return message
     return f"{message}; put it in quotes"
 
 
 class YamlSource:
-    """One parsed document and the problems found in it.
+    """A parsed YAML document and the problems found in it.
 
     Parameters
     ----------
@@ -130,7 +130,7 @@
     Attributes
     ----------
     root : Node or None
-        The whole document; None when the text is not YAML.
+        Root of the document; None when the text cannot be parsed.
     problems : list of Problem
         In the order in which they were found.
     """
@@ -138,31 +138,31 @@
     def __init__(self, text, name):
         self.name = name
         self.problems = []
-        self._suggestions = 0
-        self._omitted = 0
+        self._suggestion_count = 0
+        self._omitted_count = 0
         self.root = self._parse(text)
 
     def report(self, node, message):
-        """Add a problem with an entry.
+        """Add a problem at a node.
 
         Parameters
         ----------
         node : Node
-            The entry that is wrong.
+            The node with the invalid value or key.
         message : str
             What is wrong and what is allowed.
         """
         self._add(node.line, node.key, message)
 
     def report_missing(self, node, name):
-        """Add the problem that a mapping lacks a key.
+        """Add the problem that a mapping lacks a required key.
 
         Parameters
         ----------
         node : Node
             The mapping.
         name : str
-            The missing name.
+            The missing key.
         """
         key = name if node is self.root else f"{node.key}.{name}"
         self._add(node.line, key, "is missing")
@@ -173,64 +173,64 @@
         Raises
         ------
         DocumentError
-            If there is any problem.
+            If any problem was reported.
         """
         if not self.problems:
             return
         problems = sorted(self.problems, key=lambda problem: problem.line)
-        if self._omitted:
-            message = f"has {self._omitted} further problems"
+        if self._omitted_count:
+            message = f"has {self._omitted_count} further problems"
             problems.append(Problem(self.name, problems[-1].line, "document", message))
         raise DocumentError(problems)
 
-    def suggest(self, word, known):
-        """Return the end of a message that names the nearest known word.
+    def suggest(self, unknown_name, known):
+        """Return a message suffix that suggests a similar known name.
 
         Parameters
         ----------
-        word : str
-            The unknown word.
+        unknown_name : str
+            The unknown name.
         known : iterable of str
-            All known words.
+            All known names.
 
         Returns
         -------
         str
-            Such as ``; did you mean 'targets'?``. When no word is near, a
-            short list of known words is given in full.
+            Such as ``; did you mean 'targets'?``. When no known name is similar,
+            all known names if there are at most 12, otherwise nothing.
         """
         known = sorted(known)
-        if self._suggestions < MAX_SUGGESTIONS:
-            self._suggestions += 1
-            near = difflib.get_close_matches(word, known, 1)
-            if near:
-                return f"; did you mean {near[0]!r}?"
+        if self._suggestion_count < MAX_SUGGESTIONS:
+            self._suggestion_count += 1
+            close_matches = difflib.get_close_matches(unknown_name, known, 1)
+            if close_matches:
+                return f"; did you mean {close_matches[0]!r}?"
         if 0 < len(known) <= 12:
             return f"; known are: {', '.join(known)}"
         return ""
 
     def read_mapping(self, node, required=(), optional=None):
-        """Return the entries of a mapping by name.
+        """Return the values of a mapping by key; report unknown and missing keys.
 
         Parameters
         ----------
         node : Node or None
-            The mapping; empty counts as a mapping without entries, and None
-            stands for a missing entry that is reported elsewhere.
+            The mapping. A null value counts as an empty mapping when no key is
+            required; None stands for a missing node, which is reported elsewhere.
         required : sequence of str, default=()
-            Names that must be present.
+            Keys that must be present.
         optional : sequence of str or None, default=None
-            Other allowed names; None allows every name.
+            Other allowed keys; None allows any key.
 
         Returns
         -------
         dict of str to Node
-            The entries with allowed names; empty for other kinds of value.
+            The nodes with allowed keys; empty if the value is not a mapping.
         """
         if node is None or (node.value is None and not required):
             return {}
         if not isinstance(node.value, dict):
-            self.report(node, f"must be a mapping, not {describe(node.value)}")
+            self.report(node, f"must be a mapping, not {describe_value(node.value)}")
             return {}
         if optional is None:
             return node.value
@@ -244,43 +244,43 @@
         return {name: child for name, child in node.value.items() if name in known}
 
     def read_items(self, node):
-        """Return the entries of a list.
+        """Return the items of a list.
 
         Parameters
         ----------
         node : Node or None
-            The list; empty counts as a list without entries, and None stands
-            for a missing entry that is reported elsewhere.
+            The list. A null value counts as an empty list; None stands for a
+            missing node, which is reported elsewhere.
 
         Returns
         -------
         tuple of Node
-            The items; empty for other kinds of value.
+            The items; empty if the value is not a list.
         """
         if node is None or node.value is None:
             return ()
         if not isinstance(node.value, tuple):
-            self.report(node, f"must be a list, not {describe(node.value)}")
+            self.report(node, f"must be a list, not {describe_value(node.value)}")
             return ()
         return node.value
 
     def read_text(self, node):
-        """Return a text that is not blank.
+        """Return a text value; report other types and blank text.
 
         Parameters
         ----------
         node : Node or None
-            The entry; None when it is missing, which is reported elsewhere.
+            The node; None when it is missing, which is reported elsewhere.
 
         Returns
         -------
         str or None
-            The text without surrounding space; None for other values.
+            The text without surrounding white space; None if it is invalid.
         """
         if node is None:
             return None
         if not isinstance(node.value, str):
-            self.report(node, describe_text_fault(node.value))
+            self.report(node, describe_text_error(node.value))
             return None
         if not node.value.strip():
             self.report(node, "must not be empty")
@@ -291,7 +291,7 @@
         if len(self.problems) < MAX_PROBLEMS:
             self.problems.append(Problem(self.name, line, key, message))
         else:
-            self._omitted += 1
+            self._omitted_count += 1
 
     def _parse(self, text):
         try:
--- a/redwingspring/yamltree.py
+++ b/redwingspring/yamltree.py
@@ -1,4 +1,4 @@
-"""Builds a tree of values with their places from the events of a YAML parser."""
+"""Tree of YAML values with key paths and lines, built from parser events."""
 
 import re
 from dataclasses import dataclass
@@ -9,32 +9,32 @@
 
 _INTEGER = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})")
 _FLOAT = re.compile(r"[-+]?[0-9]{1,18}\.[0-9]{1,18}")
-_WORDS = {
+_KEYWORDS = {
     **dict.fromkeys(("true", "yes", "on"), True),
     **dict.fromkeys(("false", "no", "off"), False),
     **dict.fromkeys(("null", "~", ""), None),
 }
-_TAGS = {
+_ALLOWED_TAGS = {
     yaml.ScalarEvent: (None, "!", "tag:yaml.org,2002:str"),
     yaml.MappingStartEvent: (None, "!", "tag:yaml.org,2002:map"),
     yaml.SequenceStartEvent: (None, "!", "tag:yaml.org,2002:seq"),
 }
-# The libyaml parser is about ten times faster than the one in Python.
+# The C parser of libyaml is about ten times faster than the one in Python.
 _Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
 @dataclass(frozen=True, slots=True)
 class Node:
-    """One value of a document and its place.
+    """One value of a document with its key path and line.
 
     Attributes
     ----------
     key : str
         Path of the key, such as ``exceptions[0].reason``.
     line : int
-        Line of the key, or of the item of a list.
+        Line of the key in a mapping, or of the item in a list.
     value : object
-        A dict of name to Node, a tuple of Node, or a scalar.
+        A dict of str to Node, a tuple of Node, or a scalar.
     """
 
     key: str
@@ -42,7 +42,7 @@
     value: object
 
     def strip_positions(self):
-        """Return the value without the places of its parts.
+        """Return the plain value, without key paths and lines.
 
         Returns
         -------
@@ -57,12 +57,12 @@
 
 
 class StructureError(Exception):
-    """A fault after which the structure of the document is unknown.
+    """An error that stops the parsing of a document.
 
     Parameters
     ----------
     line : int
-        Line of the fault.
+        Line of the error.
     key : str
         Path of the key.
     message : str
@@ -76,8 +76,8 @@
         self.message = message
 
 
-class _Frame:
-    """A mapping or list whose end has not been read."""
+class _OpenCollection:
+    """A mapping or list whose end has not been parsed yet."""
 
     __slots__ = ("items", "key", "line", "name", "name_line")
 
@@ -88,8 +88,8 @@
         self.name = None
         self.name_line = line
 
-    def join(self):
-        """Return the key path of the value that follows."""
+    def build_child_key(self):
+        """Return the key path of the next value."""
         if isinstance(self.items, list):
             return f"{self.key}[{len(self.items)}]"
         if self.name is None:
@@ -98,16 +98,16 @@
 
 
 class TreeBuilder:
-    """Builds the root entry of a document.
+    """Builds the tree of nodes of a document.
 
-    Events are read instead of composed nodes, so that aliases and deep nesting
-    are refused where they occur, before they are expanded.
+    The builder reads parser events instead of nodes composed by the YAML library,
+    so that aliases and deep nesting are rejected before they are expanded.
 
     Parameters
     ----------
     report : callable
-        Called with line, key and message for each fault that leaves the
-        structure known.
+        Called with line, key and message for each error after which parsing
+        can continue.
     """
 
     def __init__(self, report):
@@ -116,7 +116,7 @@
         self._root = None
 
     def build(self, text):
-        """Return the root entry.
+        """Parse a text and return the root node.
 
         Parameters
         ----------
@@ -131,7 +131,8 @@
         Raises
         ------
         StructureError
-            If the text has a part that is not allowed and hides the structure.
+            If the text has an alias, a second document, a key that is not text or
+            too deep nesting.
         yaml.YAMLError
             If the text is not YAML.
         """
@@ -141,16 +142,16 @@
             if isinstance(event, yaml.ScalarEvent):
                 self._add(event.value, self._read_scalar(event), line)
             elif isinstance(event, yaml.MappingStartEvent):
-                self._open({}, line)
+                self._open_collection({}, line)
             elif isinstance(event, yaml.SequenceStartEvent):
-                self._open([], line)
+                self._open_collection([], line)
             elif isinstance(event, yaml.CollectionEndEvent):
-                frame = self._stack.pop()
-                items = frame.items
+                collection = self._stack.pop()
+                items = collection.items
                 value = tuple(items) if isinstance(items, list) else items
-                self._add(None, value, frame.line)
+                self._add(None, value, collection.line)
             elif isinstance(event, yaml.AliasEvent):
-                key = self._stack[-1].join() if self._stack else "document"
+                key = self._stack[-1].build_child_key() if self._stack else "document"
                 message = f"alias '*{event.anchor}' is not allowed; repeat the value"
                 raise StructureError(line, key, message)
             elif isinstance(event, yaml.DocumentStartEvent) and self._root is not None:
@@ -158,13 +159,13 @@
                 raise StructureError(line, "document", message)
         return self._root or Node("document", 1, None)
 
-    def _open(self, items, line):
-        """Begin a mapping or list."""
+    def _open_collection(self, items, line):
+        """Push a new mapping or list on the stack."""
         if not self._stack:
-            self._stack.append(_Frame("document", line, items))
+            self._stack.append(_OpenCollection("document", line, items))
             return
         parent = self._stack[-1]
-        key = parent.join()
+        key = parent.build_child_key()
         if isinstance(parent.items, dict):
             if parent.name is None:
                 raise StructureError(line, key, "a key must be text")
@@ -172,43 +173,43 @@
         if len(self._stack) >= MAX_DEPTH:
             message = f"is nested more than {MAX_DEPTH} levels deep"
             raise StructureError(line, key, message)
-        self._stack.append(_Frame(key, line, items))
+        self._stack.append(_OpenCollection(key, line, items))
 
     def _add(self, name, value, line):
-        """Add a finished value, or the name of the next one, to its parent."""
+        """Add a complete value, or the key of the next value, to its parent."""
         if not self._stack:
             self._root = Node("document", 1, value)
             return
-        frame = self._stack[-1]
-        if isinstance(frame.items, list):
-            frame.items.append(Node(frame.join(), line, value))
+        collection = self._stack[-1]
+        if isinstance(collection.items, list):
+            collection.items.append(Node(collection.build_child_key(), line, value))
             return
-        if frame.name is None:
-            frame.name = name
-            frame.name_line = line
+        if collection.name is None:
+            collection.name = name
+            collection.name_line = line
             return
-        if frame.name in frame.items:
-            first = frame.items[frame.name].line
+        if collection.name in collection.items:
+            first = collection.items[collection.name].line
             message = f"is given twice; the first one is in line {first}"
-            self._report(frame.name_line, frame.join(), message)
+            self._report(collection.name_line, collection.build_child_key(), message)
         else:
-            node = Node(frame.join(), frame.name_line, value)
-            frame.items[frame.name] = node
-        frame.name = None
+            node = Node(collection.build_child_key(), collection.name_line, value)
+            collection.items[collection.name] = node
+        collection.name = None
 
     def _check_tag(self, event, line):
-        allowed = _TAGS.get(type(event))
+        allowed = _ALLOWED_TAGS.get(type(event))
         if allowed is not None and event.tag not in allowed:
-            key = self._stack[-1].join() if self._stack else "document"
+            key = self._stack[-1].build_child_key() if self._stack else "document"
             self._report(line, key, f"tag {event.tag!r} is not allowed")
 
     def _read_scalar(self, event):
-        # implicit[0] is true for a plain scalar without a tag.
+        # implicit[0] is true for a plain (unquoted) scalar without a tag.
         if not event.implicit[0]:
             return event.value
         text = event.value
-        if text.lower() in _WORDS:
-            return _WORDS[text.lower()]
+        if text.lower() in _KEYWORDS:
+            return _KEYWORDS[text.lower()]
         if _INTEGER.fullmatch(text):
             return int(text)
         if _FLOAT.fullmatch(text):
