--- a/redwingspring/units.py
+++ b/redwingspring/units.py
@@ -87,8 +87,8 @@
     base_unit = next(unit for unit, factor in units.items() if factor == 1)
     if value == 0:
         return f"0{base_unit}"
-    # The unit of a rate with the longest period gives the largest number, so rates try
-    # the shortest period first.
+    # The largest unit of a rate is the one with the shortest period, so rates try the
+    # units in the opposite order.
     ordered_units = units.items() if kind == "rate" else reversed(units.items())
     for unit, factor in ordered_units:
         number = value * float(factor) if kind == "rate" else value / float(factor)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -37,8 +37,8 @@
         self.assertEqual(0.2, configuration.service_value("retry.share", "orders"))
         self.assertEqual(3, configuration.default_value("target.slots"))
 
-    def test_the_more_precise_selector_takes_precedence_in_any_order(self):
-        rules = [
+    def test_the_more_specific_selector_takes_precedence_in_any_order(self):
+        exception_specs = [
             "data_centre: a, set: {target.slots: 10}, reason: r",
             "service: orders, set: {target.slots: 20}, reason: r",
             "service: orders, data_centre: a, set: {target.slots: 30}, reason: r",
@@ -46,8 +46,8 @@
             "target: '10.0.0.1:80', service: orders, "
             "set: {target.slots: 50}, reason: r",
         ]
-        for count in range(len(rules) + 1):
-            for chosen in (rules[:count], rules[:count][::-1]):
+        for count in range(len(exception_specs) + 1):
+            for chosen in (exception_specs[:count], exception_specs[:count][::-1]):
                 configuration = parse_configuration(add_exceptions(*chosen))
                 target = configuration.services["orders"].targets[0]
                 value = configuration.target_value("target.slots", target)
@@ -78,9 +78,9 @@
             max_size=6,
         )
     )
-    def test_precomputed_values_equal_a_search_of_all_exceptions(self, rules):
+    def test_precomputed_values_equal_a_search_of_all_exceptions(self, exception_specs):
         items = []
-        for service, target, centre, slots in rules:
+        for service, target, centre, slots in exception_specs:
             parts = [("service", service), ("target", target), ("data_centre", centre)]
             given = [f"{name}: '{value}'" for name, value in parts if value]
             given += [f"set: {{target.slots: {slots}}}", "reason: r"]
@@ -91,31 +91,37 @@
             return
         for service in configuration.services.values():
             for target in service.targets:
-                found = [e for e in configuration.exceptions if e.matches(target)]
-                best = max(found, key=lambda e: e.specificity, default=None)
-                expected = best.values["target.slots"] if best else 3
+                found = [
+                    exception
+                    for exception in configuration.exceptions
+                    if exception.matches(target)
+                ]
+                most_specific = max(
+                    found, key=lambda exception: exception.specificity, default=None
+                )
+                expected = most_specific.values["target.slots"] if most_specific else 3
                 value = configuration.target_value("target.slots", target)
                 self.assertEqual(expected, value)
 
-    def test_values_exist_before_a_configuration_and_for_unknown_targets(self):
+    def test_defaults_apply_without_a_configuration_and_to_unknown_targets(self):
         target = Target("none", "10.9.9.9:80", "z")
         for key, entry in KEYS.items():
             self.assertEqual(entry.default, Configuration().service_value(key, "none"))
             self.assertEqual(entry.default, Configuration().target_value(key, target))
 
 
-class RefusalTest(RedwingspringTestCase):
-    def check(self, text, *expected):
+class RejectionTest(RedwingspringTestCase):
+    def assert_problems(self, text, *expected):
         error = self.assertRaises(
             DocumentError, parse_configuration, textwrap.dedent(text), "c.yaml"
         )
         found = list(map(str, error.problems))
         self.assertEqual(len(expected), len(found), found)
-        for start, problem in zip(expected, found, strict=True):
-            self.assertTrue(problem.startswith(f"c.yaml:{start}"), (start, problem))
+        for prefix, problem in zip(expected, found, strict=True):
+            self.assertTrue(problem.startswith(f"c.yaml:{prefix}"), (prefix, problem))
 
-    def test_an_exception_without_a_written_reason_is_refused(self):
-        rule = "service: orders, set: {target.slots: 2}"
+    def test_an_exception_without_a_reason_is_rejected(self):
+        exception_text = "service: orders, set: {target.slots: 2}"
         for reason, message in (
             ("", "11: exceptions[0].reason: is missing"),
             (", reason: ''", "11: exceptions[0].reason: must not be empty"),
@@ -123,23 +129,23 @@
             (", reason: ", "11: exceptions[0].reason: must be text, not nothing"),
             (", reason: 5", "11: exceptions[0].reason: must be text, not 5"),
         ):
-            self.check(add_exceptions(rule + reason), message)
+            self.assert_problems(add_exceptions(exception_text + reason), message)
 
-    def test_two_exceptions_cannot_give_one_target_two_values(self):
+    def test_exceptions_that_contradict_each_other_are_rejected(self):
         for selector in ("service: orders", "data_centre: a", "target: '10.0.0.2:80'",
                          "service: orders, data_centre: b"):  # fmt: skip
-            rules = [
+            exception_specs = [
                 f"{selector}, set: {{target.slots: {slots}}}, reason: r"
                 for slots in (2, 4)
             ]
-            self.check(
-                add_exceptions(*rules),
+            self.assert_problems(
+                add_exceptions(*exception_specs),
                 "12: exceptions[1].set.target.slots: contradicts the exception in "
                 "line 11",
             )
-            parse_configuration(add_exceptions(rules[0], rules[0]))
+            parse_configuration(add_exceptions(exception_specs[0], exception_specs[0]))
 
-    def test_an_exception_that_lost_its_target_is_refused(self):
+    def test_an_exception_that_matches_nothing_is_rejected(self):
         for selector, message in (
             ("service: order", "service: matches nothing: there is no service 'order'; "
              "did you mean 'orders'?"),
@@ -149,14 +155,16 @@
             ("service: orders, target: '10.0.0.3:80'", "target: matches nothing"),
             ("target: '10.0.0.3:80', data_centre: a", "data_centre: matches nothing"),
         ):  # fmt: skip
-            rule = f"{selector}, set: {{serve: out}}, reason: r"
-            self.check(add_exceptions(rule), f"11: exceptions[0].{message}")
+            exception_text = f"{selector}, set: {{serve: out}}, reason: r"
+            self.assert_problems(
+                add_exceptions(exception_text), f"11: exceptions[0].{message}"
+            )
 
-    def test_unknown_keys_and_wrong_units_are_refused_together(self):
+    def test_unknown_keys_and_wrong_units_are_reported_together(self):
         text = (
             "defaults:\n  target.slot: 3\n  queue.wait: 5\n  serve: out\n" + SERVICES
         ).replace("address: 10.0.0.2:80, data_centre: b", "address: 10.0.0.1:80, dc: b")
-        self.check(
+        self.assert_problems(
             text + "exception: []\n",
             "2: defaults.target.slot: unknown key; did you mean 'target.slots'?",
             "3: defaults.queue.wait: 5 has no unit; use us, ms, s, min, h",
@@ -167,25 +175,27 @@
             "14: exception: unknown key; did you mean 'exceptions'?",
         )
 
-    def test_an_emptied_file_does_not_remove_all_services(self):
-        self.check("", "1: document: must be a mapping, not nothing")
-        self.check("defaults: {}", "1: services: is missing")
-        self.check("services:\n", "1: services: must be a mapping")
+    def test_an_empty_file_does_not_remove_all_services(self):
+        self.assert_problems("", "1: document: must be a mapping, not nothing")
+        self.assert_problems("defaults: {}", "1: services: is missing")
+        self.assert_problems("services:\n", "1: services: must be a mapping")
         self.assertEqual({}, dict(parse_configuration("services: {}").services))
 
-    def test_an_exception_that_could_have_no_effect_is_refused(self):
-        for rule, message in (
+    def test_an_exception_that_can_have_no_effect_is_rejected(self):
+        for exception_text, message in (
             ("data_centre: a, set: {retry.attempts: 1}, reason: r",
              "set.retry.attempts: applies to a whole service"),
             ("service: orders, set: {}, reason: r", "set: must set at least one key"),
         ):  # fmt: skip
-            self.check(add_exceptions(rule), f"11: exceptions[0].{message}")
-        self.check(
+            self.assert_problems(
+                add_exceptions(exception_text), f"11: exceptions[0].{message}"
+            )
+        self.assert_problems(
             add_exceptions("set: {serve: out}, reason: r"),
             "11: exceptions[0]: needs a selector",
         )
 
-    def test_documents_of_another_shape_are_refused_without_a_crash(self):
+    def test_documents_of_wrong_structure_raise_only_document_errors(self):
         for text in ("5", "[]", "services: 5", "services: {a: 5}", "services: {a: }",
                      "services: {a: {targets: {}}}", "services: {a: {targets: [5]}}",
                      "services: {a: {targets: [{address: [], data_centre: {}}]}}",
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -14,7 +14,7 @@
 
 
 class QuantityTest(RedwingspringTestCase):
-    def test_a_wrong_factor_does_not_change_a_value_silently(self):
+    def test_every_unit_is_converted_with_the_right_factor(self):
         for kind, text, value in (
             ("duration", "250ms", 0.25),
             ("duration", "1.5s", 1.5),
@@ -49,19 +49,19 @@
 
     @settings(deadline=None)
     @given(st.integers(0, 10**6), st.sampled_from(["us", "ms", "s", "min", "h"]))
-    def test_explain_never_shows_another_duration_than_the_one_in_force(self, n, unit):
-        value = parse_quantity("duration", f"{n}{unit}")
+    def test_a_formatted_duration_equals_the_one_in_force(self, number, unit):
+        value = parse_quantity("duration", f"{number}{unit}")
         shown = parse_quantity("duration", format_quantity("duration", value))
         self.assertTrue(abs(shown - value) <= 1e-8 * max(value, 1e-3), (shown, value))
 
-    def test_every_default_is_one_that_an_operator_may_write(self):
+    def test_every_default_is_a_valid_value_of_its_key(self):
         for key in KEYS.values():
             raw = key.default
             if key.kind not in ("names", "count"):
                 raw = format_value(key, key.default)
             self.assertEqual(key.default, parse_value(key, raw), key.name)
 
-    def test_values_out_of_bounds_are_refused(self):
+    def test_values_out_of_bounds_are_rejected(self):
         for name, raw in (
             ("cold.lease", "3s"),
             ("target.slots", 0),
@@ -74,7 +74,7 @@
         ):
             self.assertRaises(ValueError, parse_value, KEYS[name], raw)
 
-    def test_an_address_that_no_socket_accepts_is_refused(self):
+    def test_an_address_that_no_socket_accepts_is_rejected(self):
         check_address("10.0.0.1:65535")
         for text in ("10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "a:80", "10.0.0.256:1",
                      "10.0.0.1:08", "[::1]:80", ":80", "10.0.0.1:٣"):  # fmt: skip
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -14,15 +14,15 @@
 from .base import RedwingspringTestCase
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
-SIZES = {
+EXAMPLE_SIZES = {
     "tuhono": ({"fault-desk": 35, "bundle-store": 6}, 15, (3, 250)),
     "malabon": ({"orders": 20, "library": 6}, 13, (6, 200)),
 }
 
 
 class ExamplesTest(RedwingspringTestCase):
-    def test_the_examples_that_operators_copy_are_valid_and_of_real_size(self):
-        for name, (sizes, count, limits) in SIZES.items():
+    def test_the_example_files_are_valid_and_of_production_size(self):
+        for name, (target_counts, host_count, limits) in EXAMPLE_SIZES.items():
             path = EXAMPLES / name
             configuration = parse_configuration(
                 (path / "configuration.yaml").read_text()
@@ -30,26 +30,38 @@
             hosts = parse_host_list((path / "hosts.yaml").read_text())
             settings = parse_settings((path / "settings.yaml").read_text())
             services = configuration.services
-            self.assertEqual(sizes, {s: len(services[s].targets) for s in services})
-            self.assertEqual(count, len(hosts))
+            self.assertEqual(
+                target_counts,
+                {service: len(services[service].targets) for service in services},
+            )
+            self.assertEqual(host_count, len(hosts))
             keys = ("target.slots", "target.connections")
             self.assertEqual(limits, tuple(map(configuration.default_value, keys)))
             self.assertTrue(configuration.exceptions)
-            listed = {(h.name, h.address, h.peer_address, h.data_centre) for h in hosts}
-            own = (settings.name, settings.address, settings.peer_address,
-                   settings.data_centre)  # fmt: skip
-            self.assertIn(own, listed)
-            self.assertTrue(set(settings.seeds) <= {h.peer_address for h in hosts})
-            centres = {t.data_centre for s in services.values() for t in s.targets}
-            self.assertEqual(centres, {h.data_centre for h in hosts})
-
-    def test_the_page_for_operators_lists_the_keys_in_force(self):
+            listed = {
+                (host.name, host.address, host.peer_address, host.data_centre)
+                for host in hosts
+            }
+            own_entry = (settings.name, settings.address, settings.peer_address,
+                         settings.data_centre)  # fmt: skip
+            self.assertIn(own_entry, listed)
+            self.assertTrue(
+                set(settings.seeds) <= {host.peer_address for host in hosts}
+            )
+            data_centres = {
+                target.data_centre
+                for service in services.values()
+                for target in service.targets
+            }
+            self.assertEqual(data_centres, {host.data_centre for host in hosts})
+
+    def test_the_documented_table_of_keys_is_up_to_date(self):
         text = PAGE.read_text()
         self.assertEqual(update_page(text), text, "run scripts/key_table.py")
 
 
 class HostListTest(RedwingspringTestCase):
-    def test_a_list_that_would_confuse_hosts_is_refused(self):
+    def test_ambiguous_hosts_and_unknown_states_are_rejected(self):
         line = (
             "- {{name: {}, address: {}, peer_address: {}, data_centre: a, state: {}}}\n"
         )
@@ -92,7 +104,7 @@
         path.write_text(text)
         return path
 
-    def test_check_tells_scripts_valid_from_invalid(self):
+    def test_check_reports_invalid_files_by_exit_code_and_json(self):
         self.run_command(0, "check", self.example)
         for kind in ("hosts", "settings"):
             path = EXAMPLES / "tuhono" / f"{kind}.yaml"
@@ -110,7 +122,7 @@
         lines = path.read_text().splitlines()
         self.assertIn("retry.share", lines[problems[0]["line"] - 1])
 
-    def test_explain_names_the_exception_in_force_and_not_a_weaker_one(self):
+    def test_explain_names_the_exception_in_force_before_overridden_ones(self):
         args = ("explain", self.example, "--service", "orders", "--key", "target.slots")
         output = self.run_command(0, *args, "--target", "10.41.1.13:8080", "--json")
         (found,) = json.loads(output)
@@ -123,17 +135,17 @@
         self.assertIn("target.slots: 6\n  from defaults in line 5", text)
         self.assertIn("4 for some targets, from exception in line", text)
 
-    def test_explain_refuses_names_that_do_not_exist(self):
+    def test_explain_rejects_names_that_do_not_exist(self):
         args = ("explain", self.example, "--service")
         self.assertIn("'orders'?", self.run_command(2, *args, "order"))
         self.run_command(2, *args, "orders", "--target", "10.0.0.1:1")
         self.run_command(2, *args, "orders", "--key", "target.slot", "--json")
 
-    def test_diff_of_equal_values_is_no_change(self):
+    def test_diff_reports_no_change_for_equal_values(self):
         path = self.write_changed(("BTU-77", "BTU-78"), ("10s", "10000ms"))
         self.assertEqual("no change\n", self.run_command(0, "diff", self.example, path))
 
-    def test_diff_tells_what_each_service_and_target_would_notice(self):
+    def test_diff_lists_the_changes_of_each_service_and_target(self):
         path = self.write_changed(
             ("serve: out", "serve: in"),
             ("request.deadline: 10s", "request.deadline: 5s"),
@@ -154,16 +166,18 @@
             self.assertIn(part, text)
         self.assertEqual(6, len(text.splitlines()), text)
         changes = json.loads(self.run_command(1, "diff", self.example, path, "--json"))
-        targets = [c["target"] for c in changes if c.get("key") == "serve"]
+        targets = [
+            change["target"] for change in changes if change.get("key") == "serve"
+        ]
         self.assertEqual(7, len(targets), targets)
 
-    def test_diff_shows_that_an_exception_was_removed(self):
+    def test_diff_shows_the_removal_of_an_exception(self):
         old = self.write_changed(("serve: out", "serve: out\n      cold.slots: 1"))
         text = self.run_command(1, "diff", old, self.example)
         self.assertIn("cold.slots changes from 1 [exception in line 55", text)
         self.assertIn("to 2 [defaults in line 11]", text)
 
-    def test_diff_refuses_an_invalid_file(self):
+    def test_diff_rejects_an_invalid_file(self):
         path = self.write_changed(("serve: out", "serve: off"))
         self.run_command(2, "diff", self.example, path)
         self.run_command(2, "diff", path, self.example, "--json")
--- a/tests/test_yamlsource.py
+++ b/tests/test_yamlsource.py
@@ -13,7 +13,7 @@
 
 
 class YamlSourceTest(RedwingspringTestCase):
-    def problems(self, text):
+    def read_problems(self, text):
         return [str(problem) for problem in YamlSource(text, "f.yaml").problems]
 
     def test_every_key_and_item_has_its_own_line(self):
@@ -23,10 +23,10 @@
         item = inner["d"].value[1].value["e"]
         self.assertEqual(("a.d[1].e", 7, "y"), (item.key, item.line, item.value))
 
-    def test_a_second_value_of_a_key_does_not_replace_the_first_silently(self):
+    def test_a_duplicate_key_does_not_replace_the_first_value_silently(self):
         self.assertEqual(
             ["f.yaml:3: a.b: is given twice; the first one is in line 2"],
-            self.problems("a:\n  b: 1\n  b: 2\n"),
+            self.read_problems("a:\n  b: 1\n  b: 2\n"),
         )
 
     def test_text_that_only_looks_like_a_number_or_time_stays_text(self):
@@ -38,7 +38,7 @@
             YamlSource("[5, -2, 1.5, yes, off, ~]", "f").root.strip_positions(),
         )
 
-    def test_small_texts_that_expand_or_recurse_are_refused(self):
+    def test_disallowed_and_malformed_yaml_gives_one_problem_with_its_line(self):
         for text, line in (
             ("a: &x [1]\nb: *x", 2),
             ("a: &x [*x]", 1),
@@ -54,24 +54,24 @@
             ("\ud800", 1),
             ("a: " + "x" * MAX_DOCUMENT_BYTES, 1),
         ):
-            found = self.problems(text)
+            found = self.read_problems(text)
             self.assertEqual(1, len(found), text[:40])
             self.assertTrue(found[0].startswith(f"f.yaml:{line}: "), found)
 
-    def test_the_largest_allowed_document_is_read(self):
+    def test_a_document_of_the_maximum_size_is_accepted(self):
         text = "a: " + "x" * (MAX_DOCUMENT_BYTES - 3)
-        self.assertEqual([], self.problems(text))
+        self.assertEqual([], self.read_problems(text))
 
-    def test_a_document_full_of_faults_keeps_the_error_bounded(self):
+    def test_the_number_of_reported_problems_is_bounded(self):
         text = "a: 1\n" * (MAX_PROBLEMS + 6)
         error = self.assertRaises(DocumentError, YamlSource(text, "f").raise_problems)
         self.assertEqual(MAX_PROBLEMS + 1, len(error.problems))
         self.assertIn("has 5 further problems", error.problems[-1])
 
-    # A busy machine may take longer than the default for one example.
+    # On a loaded machine an example can exceed the default deadline of Hypothesis.
     @settings(deadline=None)
     @given(st.text(alphabet="ab:-[]{},&*!|>'\"#%\n ?~\t\x85\ud800", max_size=60))
-    def test_no_text_raises_anything_but_document_errors(self, text):
+    def test_any_text_gives_a_document_or_problems(self, text):
         source = YamlSource(text, "f")
         self.assertTrue(source.root is not None or source.problems)
 
