Keep two facts in the docstrings of TreeBuilder and RoutedSettings

The rewording had dropped that aliases are rejected where they occur and that metrics_address serves counters and histograms. Docstrings only.

--- a/redwingspring/routedsettings.py
+++ b/redwingspring/routedsettings.py
@@ -39,7 +39,7 @@
     seeds : tuple of str, default=()
         ``ip:port`` of hosts to contact first; only the IP address is used.
     metrics_address : str or None, default=None
-        ``ip:port`` that serves metrics.
+        ``ip:port`` that serves the counters and histograms.
     statsd : str or None, default=None
         ``ip:port`` of a statsd daemon.
     log_level : str, default="INFO"
--- a/redwingspring/yamltree.py
+++ b/redwingspring/yamltree.py
@@ -101,7 +101,8 @@
     """Builds the tree of nodes of a document.
 
     The builder reads parser events instead of nodes composed by the YAML library,
-    so that aliases and deep nesting are rejected before they are expanded.
+    so that aliases and deep nesting are rejected where they occur, before they are
+    expanded.
 
     Parameters
     ----------
