--- a/redwingspring/conflicts.py
+++ b/redwingspring/conflicts.py
@@ -4,14 +4,14 @@
 def check_contradictions(source, parsed):
     """Report exceptions of equal selectors that set different values for a key.
 
-    Unequal selectors need no check here: two selectors of equal precision overlap only
-    when they are equal.
+    Unequal selectors need no check here: two selectors of equal specificity overlap
+    only when they are equal.
 
     Parameters
     ----------
     source : YamlSource
         Collects the reported problems.
-    parsed : iterable of tuple of (dict of str to Entry, ConfigurationException)
+    parsed : iterable of tuple of (dict of str to Node, ConfigurationException)
         Parsed parts of each exception by name, and the exception itself.
     """
     first = {}
@@ -36,7 +36,7 @@
     ----------
     source : YamlSource
         Collects the reported problems.
-    parsed : iterable of tuple of (dict of str to Entry, ConfigurationException)
+    parsed : iterable of tuple of (dict of str to Node, ConfigurationException)
         Parsed parts of each exception by name, and the exception itself.
     services : mapping of str to Service
         All services.
