--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -116,10 +116,7 @@
         process.reload(parse_routed_settings(read_file(path), str(path)))
     except RedwingspringError as error:
         fields = {"cause": str(error)}
-        logger.warning(
-            "settings reload failed; keeping the current settings",
-            extra={"fields": fields},
-        )
+        logger.warning("settings not read again", extra={"fields": fields})
 
 
 @app.command()
--- a/tests/test_routedprocess.py
+++ b/tests/test_routedprocess.py
@@ -91,11 +91,7 @@
         wait_until(lambda: self.ask() == 200)
         self.path.write_text("grace: never\n")
         process.send_signal(signal.SIGHUP)
-        wait_until(
-            lambda: self.read_lines(
-                "settings reload failed; keeping the current settings"
-            )
-        )
+        wait_until(lambda: self.read_lines("settings not read again"))
         self.path.write_text(SETTINGS.format(**self.values))
         process.send_signal(signal.SIGHUP)
         wait_until(lambda: self.read_lines("settings read again"))
