Name failures, request bodies and page applications in terms of the field

Some names described nothing outside this project (doubt, depth) or were hard to tell apart (PageResponse and ResponsePage).

doubt -> fail_uncertain RequestBody.repeatable -> RequestBody.replayable RequestBody.chunks -> RequestBody.iter_blocks Call.depth -> Call.prior_retries Call.socket -> Call.caller_socket ServerBounds -> ServerLimits EntryServer.keeps_connections -> EntryServer.keep_alive_enabled ResponsePage -> PageApplication RequestMemory -> RequestLogStats RequestLog.memory -> RequestLog.get_stats

--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -38,7 +38,7 @@
     may_repeat = Dispatcher._may_repeat
 
     def repeat_doubtful(self, call, admission, failure):
-        if not failure.proves_not_run and call.body.repeatable:
+        if not failure.proves_not_run and call.body.replayable:
             return True
         return may_repeat(self, call, admission, failure)
 
--- a/redwingspring/body.py
+++ b/redwingspring/body.py
@@ -79,11 +79,11 @@
             self.length = self._got
 
     @property
-    def repeatable(self):
+    def replayable(self):
         """Tell whether the body can be sent from its start."""
         return not self._touched
 
-    def chunks(self):
+    def iter_blocks(self):
         """Yield the body in parts.
 
         Yields
--- a/redwingspring/calls.py
+++ b/redwingspring/calls.py
@@ -58,11 +58,11 @@
         The request body.
     deadline : float
         Unix time in seconds by which the response must begin.
-    depth : int
+    prior_retries : int
         Retries already made on the way here (``Request-Attempt``).
     idempotent : bool
         Whether it may be sent again without proof.
-    socket : socket.socket or None
+    caller_socket : socket.socket or None
         The caller's connection.
     """
 
@@ -73,9 +73,9 @@
     headers: dict
     body: RequestBody
     deadline: float
-    depth: int
+    prior_retries: int
     idempotent: bool
-    socket: object
+    caller_socket: object
 
 
 def is_request_id(text):
@@ -147,7 +147,7 @@
     try:
         given = environ.get("HTTP_REQUEST_DEADLINE")
         deadline = _read_number(given) / 1000 if given else bound
-        depth = _read_number(environ.get("HTTP_REQUEST_ATTEMPT") or "0")
+        prior_retries = _read_number(environ.get("HTTP_REQUEST_ATTEMPT") or "0")
     except (ValueError, OverflowError):
         detail = "Request-Deadline or Request-Attempt is not a number"
         return Error(refuse(Reason.MALFORMED, detail, 400))
@@ -170,9 +170,9 @@
         headers=read_headers(environ, _REPLACED_HEADERS),
         body=body,
         deadline=deadline,
-        depth=depth,
+        prior_retries=prior_retries,
         idempotent=method in methods,
-        socket=connection.socket if connection else None,
+        caller_socket=connection.socket if connection else None,
     )
     return Ok(call)
 
--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -6,7 +6,7 @@
 from .polling import poll_exchanges
 from .targetsearch import TargetSearch
 from .upstream import Attempt
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 # An idempotent request is hedged after this fraction of its target latency.
 HEDGE_DELAY_FRACTION = 0.5
@@ -83,7 +83,7 @@
             return False
         if not failure.proves_not_run and not call.route.idempotent:
             return False
-        if not call.body.repeatable or self._clock() >= call.deadline:
+        if not call.body.replayable or self._clock() >= call.deadline:
             return False
         if self._sends >= call.route.attempts:
             return False
@@ -116,7 +116,7 @@
         work_s = self._dispatcher.statistics.estimate_work_s(self._call.route)
         expected_s = work_s * predict_slowdown(sample)
         if self._clock() - exchange.sent_at > UNRESPONSIVE_FACTOR * expected_s:
-            unresponsive = doubt(Reason.NO_ANSWER, "no response for long")
+            unresponsive = fail_uncertain(Reason.NO_ANSWER, "no response for long")
             self._dispatcher.record_failure(exchange.state, unresponsive)
 
     def _send_attempt(self, exchange, pending):
@@ -145,7 +145,9 @@
         while pending:
             now = self._clock()
             if now >= call.deadline:
-                return Error(doubt(Reason.DEADLINE, "no response in time", 504))
+                return Error(
+                    fail_uncertain(Reason.DEADLINE, "no response in time", 504)
+                )
             may_hedge = self._may_hedge(pending)
             until = min(call.deadline, hedge_at) if may_hedge else call.deadline
             exchanges = [exchange for exchange, _ in pending]
@@ -158,7 +160,7 @@
                     return outcome
                 self._keep_failure(outcome.error)
             if caller_closed and not ready:
-                return Error(doubt(Reason.CALLER_GONE, "the caller hung up"))
+                return Error(fail_uncertain(Reason.CALLER_GONE, "the caller hung up"))
             if may_hedge and self._clock() >= hedge_at:
                 self._hedge(pending)
                 hedge_at = self._clock() + HEDGE_INTERVAL_S
@@ -176,10 +178,11 @@
             return outcome
         if outcome.ok.status >= 500:
             self._dispatcher.record_failure(
-                state, doubt(Reason.TARGET_FAILED, f"status {outcome.ok.status}")
+                state,
+                fail_uncertain(Reason.TARGET_FAILED, f"status {outcome.ok.status}"),
             )
             if self._may_replace_failure(pending):
-                return Error(doubt(Reason.TARGET_FAILED, "the target failed"))
+                return Error(fail_uncertain(Reason.TARGET_FAILED, "the target failed"))
         else:
             state.record_success()
             self._record_outcome(exchange, outcome.ok)
@@ -216,7 +219,7 @@
         call = self._call
         return (
             call.route.idempotent
-            and call.body.repeatable
+            and call.body.replayable
             and len(pending) == 1
             and self._sends < call.route.attempts
             # A hedge would take a slot that queued requests wait for.
--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -10,7 +10,7 @@
 from .hedges import Hedger
 from .policies import PolicyContext
 from .upstream import Attempt, CallerGone, send_attempt
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 # A decision rests on state of that moment; after a pause of the process it
 # is made again.
@@ -223,7 +223,7 @@
         self.metrics.increment("hedges.sent" if hedge else "attempts.sent")
         state.begin()
         started = time.monotonic()
-        outcome = Error(doubt(Reason.INTERNAL, "the attempt broke off"))
+        outcome = Error(fail_uncertain(Reason.INTERNAL, "the attempt broke off"))
         try:
             outcome = send_attempt(pool, state.limits, attempt)
         finally:
@@ -285,7 +285,7 @@
             return False
         # A retry at each of many levels would multiply, so only the first
         # level retries.
-        if call.depth > 0 or not call.body.repeatable:
+        if call.prior_retries > 0 or not call.body.replayable:
             return False
         if time.time() >= call.deadline:
             return False
@@ -378,8 +378,8 @@
             deadline = min(deadline, decision.lease.expires_at)
             headers["Response-Deadline"] = str(int(deadline * 1000))
         headers["Request-Deadline"] = str(int(deadline * 1000))
-        if call.depth + number:
-            headers["Request-Attempt"] = str(call.depth + number)
+        if call.prior_retries + number:
+            headers["Request-Attempt"] = str(call.prior_retries + number)
         if call.body.exists and call.body.length is not None:
             headers["Content-Length"] = str(call.body.length)
         return Attempt(
@@ -390,7 +390,7 @@
             attempt_id=attempt_id,
             deadline=deadline,
             guard=lambda: self._check_send(decision, deadline),
-            caller_socket=call.socket,
+            caller_socket=call.caller_socket,
             idempotent=call.idempotent,
         )
 
--- a/redwingspring/drain.py
+++ b/redwingspring/drain.py
@@ -22,7 +22,7 @@
     keep_time : float
         Seconds that callers keep an address.
     """
-    server.keeps_connections = False
+    server.keep_alive_enabled = False
     margin = KEEP_MARGIN_S if keep_time else 0.0
     time.sleep(keep_time + margin)
     end = time.monotonic() + MAX_QUIET_WAIT_S
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -17,7 +17,7 @@
 from .targetconnection import ResponseBroken, SendRefused, StrictResponse
 from .targetresponse import TargetResponse, has_clear_framing
 from .upstream import Attempt, explain_fault, send_request
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 # Timeout for sending a probe, and again for reading its response once that begins.
 PROBE_READ_TIMEOUT_S = 0.05
@@ -343,7 +343,7 @@
         """Return the failure that forbids relaying a response, or None."""
         if metadata.request_id not in (None, attempt.attempt_id):
             detail = f"the response belongs to request {metadata.request_id}"
-            return doubt(Reason.CROSSED, detail)
+            return fail_uncertain(Reason.CROSSED, detail)
         if metadata.not_run and response.status in REFUSAL_STATUSES:
             if response.status == MISDIRECTED_STATUS:
                 return refuse(Reason.WRONG_INSTANCE, "another instance has the address")
@@ -351,13 +351,17 @@
         if response.status == MISDIRECTED_STATUS:
             return refuse(Reason.WRONG_INSTANCE, "another instance has the address")
         if response.status < 200:
-            return doubt(Reason.NO_ANSWER, "an unexpected interim response")
+            return fail_uncertain(Reason.NO_ANSWER, "an unexpected interim response")
         if response.status < 300 and not metadata.signed:
-            return doubt(Reason.CROSSED, "a success without a signature")
+            return fail_uncertain(Reason.CROSSED, "a success without a signature")
         if response.headers.get("content-encoding") is not None:
-            return doubt(Reason.CROSSED, "the body is not as the target made it")
+            return fail_uncertain(
+                Reason.CROSSED, "the body is not as the target made it"
+            )
         if not has_clear_framing(response, attempt.method):
-            return doubt(Reason.TRUNCATED, "the response has no single framing")
+            return fail_uncertain(
+                Reason.TRUNCATED, "the response has no single framing"
+            )
         return None
 
     def _read_body(self, response, attempt):
@@ -383,7 +387,7 @@
         except ResponseBroken as broken:
             response.abort()
             self.stage = Stage.CLOSED
-            self.failure = doubt(Reason.TRUNCATED, str(broken))
+            self.failure = fail_uncertain(Reason.TRUNCATED, str(broken))
             return Error(self.failure)
         if stream is None:
             response.finish()
--- a/redwingspring/exposition.py
+++ b/redwingspring/exposition.py
@@ -5,7 +5,7 @@
 from prometheus_client import CollectorRegistry, Histogram, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-from .responses import PageResponse, ResponsePage
+from .responses import PageApplication, PageResponse
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "redwingspring_"
@@ -80,7 +80,7 @@
     return PREFIX + _UNSAFE.sub("_", name)
 
 
-class MetricsPage(ResponsePage):
+class MetricsPage(PageApplication):
     """WSGI application that serves the metrics.
 
     Parameters
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -18,7 +18,7 @@
 
 from .clock import read_clock
 from .knowledge import HistoryLost, StoreChange, StoreError, StoreSnapshot
-from .responses import PageResponse, ResponsePage
+from .responses import PageApplication, PageResponse
 
 PROTOCOL_VERSION = 3
 FEED_PATH = "/feed"
@@ -195,7 +195,7 @@
         return FeedAnswer(changes, self._revision, whole, confirmation)
 
 
-class FeedPage(ResponsePage):
+class FeedPage(PageApplication):
     """WSGI application that tells other hosts what this one knows of the store.
 
     Parameters
--- a/redwingspring/forwarder.py
+++ b/redwingspring/forwarder.py
@@ -4,7 +4,7 @@
 
 from .calls import HOP_BY_HOP_HEADERS, read_call, read_request_id
 from .relay import RelayBody
-from .verdict import Reason, Verdict, doubt
+from .verdict import Reason, Verdict, fail_uncertain
 
 # Headers between targets and this system that callers do not see, and those
 # by which only this system may speak to callers.
@@ -70,7 +70,7 @@
         call = read.ok
         if not self.requests.start(request_id, exclusive=not call.idempotent):
             detail = "a request with this id was accepted before"
-            failure = doubt(Reason.DUPLICATE, detail, 409)
+            failure = fail_uncertain(Reason.DUPLICATE, detail, 409)
             return self._fail(environ, start_response, request_id, failure)
         return self._serve(call, environ, start_response)
 
--- a/redwingspring/hedges.py
+++ b/redwingspring/hedges.py
@@ -9,7 +9,7 @@
 from expression import Error
 from hdrh.histogram import HdrHistogram
 
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 # Latency percentile after which a hedge is sent. With the 95th percentile, trials
 # spent the budget on requests that are slow at every target.
@@ -180,7 +180,9 @@
         self._hedge_cancellation = Cancellation()
         self._winner = None
         self._hedge_ended = None
-        self._hedge_outcome = Error(doubt(Reason.INTERNAL, "the hedge broke off"))
+        self._hedge_outcome = Error(
+            fail_uncertain(Reason.INTERNAL, "the hedge broke off")
+        )
         self._abandoned = False
         self.closed = False
 
@@ -336,7 +338,7 @@
             or admission.hedge_budget.share <= 0
             or not call.idempotent
             or call.body.exists
-            or call.depth > 0
+            or call.prior_retries > 0
         ):
             outcome = self._attempt(call, tried, number, None, False)
         else:
--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -102,7 +102,7 @@
         self.turn.wait()
         if self.conn.ended:
             raise ConnectionError("an earlier response ended the connection")
-        if not self.server.keeps_connections and not self.conn.has_later(self.turn):
+        if not self.server.keep_alive_enabled and not self.conn.has_later(self.turn):
             self.close_connection = True
         super().send_headers()
 
--- a/redwingspring/platform/pages.py
+++ b/redwingspring/platform/pages.py
@@ -3,13 +3,13 @@
 import json
 from urllib.parse import parse_qs
 
-from ..responses import PageResponse, ResponsePage
+from ..responses import PageApplication, PageResponse
 
 READY_PATH = "/redwingspring/ready"
 RESOLVE_PATH = "/redwingspring/resolve"
 
 
-class PlatformPages(ResponsePage):
+class PlatformPages(PageApplication):
     """WSGI application for the ready and the directory address.
 
     Parameters
--- a/redwingspring/probes.py
+++ b/redwingspring/probes.py
@@ -21,7 +21,7 @@
 from .slots import PROBE, PROBE_START_S, find_probe_term
 from .targets import NEVER
 from .upstream import Attempt, ResponseBroken, send_attempt
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 # Fractions of ``probe.after`` at which a host broadcasts the time of a report that the
 # other hosts do not know of. The first fraction is random, so that usually one of the
@@ -326,7 +326,7 @@
             stall_timeout=PROBE_START_S,
         )
         attempt = self._build_attempt(watch, deadline)
-        outcome = Error(doubt(Reason.INTERNAL, "the probe broke off"))
+        outcome = Error(fail_uncertain(Reason.INTERNAL, "the probe broke off"))
         state.begin()
         try:
             outcome = send_attempt(self._pools.find(watch.address), limits, attempt)
--- a/redwingspring/relay.py
+++ b/redwingspring/relay.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from .targetconnection import ResponseBroken
-from .verdict import Reason, Verdict, doubt
+from .verdict import Reason, Verdict, fail_uncertain
 
 # Statuses whose responses have no body.
 _NO_BODY = (204, 304)
@@ -63,7 +63,7 @@
             self._first = b"" if self._empty else self._read()
         except ResponseBroken as broken:
             self._end(Verdict.MAY_HAVE_RUN)
-            return doubt(Reason.TRUNCATED, str(broken))
+            return fail_uncertain(Reason.TRUNCATED, str(broken))
         return None
 
     def __iter__(self):
--- a/redwingspring/requestlog.py
+++ b/redwingspring/requestlog.py
@@ -62,7 +62,7 @@
 
 
 @dataclass(frozen=True)
-class RequestMemory:
+class RequestLogStats:
     """How much a request log remembers.
 
     Attributes
@@ -180,15 +180,15 @@
             return RequestState.RUNNING
         return entry.state
 
-    def memory(self):
+    def get_stats(self):
         """Return how much is remembered.
 
         Returns
         -------
-        RequestMemory
+        RequestLogStats
             Size and completeness of the log.
         """
         with self._lock:
-            return RequestMemory(
+            return RequestLogStats(
                 len(self._entries), self._capacity, self._complete_since
             )
--- a/redwingspring/responses.py
+++ b/redwingspring/responses.py
@@ -22,7 +22,7 @@
     content_type: str = "text/plain; charset=utf-8"
 
 
-class ResponsePage:
+class PageApplication:
     """WSGI application whose ``respond`` makes the whole response."""
 
     def __call__(self, environ, start_response):
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -16,7 +16,7 @@
 from .platform.store import StoreClient
 from .routedispatch import RouteDispatcher
 from .routeforwarder import RouteForwarder
-from .server import EntryServer, ServerBounds
+from .server import EntryServer, ServerLimits
 from .shares import ColdShare, HostCount, ProbeShare, RetryShare
 from .sources import WATCH_WAIT_S, SourceChoice, StoreSource
 
@@ -111,7 +111,7 @@
         entry.decisions,
         Latencies(registry),
     )
-    bounds = ServerBounds(settings.max_connections)
+    bounds = ServerLimits(settings.max_connections)
     entry.server = RoutedServer(settings.address, forwarder, bounds, entry.metrics)
     pages = PlatformPages(lambda: entry.is_ready, entry.find_addresses)
     applications = {
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -166,7 +166,7 @@
             host=self.settings.name,
             connections=self.server.requests.count,
         )
-        self.server.keeps_connections = False
+        self.server.keep_alive_enabled = False
         self.gossip.announce(MemberState.LEAVING)
         self._sleep_until(started + ACCEPT_S)
         self.server.close_listener()
--- a/redwingspring/server.py
+++ b/redwingspring/server.py
@@ -292,7 +292,7 @@
 
 
 @dataclass(frozen=True)
-class ServerBounds:
+class ServerLimits:
     """Bounds and timeouts of a server for callers.
 
     Attributes
@@ -325,7 +325,7 @@
         ``ip:port`` to listen on.
     application : callable
         WSGI application.
-    settings : Settings or ServerBounds
+    settings : Settings or ServerLimits
         Bounds and timeouts.
     metrics : Metrics
         Counters.
@@ -345,7 +345,7 @@
         self.keep_alive_timeout = settings.keep_alive
         self.max_request_header_size = settings.max_header_bytes
         self.max_request_body_size = settings.max_body_bytes
-        self.keeps_connections = True
+        self.keep_alive_enabled = True
         self.last_accept = 0.0
 
     def process_conn(self, conn):
@@ -371,7 +371,7 @@
     @property
     def can_add_keepalive_connection(self):
         """Tell whether connections stay open after a response."""
-        return self.keeps_connections
+        return self.keep_alive_enabled
 
     def error_log(self, msg="", level=logging.INFO, traceback=False):
         """Count errors of connections; log those that are faults of this code.
--- a/redwingspring/status.py
+++ b/redwingspring/status.py
@@ -214,7 +214,9 @@
                 "data-centre": host.data_centre,
             }
         )
-    facts.append({"request-memory": "ids", **describe_memory(entry.requests.memory())})
+    facts.append(
+        {"request-memory": "ids", **describe_memory(entry.requests.get_stats())}
+    )
     facts += _collect_counters(entry.metrics.snapshot())
     facts += _collect_timings(entry.metrics.timings(), now)
     return facts
@@ -225,7 +227,7 @@
 
     Parameters
     ----------
-    memory : RequestMemory
+    memory : RequestLogStats
         Size and completeness of the log.
 
     Returns
@@ -275,7 +277,7 @@
     """
     # The memory is read first, so that the page never claims to remember
     # an id that was evicted between the two reads.
-    memory = requests.memory()
+    memory = requests.get_stats()
     state = RequestState(requests.find(request_id))
     fact = {"request-memory": "ids", **describe_memory(memory)}
     return f"request {format_word(request_id)} {state}\n{format_fact(fact)}\n"
--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -5,7 +5,7 @@
 from urllib3.exceptions import HTTPError
 
 from .targetconnection import FIRST_FINAL_STATUS, READ_SIZE, ResponseBroken
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 REFUSAL_STATUSES = (429, 503)
 
@@ -147,15 +147,17 @@
     echo = headers.get("attempt-id")
     if echo != attempt.attempt_id and (echo is not None or limits.echo_required):
         detail = f"the response belongs to attempt {echo}"
-        return doubt(Reason.CROSSED, detail)
+        return fail_uncertain(Reason.CROSSED, detail)
     refused = headers.get("request-run") == "not-run"
     if response.status in REFUSAL_STATUSES and refused:
         if echo is None and reused:
             # It could be a late refusal of an earlier request.
-            return doubt(Reason.CROSSED, "a refusal without an attempt id")
+            return fail_uncertain(Reason.CROSSED, "a refusal without an attempt id")
         return refuse(Reason.TARGET_REFUSED, "the target refused the request")
     if response.status < FIRST_FINAL_STATUS:
-        return doubt(Reason.NO_ANSWER, "the target sent an unexpected interim response")
+        return fail_uncertain(
+            Reason.NO_ANSWER, "the target sent an unexpected interim response"
+        )
     return _check_framing(response, attempt)
 
 
@@ -163,13 +165,15 @@
     """Return a failure if the end of the body could not be verified."""
     if not has_clear_framing(response, attempt.method):
         # Another reader could see another end of the body.
-        return doubt(Reason.TRUNCATED, "the response has no single valid framing")
+        return fail_uncertain(
+            Reason.TRUNCATED, "the response has no single valid framing"
+        )
     if attempt.method == "HEAD" or response.status in (204, 304):
         return None
     headers = response.headers
     if "content-length" not in headers and "transfer-encoding" not in headers:
         # The end of such a body looks the same as a lost connection.
-        return doubt(Reason.TRUNCATED, "the response does not mark its end")
+        return fail_uncertain(Reason.TRUNCATED, "the response does not mark its end")
     return None
 
 
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -20,7 +20,7 @@
     TargetConnection,
 )
 from .targetresponse import TargetResponse, check_head
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 # A target may close an idle connection at the moment a request is sent on it,
 # which leaves no proof; a recently used connection makes that unlikely.
@@ -273,7 +273,7 @@
     if isinstance(error, TimeoutError):
         failure = _blame(connection, Reason.DEADLINE, "no response before the deadline")
         if not failure.proves_not_run:
-            failure = doubt(Reason.DEADLINE, failure.detail, 504)
+            failure = fail_uncertain(Reason.DEADLINE, failure.detail, 504)
         return failure
     if isinstance(error, InvalidHeader):
         return _blame(connection, Reason.TRUNCATED, str(error))
@@ -285,7 +285,7 @@
 def _blame(connection, reason, detail, status=503):
     """Return a failure whose verdict follows from what was sent."""
     if connection.started:
-        return doubt(reason, detail)
+        return fail_uncertain(reason, detail)
     return refuse(reason, detail, status)
 
 
@@ -307,7 +307,7 @@
         connection.request(
             attempt.method,
             attempt.path,
-            body=body.chunks() if body.exists else None,
+            body=body.iter_blocks() if body.exists else None,
             headers=headers,
             chunked=body.exists and body.length is None,
             preload_content=False,
--- a/redwingspring/verdict.py
+++ b/redwingspring/verdict.py
@@ -92,7 +92,7 @@
     return Failure(Verdict.NOT_RUN, reason, detail, status)
 
 
-def doubt(reason, detail, status=502):
+def fail_uncertain(reason, detail, status=502):
     """Return a failure of a request that may have run.
 
     Parameters
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -7,7 +7,7 @@
 from harness.fleet import TargetSpec
 from redwingspring.hedges import Cancellation, HedgedAttempt, HedgeTimer, LatencyWindow
 from redwingspring.retries import AttemptBudget
-from redwingspring.verdict import Reason, doubt, refuse
+from redwingspring.verdict import Reason, fail_uncertain, refuse
 
 from .base import RedwingspringTestCase
 
@@ -59,7 +59,7 @@
         end = time.monotonic() + 5
         while not cancellation.cancelled and time.monotonic() < end:
             time.sleep(0.001)
-        return Error(doubt(Reason.RESET, "closed"))
+        return Error(fail_uncertain(Reason.RESET, "closed"))
 
     def test_a_response_to_the_hedge_cancels_the_first_attempt(self):
         outcome = self.run_hedged(self.wait_for_cancel, lambda _: Ok("hedge"))
@@ -81,7 +81,7 @@
 
     def test_a_failure_that_may_have_run_takes_precedence_over_one_that_did_not(self):
         hedged = threading.Event()
-        failed = Error(doubt(Reason.RESET, "reset"))
+        failed = Error(fail_uncertain(Reason.RESET, "reset"))
         refused = Error(refuse(Reason.TARGET_REFUSED, "busy"))
 
         def first(outcome):
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -57,7 +57,7 @@
         for request_id in "abc":
             log.start(request_id)
             log.finish(request_id, Verdict.RAN)
-        forgotten = log.memory()
+        forgotten = log.get_stats()
         self.assertEqual((2, 2), (forgotten.ids, forgotten.capacity))
         self.assertTrue(log._entries["b"].time >= forgotten.complete_since)
 
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -10,7 +10,7 @@
 from redwingspring.membership import Host, HostState
 from redwingspring.metrics import Metrics, TimingSummary
 from redwingspring.publication import Stamp
-from redwingspring.requestlog import RequestMemory
+from redwingspring.requestlog import RequestLogStats
 from redwingspring.status import Moment, ValueInForce
 from redwingspring.targets import LoadReport, TargetDirectory, Temperature
 from redwingspring.verdict import Reason, refuse
@@ -77,7 +77,7 @@
     metrics.increment("failures.queue-full", 3)
     summary = TimingSummary(120, 1.2, 8.5, 9.0, 9.4, 10000, 997.0)
     metrics._timings = {"requests.added": summary}
-    memory = RequestMemory(123, 50000, 1796377235.0)
+    memory = RequestLogStats(123, 50000, 1796377235.0)
     return SimpleNamespace(
         settings=SimpleNamespace(
             name=own.name,
@@ -89,7 +89,7 @@
         directory=directory,
         admissions=admissions,
         metrics=metrics,
-        requests=SimpleNamespace(memory=lambda: memory),
+        requests=SimpleNamespace(get_stats=lambda: memory),
         started=Moment(1796377235.0, 400.0),
         in_force={
             "configuration": ValueInForce(
