Rename the body buffer limit and the method that starts a response

The names did not say what is limited or done.

KEPT_BODY_BYTES -> MAX_BUFFERED_BODY_BYTES Forwarder._start -> Forwarder._send_head (also named in harness/timedentry.py)

--- a/harness/timedentry.py
+++ b/harness/timedentry.py
@@ -29,7 +29,7 @@
     "wait": (upstream, "_wait_response"),
     "head": (upstream.TargetConnection, "getresponse"),
     "record": (dispatch.Dispatcher, "_record_head"),
-    "start-response": (forwarder.Forwarder, "_start"),
+    "start-response": (forwarder.Forwarder, "_send_head"),
     "relay": (relay.RelayBody, "__next__"),
     "gateway": (server.EntryGateway, "respond"),
 }
--- a/redwingspring/forwarder.py
+++ b/redwingspring/forwarder.py
@@ -128,13 +128,13 @@
                 return self._fail(
                     environ, start_response, call.request_id, failure, counted=True
                 )
-            self._start(call, relay.response, start_response)
+            self._send_head(call, relay.response, start_response)
         except BaseException:
             body.close()
             raise
         return body
 
-    def _start(self, call, response, start_response):
+    def _send_head(self, call, response, start_response):
         """Pass the head of a response on."""
         dropped = HOP_BY_HOP_HEADERS | _OWN_RESPONSE_HEADERS
         for listed in response.headers.getlist("connection"):
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -22,7 +22,7 @@
 # A host without configuration has one within about this time.
 NO_TABLE_RETURN_S = 0.3
 # Request bodies up to this size are kept, so that they can be sent again.
-KEPT_BODY_BYTES = 256 << 10
+MAX_BUFFERED_BODY_BYTES = 256 << 10
 # A host whose configuration was not confirmed for this long does not know that
 # a route is missing.
 TRUSTED_AGE_S = 3.0
@@ -129,7 +129,7 @@
             self._clock,
         )
         try:
-            body.buffer(KEPT_BODY_BYTES)
+            body.buffer(MAX_BUFFERED_BODY_BYTES)
         except CallerGone as gone:
             return Error(Rejection(refuse(gone.reason, str(gone), gone.status)))
         except TimeoutError:
--- a/tests/test_misleading.py
+++ b/tests/test_misleading.py
@@ -2,13 +2,13 @@
 
 import time
 
-from redwingspring.routeforwarder import KEPT_BODY_BYTES
+from redwingspring.routeforwarder import MAX_BUFFERED_BODY_BYTES
 
 from .base import RedwingspringTestCase
 from .standins import POSTS, HostFixture, render_request, wait_until
 
 # Short enough for a host to keep it for another attempt.
-KEPT_BODY = b"x" * (KEPT_BODY_BYTES // 2)
+KEPT_BODY = b"x" * (MAX_BUFFERED_BODY_BYTES // 2)
 LONG_BODY = b"x" * (512 << 10)
 
 
