Reword the request log, page responses and verdicts

Comments and docstrings spoke of memory, strength and statements. They now say that the log keeps the state of highest precedence for each id, and which ids are evicted. Two private constants of requestlog.py are renamed: _STRENGTH -> _PRECEDENCE, MAX_SKIPPED -> MAX_EVICTION_STEPS.

--- a/redwingspring/requestlog.py
+++ b/redwingspring/requestlog.py
@@ -1,4 +1,4 @@
-"""Bounded memory of what became of recent requests."""
+"""Bounded log of the states of recent requests, by request id."""
 
 import threading
 import time
@@ -9,13 +9,13 @@
 from .verdict import Verdict
 
 MAX_REQUESTS = 50_000
-# Bounds the work of one eviction; the connection limit bounds the requests in
-# progress, so the excess over the capacity stays small.
-MAX_SKIPPED = 64
+# Limits the work of one eviction. Ids of requests in progress are not evicted, so the
+# log can exceed its capacity; the connection limit keeps the excess small.
+MAX_EVICTION_STEPS = 64
 
 
 class RequestState(StrEnum):
-    """What this host knows of a request id."""
+    """What this host knows about the requests with one id."""
 
     NOT_RUN = "not-run"
     RUNNING = "running"
@@ -27,9 +27,9 @@
         return self.value
 
 
-# Of several requests with one id the strongest statement is kept, so that a
-# later refusal never hides that an earlier one may have run.
-_STRENGTH = {
+# Of several requests with one id, the state with the highest precedence is kept, so
+# that a later refusal never hides that an earlier request may have run.
+_PRECEDENCE = {
     RequestState.NOT_RUN: 0,
     RequestState.RUNNING: 1,
     RequestState.MAY_HAVE_RUN: 2,
@@ -44,9 +44,9 @@
     Attributes
     ----------
     state : RequestState
-        Strongest statement about the id.
+        State with the highest precedence of all requests with the id.
     running : int
-        Requests with this id in progress.
+        Number of requests with this id in progress.
     time : float
         Unix time of the last change, in seconds.
     """
@@ -63,16 +63,16 @@
 
 @dataclass(frozen=True)
 class RequestLogStats:
-    """How much a request log remembers.
+    """Size of a request log and the period that it covers.
 
     Attributes
     ----------
     ids : int
-        Ids remembered now.
+        Number of ids in the log.
     capacity : int
-        Most ids remembered.
+        Maximum number of ids.
     complete_since : float
-        Unix time in seconds; every id that arrived later is remembered.
+        Unix time in seconds; every id that arrived later is in the log.
     """
 
     ids: int
@@ -81,12 +81,12 @@
 
 
 class RequestLog:
-    """The latest request ids of one host.
+    """Latest request ids of one host and their states.
 
     Parameters
     ----------
     capacity : int, default=MAX_REQUESTS
-        How many ids are remembered.
+        Maximum number of ids.
     """
 
     def __init__(self, capacity=MAX_REQUESTS):
@@ -96,20 +96,20 @@
         self._complete_since = time.time()
 
     def start(self, request_id, exclusive=False):
-        """Note that a request is in progress.
+        """Record that a request is in progress.
 
         Parameters
         ----------
         request_id : str
-            The request's id.
+            Id of the request.
         exclusive : bool, default=False
-            Whether an earlier request with this id stops the new one, unless
-            the earlier one did not run.
+            Whether the request must not be sent if an earlier one with this id may
+            have run.
 
         Returns
         -------
         bool
-            False when the request must not be sent.
+            False if the request must not be sent.
         """
         with self._lock:
             old = self._entries.get(request_id)
@@ -123,32 +123,33 @@
             return True
 
     def finish(self, request_id, verdict):
-        """Note how a request ended.
+        """Record how a request ended.
 
         Parameters
         ----------
         request_id : str
-            The request's id.
+            Id of the request.
         verdict : Verdict
-            Whether it may have run.
+            Whether the request may have run.
         """
         state = RequestState(Verdict(verdict).value)
         with self._lock:
             old = self._entries.get(request_id)
             if old is None:
-                # More requests are in progress than ids are remembered.
+                # The id is missing if more requests are in progress than the log holds.
                 self._entries[request_id] = RequestEntry(state, 0, time.time())
                 self._evict()
                 return
-            if _STRENGTH[old.state] > _STRENGTH[state]:
+            if _PRECEDENCE[old.state] > _PRECEDENCE[state]:
                 state = old.state
             running = max(0, old.running - 1)
             self._entries[request_id] = RequestEntry(state, running, time.time())
 
     def _evict(self):
-        """Drop the oldest ids, but none of a request in progress."""
-        # An id in progress that was dropped could be accepted a second time.
-        for _ in range(min(len(self._entries), MAX_SKIPPED)):
+        """Evict the oldest ids, except those of requests in progress."""
+        # After evicting the id of a request in progress, a second request with the same
+        # id could be accepted.
+        for _ in range(min(len(self._entries), MAX_EVICTION_STEPS)):
             if len(self._entries) <= self._capacity:
                 return
             oldest = next(iter(self._entries))
@@ -159,7 +160,7 @@
                 self._complete_since = max(self._complete_since, evicted.time)
 
     def find(self, request_id):
-        """Return what is known of a request id.
+        """Look up the state of a request id.
 
         Parameters
         ----------
@@ -169,24 +170,27 @@
         Returns
         -------
         RequestState
-            ``UNKNOWN`` when the id is not remembered. ``RUNNING`` while a
-            request with the id is in progress and none has a stronger state.
+            ``UNKNOWN`` if the id is not in the log. ``RUNNING`` while a request with
+            the id is in progress and no state of higher precedence is known.
         """
         with self._lock:
             entry = self._entries.get(request_id)
         if entry is None:
             return RequestState.UNKNOWN
-        if entry.running and _STRENGTH[entry.state] < _STRENGTH[RequestState.RUNNING]:
+        if (
+            entry.running
+            and _PRECEDENCE[entry.state] < _PRECEDENCE[RequestState.RUNNING]
+        ):
             return RequestState.RUNNING
         return entry.state
 
     def get_stats(self):
-        """Return how much is remembered.
+        """Return the size of the log and the period that it covers.
 
         Returns
         -------
         RequestLogStats
-            Size and completeness of the log.
+            Current values.
         """
         with self._lock:
             return RequestLogStats(
--- a/redwingspring/responses.py
+++ b/redwingspring/responses.py
@@ -1,18 +1,18 @@
-"""Short responses of WSGI pages, whose whole body is known at once."""
+"""WSGI applications that build each response as a whole, without streaming."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True)
 class PageResponse:
-    """A response.
+    """Response of a page.
 
     Attributes
     ----------
     status : str
-        Code and phrase.
+        Status code and reason phrase.
     body : bytes, default=b""
-        The whole body.
+        Complete body.
     content_type : str, default="text/plain; charset=utf-8"
         Media type of the body.
     """
@@ -23,10 +23,10 @@
 
 
 class PageApplication:
-    """WSGI application whose ``respond`` makes the whole response."""
+    """Base class of WSGI applications that build complete responses in ``respond``."""
 
     def __call__(self, environ, start_response):
-        """Serve one request.
+        """Handle one request.
 
         Parameters
         ----------
@@ -49,7 +49,7 @@
         return [response.body]
 
     def respond(self, environ):
-        """Return the response to a request.
+        """Build the response to a request.
 
         Parameters
         ----------
--- a/redwingspring/verdict.py
+++ b/redwingspring/verdict.py
@@ -16,7 +16,7 @@
 
 
 class Reason(StrEnum):
-    """Why an entry host gave no whole answer of a target."""
+    """Why an entry host did not return a target's complete response."""
 
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
@@ -47,18 +47,18 @@
 
 @dataclass(frozen=True)
 class Failure:
-    """The outcome of a request that has no whole answer.
+    """Outcome of a request without a complete response from a target.
 
     Attributes
     ----------
     verdict : Verdict
         ``NOT_RUN`` only with proof that no target started the request.
     reason : Reason
-        The cause, as sent in the header ``Failure-Reason``.
+        Cause, as sent in the ``Failure-Reason`` header.
     detail : str
-        One sentence for a person.
+        Human-readable sentence.
     status : int, default=503
-        HTTP status of the answer to the caller.
+        HTTP status of the response to the caller.
     """
 
     verdict: Verdict
@@ -68,21 +68,21 @@
 
     @property
     def proves_not_run(self):
-        """Tell whether the request certainly did not run."""
+        """Tell whether the request is proven not to have run."""
         return self.verdict is Verdict.NOT_RUN
 
 
 def refuse(reason, detail, status=503):
-    """Return a failure that proves that the request did not run.
+    """Build the failure of a request that is proven not to have run.
 
     Parameters
     ----------
     reason : Reason
-        The cause.
+        Cause of the failure.
     detail : str
-        One sentence for a person.
+        Human-readable sentence.
     status : int, default=503
-        HTTP status of the answer.
+        HTTP status of the response.
 
     Returns
     -------
@@ -93,16 +93,16 @@
 
 
 def fail_uncertain(reason, detail, status=502):
-    """Return a failure of a request that may have run.
+    """Build the failure of a request that may have run.
 
     Parameters
     ----------
     reason : Reason
-        The cause.
+        Cause of the failure.
     detail : str
-        One sentence for a person.
+        Human-readable sentence.
     status : int, default=502
-        HTTP status of the answer.
+        HTTP status of the response.
 
     Returns
     -------
--- a/tests/test_requestlog.py
+++ b/tests/test_requestlog.py
@@ -24,7 +24,7 @@
         log.finish("a", Verdict.NOT_RUN)
         self.assertTrue(log.start("a", exclusive=True))
 
-    def test_memory_is_bounded(self):
+    def test_the_oldest_ids_are_evicted_beyond_the_capacity(self):
         log = RequestLog(capacity=2)
         for request_id in "abc":
             log.start(request_id)
@@ -32,8 +32,8 @@
         self.assertEqual(RequestState.UNKNOWN, log.find("a"))
         self.assertEqual(RequestState.RAN, log.find("c"))
 
-    def test_a_request_in_progress_is_not_forgotten(self):
-        # A forgotten id would let a second POST with it through.
+    def test_the_id_of_a_request_in_progress_is_not_evicted(self):
+        # If the id were evicted, a second POST with it would be accepted.
         log = RequestLog(capacity=3)
         log.start("a", exclusive=True)
         for number in range(10):
