--- a/redwingspring/body.py
+++ b/redwingspring/body.py
@@ -1,4 +1,4 @@
-"""Request bodies as they come from callers."""
+"""Request bodies, read from callers' connections."""
 
 import time
 
@@ -6,85 +6,86 @@
 from .verdict import Reason
 
 
-class BodyTooLarge(CallerGone):
-    """A chunked request body passed its limit."""
+class BodyTooLargeError(CallerGone):
+    """A chunked request body exceeds its size limit."""
 
     reason = Reason.TOO_LARGE
     status = 413
 
 
-class BodyMalformed(CallerGone):
-    """A request body breaks the chunked coding."""
+class MalformedBodyError(CallerGone):
+    """A request body violates the chunked transfer coding."""
 
     reason = Reason.MALFORMED
 
 
 class RequestBody:
-    """The body of one request.
+    """Body of one request, of which the beginning can be buffered and replayed.
 
     Parameters
     ----------
     stream : file-like
-        Where the body is read from.
+        Stream to read the body from.
     length : int or None
         Declared length in bytes; None for a chunked body.
     limit : int
-        Largest length in bytes.
+        Maximum length in bytes.
     deadline : float
         Unix time in seconds by which the body must have arrived.
-    limit_reads : callable or None, default=None
-        Bounds the time of reads, in seconds from now or None.
+    set_read_timeout : callable or None, default=None
+        Limits the total time of the following reads; takes seconds from now, or
+        None to remove the limit.
     clock : callable, default=time.time
-        Clock of the deadline; returns seconds.
+        Clock of the deadline; returns a time in seconds.
     """
 
     def __init__(
-        self, stream, length, limit, deadline, limit_reads=None, clock=time.time
+        self, stream, length, limit, deadline, set_read_timeout=None, clock=time.time
     ):
         self._clock = clock
         self._stream = stream
         self._limit = limit
         self._deadline = deadline
-        self._limit_reads = limit_reads or (lambda seconds: None)
-        self._kept = []
-        self._got = 0
+        self._set_read_timeout = set_read_timeout or (lambda seconds: None)
+        self._buffered = []
+        self._received_bytes = 0
         self._ended = length == 0
-        self._touched = False
+        self._streaming_started = False
         self.length = length
 
     @property
     def exists(self):
-        """Tell whether there is a body."""
+        """Tell whether the request has a body."""
         return self.length != 0
 
     def buffer(self, limit):
-        """Keep the beginning of the body so that it can be sent again.
+        """Read and buffer the beginning of the body so that it can be replayed.
 
         Parameters
         ----------
         limit : int
-            About how many bytes are kept.
+            Number of bytes at which buffering stops; the last block may exceed it.
 
         Raises
         ------
         CallerGone
-            If the caller stops before the end.
+            If the body is malformed, too large or ends early.
         TimeoutError
-            If the body is late.
+            If the body does not arrive before its deadline.
         """
-        while not self._ended and self._got < limit:
-            self._kept.append(self._read())
+        while not self._ended and self._received_bytes < limit:
+            self._buffered.append(self._read())
         if self._ended:
-            # The length of a short chunked body is known now.
-            self.length = self._got
+            # The length of a fully buffered chunked body is now known.
+            self.length = self._received_bytes
 
     @property
     def replayable(self):
-        """Tell whether the body can be sent from its start."""
-        return not self._touched
+        """Tell whether the body can still be sent from its start."""
+        return not self._streaming_started
 
     def iter_blocks(self):
-        """Yield the body in parts.
+        """Yield the body in blocks.
 
         Yields
         ------
@@ -94,35 +95,35 @@
         Raises
         ------
         CallerGone
-            If the caller stops before the end.
+            If the body is malformed, too large or ends early.
         TimeoutError
-            If the body is late.
+            If the body does not arrive before its deadline.
         """
-        yield from self._kept
+        yield from self._buffered
         while not self._ended:
-            self._touched = True
+            self._streaming_started = True
             yield self._read()
 
     def _read(self):
-        """Return the next part and note the end."""
-        self._limit_reads(max(0.001, self._deadline - self._clock()))
+        """Read the next block and detect the end of the body."""
+        self._set_read_timeout(max(0.001, self._deadline - self._clock()))
         try:
             data = self._stream.read(READ_SIZE)
         except TimeoutError:
             raise
         except ValueError as error:
-            raise BodyMalformed(str(error)) from error
+            raise MalformedBodyError(str(error)) from error
         except OSError as error:
             raise CallerGone(f"the request body broke off: {error}") from error
         finally:
-            self._limit_reads(None)
-        self._got += len(data)
-        if self._got > self._limit:
-            raise BodyTooLarge("the request body is too large")
+            self._set_read_timeout(None)
+        self._received_bytes += len(data)
+        if self._received_bytes > self._limit:
+            raise BodyTooLargeError("the request body is too large")
         if self.length is None:
             self._ended = not data
         elif data:
-            self._ended = self._got == self.length
+            self._ended = self._received_bytes == self.length
         else:
             raise CallerGone("the request body ended early")
         return data
--- a/redwingspring/callertimeouts.py
+++ b/redwingspring/callertimeouts.py
@@ -1,8 +1,8 @@
-"""Timeouts of callers, and how long a returning caller has waited already.
+"""Typical timeouts of callers, to estimate how long a retrying caller has waited.
 
-Load pattern: in a burst, callers that were rejected come back with less time than
-they began with. Their answers are late whatever is done, and would take the places
-of requests that can still be answered in time.
+In a load burst, rejected callers retry with less time left than they had at first.
+Responses to such retries come too late in any case, and processing them would delay
+requests that can still be answered in time.
 """
 
 import threading
@@ -11,73 +11,75 @@
 from .mappings import drop_oldest
 from .routes import MAX_ROUTES
 
-# Requests of a route from which its usual timeout is taken.
+# Latest requests of a route from which its typical timeout is computed.
 TIMEOUT_SAMPLES = 200
-# Part of them that may have more time, so that a few patient callers do not make
-# all others look late.
-PATIENT_PART = 0.03
-# Requests after which the usual timeout is computed again.
-REFRESH_EVERY = 20
+# Share of them that may have a longer timeout, so that a few callers with long
+# timeouts do not make all others look like retries.
+LONG_TIMEOUT_SHARE = 0.03
+# Requests after which the typical timeout is computed again.
+REFRESH_REQUESTS = 20
 
 
 class RouteTimeout:
-    """Usual timeout of the callers of one route."""
+    """Typical timeout of the callers of one route."""
 
     def __init__(self):
-        self._recent = deque(maxlen=TIMEOUT_SAMPLES)
-        self._until_refresh = 0
-        self._usual_s = 0.0
+        self._recent_s = deque(maxlen=TIMEOUT_SAMPLES)
+        self._requests_until_refresh = 0
+        self._typical_timeout_s = 0.0
 
-    def note(self, left_s):
-        """Take the time that the caller of a request has left.
+    def record_time_left(self, time_left_s):
+        """Record the time left to a caller and estimate its prior wait.
 
         Parameters
         ----------
-        left_s : float
-            Seconds.
+        time_left_s : float
+            Seconds until the caller's deadline.
 
         Returns
         -------
         float
-            Seconds that the caller has probably waited already.
+            Estimated seconds that the caller waited before this request.
         """
-        self._recent.append(left_s)
-        self._until_refresh -= 1
-        if self._until_refresh < 0:
-            self._until_refresh = REFRESH_EVERY
-            ranked = sorted(self._recent, reverse=True)
-            self._usual_s = ranked[int(PATIENT_PART * len(ranked))]
-        return max(0.0, self._usual_s - left_s)
+        self._recent_s.append(time_left_s)
+        self._requests_until_refresh -= 1
+        if self._requests_until_refresh < 0:
+            self._requests_until_refresh = REFRESH_REQUESTS
+            descending = sorted(self._recent_s, reverse=True)
+            self._typical_timeout_s = descending[
+                int(LONG_TIMEOUT_SHARE * len(descending))
+            ]
+        return max(0.0, self._typical_timeout_s - time_left_s)
 
 
 class CallerTimeouts:
-    """Usual timeouts of the callers of all routes."""
+    """Typical timeouts of the callers of all routes."""
 
     def __init__(self):
         self._lock = threading.Lock()
         self._routes = {}
 
-    def note(self, route, left_s):
-        """Take the time that the caller of a request has left.
+    def record_time_left(self, route, time_left_s):
+        """Record the time left to a caller and estimate its prior wait.
 
         Parameters
         ----------
         route : Route
             The route of the request.
-        left_s : float or None
-            Seconds; None when the caller does not tell.
+        time_left_s : float or None
+            Seconds until the caller's deadline; None if the caller sent none.
 
         Returns
         -------
         float
-            Seconds that the caller has probably waited before this request; 0
-            when nothing is known.
+            Estimated seconds that the caller waited before this request; 0 without
+            a deadline.
         """
-        if left_s is None:
+        if time_left_s is None:
             return 0.0
         with self._lock:
             timeout = self._routes.get(route.prefix)
             if timeout is None:
                 timeout = self._routes[route.prefix] = RouteTimeout()
                 drop_oldest(self._routes, MAX_ROUTES)
-            return timeout.note(left_s)
+            return timeout.record_time_left(time_left_s)
--- a/redwingspring/calls.py
+++ b/redwingspring/calls.py
@@ -1,4 +1,4 @@
-"""Callers' requests as the data path sees them."""
+"""Calls: callers' requests, parsed and validated for the data path."""
 
 import re
 import time
@@ -40,18 +40,18 @@
 
 @dataclass(frozen=True)
 class Call:
-    """One request of a caller.
+    """Request of a caller.
 
     Attributes
     ----------
     request_id : str
-        Given by the caller or made here.
+        Id that the caller sent or that this host generated.
     service : str
         Name of the service.
     method : str
         HTTP method.
     path : str
-        Path and query for the target.
+        Path and query to send to the target.
     headers : dict of str to str
         End-to-end headers.
     body : RequestBody
@@ -59,11 +59,12 @@
     deadline : float
         Unix time in seconds by which the response must begin.
     prior_retries : int
-        Retries already made on the way here (``Request-Attempt``).
+        Number of retries before the request reached this host
+        (``Request-Attempt``).
     idempotent : bool
-        Whether it may be sent again without proof.
+        Whether it may be retried without proof that it did not run.
     caller_socket : socket.socket or None
-        The caller's connection.
+        Socket of the caller's connection.
     """
 
     request_id: str
@@ -89,13 +90,13 @@
     Returns
     -------
     bool
-        True when a caller may use it as ``Request-Id``.
+        True if a caller may use it as ``Request-Id``.
     """
     return _REQUEST_ID.fullmatch(text) is not None
 
 
 def read_request_id(environ):
-    """Return the caller's request id, or a new one.
+    """Return the caller's request id, or generate one.
 
     Parameters
     ----------
@@ -107,16 +108,16 @@
     expression.Result
         Ok with the id, or an Error with a Failure.
     """
-    given = environ.get("HTTP_REQUEST_ID")
-    if given is None:
+    caller_id = environ.get("HTTP_REQUEST_ID")
+    if caller_id is None:
         return Ok(uuid.uuid4().hex)
-    if is_request_id(given):
-        return Ok(given)
+    if is_request_id(caller_id):
+        return Ok(caller_id)
     return Error(refuse(Reason.MALFORMED, "Request-Id is malformed", 400))
 
 
 def read_call(environ, request_id, table):
-    """Return the call that a WSGI environment describes.
+    """Build the call that a WSGI environment describes.
 
     Parameters
     ----------
@@ -125,7 +126,7 @@
     request_id : str
         Id of the request.
     table : TargetTable or None
-        Services and configuration in force.
+        Services and configuration in force; None before the first configuration.
 
     Returns
     -------
@@ -139,28 +140,32 @@
         detail = f"there is no service {service!r} here"
         return Error(refuse(Reason.UNKNOWN_SERVICE, detail, 404))
     configuration = table.configuration
-    length = read_length(environ)
-    most = configuration.service_value("request.body", service)
-    if length is not None and length > most:
+    length = read_content_length(environ)
+    max_bytes = configuration.service_value("request.body", service)
+    if length is not None and length > max_bytes:
         return Error(refuse(Reason.TOO_LARGE, "the request body is too large", 413))
-    bound = time.time() + configuration.service_value("request.deadline", service)
+    latest_deadline = time.time() + configuration.service_value(
+        "request.deadline", service
+    )
     try:
-        given = environ.get("HTTP_REQUEST_DEADLINE")
-        deadline = _read_number(given) / 1000 if given else bound
-        prior_retries = _read_number(environ.get("HTTP_REQUEST_ATTEMPT") or "0")
+        sent_deadline = environ.get("HTTP_REQUEST_DEADLINE")
+        deadline = (
+            _parse_number(sent_deadline) / 1000 if sent_deadline else latest_deadline
+        )
+        prior_retries = _parse_number(environ.get("HTTP_REQUEST_ATTEMPT") or "0")
     except (ValueError, OverflowError):
         detail = "Request-Deadline or Request-Attempt is not a number"
         return Error(refuse(Reason.MALFORMED, detail, 400))
     method = environ["REQUEST_METHOD"]
     methods = configuration.service_value("request.idempotent_methods", service)
-    deadline = min(deadline, bound)
+    deadline = min(deadline, latest_deadline)
     connection = environ.get("redwingspring.connection")
     body = RequestBody(
         environ["wsgi.input"],
         length,
-        most,
+        max_bytes,
         deadline,
-        connection.limit_reads if connection else None,
+        connection.set_read_timeout if connection else None,
     )
     call = Call(
         request_id=request_id,
@@ -177,7 +182,7 @@
     return Ok(call)
 
 
-def read_length(environ):
+def read_content_length(environ):
     """Return the declared length of a request body.
 
     Parameters
@@ -195,18 +200,18 @@
     return int(environ.get("CONTENT_LENGTH") or 0)
 
 
-def _read_number(text):
-    """Return a non-negative integer; ``int`` alone also accepts other forms."""
+def _parse_number(text):
+    """Parse a non-negative integer of ASCII digits; ``int`` accepts other forms too."""
     if not text.isascii() or not text.isdigit():
         raise ValueError(text)
     return int(text)
 
 
 def _split_path(uri):
-    """Return the service and the target's path, both as the caller sent them."""
-    path, mark, query = uri.partition("?")
+    """Return the service and the path for the target, both without decoding."""
+    path, separator, query = uri.partition("?")
     service, _, rest = path.lstrip("/").partition("/")
-    return service, f"/{rest}{mark}{query}"
+    return service, f"/{rest}{separator}{query}"
 
 
 def read_headers(environ, replaced):
@@ -222,12 +227,14 @@
     Returns
     -------
     dict of str to str
-        Headers without those of the connection and the replaced ones.
+        Headers except hop-by-hop and replaced ones.
     """
     dropped = HOP_BY_HOP_HEADERS | replaced
-    listed = environ.get("HTTP_CONNECTION")
-    if listed:
-        dropped = dropped | {name.strip().lower() for name in listed.split(",")}
+    connection_options = environ.get("HTTP_CONNECTION")
+    if connection_options:
+        dropped = dropped | {
+            name.strip().lower() for name in connection_options.split(",")
+        }
     headers = {}
     for key, value in environ.items():
         if key.startswith("HTTP_"):
--- a/redwingspring/forwarder.py
+++ b/redwingspring/forwarder.py
@@ -1,4 +1,4 @@
-"""WSGI application of the data path."""
+"""WSGI application that forwards callers' requests to targets."""
 
 import time
 
@@ -6,12 +6,12 @@
 from .relay import RelayBody
 from .verdict import Reason, Verdict, fail_uncertain
 
-# Headers between targets and this system that callers do not see, and those
-# by which only this system may speak to callers.
-_OWN_RESPONSE_HEADERS = frozenset(
+# Headers that targets send to the load balancer only, and headers that only the load
+# balancer may send to callers.
+_INTERNAL_RESPONSE_HEADERS = frozenset(
     ("attempt-id", "failure-reason", "load-report", "request-id", "request-run")
 )
-_CONTROLS = dict.fromkeys([*range(32), 127], " ")
+_CONTROL_CHARACTERS_TO_SPACES = dict.fromkeys([*range(32), 127], " ")
 _PHRASES = {
     400: "Bad Request",
     404: "Not Found",
@@ -25,7 +25,7 @@
 
 
 class Forwarder:
-    """Answers callers' requests with targets' responses.
+    """Forward callers' requests and relay the targets' responses.
 
     Parameters
     ----------
@@ -33,20 +33,20 @@
         Targets and configuration in force.
     dispatcher : Dispatcher
         Sends calls to targets.
-    requests : RequestLog
-        Memory of request ids.
+    request_log : RequestLog
+        Log of recent request ids.
     metrics : Metrics
-        Counters.
+        Counters and timings of requests.
     """
 
-    def __init__(self, directory, dispatcher, requests, metrics):
+    def __init__(self, directory, dispatcher, request_log, metrics):
         self.directory = directory
         self.dispatcher = dispatcher
-        self.requests = requests
+        self.request_log = request_log
         self.metrics = metrics
 
     def __call__(self, environ, start_response):
-        """Serve one request.
+        """Handle one request.
 
         Parameters
         ----------
@@ -60,28 +60,30 @@
         iterable of bytes
             The response body.
         """
-        named = read_request_id(environ)
-        if named.is_error():
-            return self._fail(environ, start_response, "-", named.error)
-        request_id = named.ok
-        read = read_call(environ, request_id, self.directory.table)
-        if read.is_error():
-            return self._fail(environ, start_response, request_id, read.error)
-        call = read.ok
-        if not self.requests.start(request_id, exclusive=not call.idempotent):
+        id_result = read_request_id(environ)
+        if id_result.is_error():
+            return self._send_failure(environ, start_response, "-", id_result.error)
+        request_id = id_result.ok
+        call_result = read_call(environ, request_id, self.directory.table)
+        if call_result.is_error():
+            return self._send_failure(
+                environ, start_response, request_id, call_result.error
+            )
+        call = call_result.ok
+        if not self.request_log.start(request_id, exclusive=not call.idempotent):
             detail = "a request with this id was accepted before"
             failure = fail_uncertain(Reason.DUPLICATE, detail, 409)
-            return self._fail(environ, start_response, request_id, failure)
-        return self._serve(call, environ, start_response)
+            return self._send_failure(environ, start_response, request_id, failure)
+        return self._handle_call(call, environ, start_response)
 
-    def _serve(self, call, environ, start_response):
-        """Answer a call that the request log knows."""
+    def _handle_call(self, call, environ, start_response):
+        """Handle a call that has been entered in the request log."""
         ended = False
 
         def end(verdict):
             nonlocal ended
             ended = True
-            self.requests.finish(call.request_id, verdict)
+            self.request_log.finish(call.request_id, verdict)
 
         try:
             return self._relay(call, environ, start_response, end)
@@ -90,12 +92,14 @@
                 end(Verdict.MAY_HAVE_RUN)
 
     def _relay(self, call, environ, start_response, end):
-        """Send a call and return the body of the response."""
+        """Admit and send a call; return the body of its response."""
         started = time.monotonic()
         admitted = self.dispatcher.admit(call)
         if admitted.is_error():
             end(admitted.error.verdict)
-            return self._fail(environ, start_response, call.request_id, admitted.error)
+            return self._send_failure(
+                environ, start_response, call.request_id, admitted.error
+            )
         admission = admitted.ok
         relay = None
         try:
@@ -106,11 +110,13 @@
                 admission.release_slot()
         if relay is None:
             end(outcome.error.verdict)
-            return self._fail(environ, start_response, call.request_id, outcome.error)
+            return self._send_failure(
+                environ, start_response, call.request_id, outcome.error
+            )
 
-        # Everything before the head of the response but the target's own time.
-        added = time.monotonic() - started - relay.target_time
-        self.metrics.record_time("requests.added", added)
+        # Time until the response headers, without the time that the target took.
+        added_s = time.monotonic() - started - relay.target_time
+        self.metrics.record_time("requests.added", added_s)
 
         def finish(verdict):
             admission.release_slot()
@@ -119,13 +125,13 @@
             self.metrics.increment(f"requests.{verdict}")
 
         body = RelayBody(
-            self.dispatcher, call, relay, finish, lambda: self._break(environ)
+            self.dispatcher, call, relay, finish, lambda: self._abort_response(environ)
         )
         environ["redwingspring.relay"] = body
         try:
             failure = body.start()
             if failure is not None:
-                return self._fail(
+                return self._send_failure(
                     environ, start_response, call.request_id, failure, counted=True
                 )
             self._send_head(call, relay.response, start_response)
@@ -135,28 +141,30 @@
         return body
 
     def _send_head(self, call, response, start_response):
-        """Pass the head of a response on."""
-        dropped = HOP_BY_HOP_HEADERS | _OWN_RESPONSE_HEADERS
-        for listed in response.headers.getlist("connection"):
-            dropped = dropped | {name.strip().lower() for name in listed.split(",")}
+        """Start the response with the target's status and end-to-end headers."""
+        dropped = HOP_BY_HOP_HEADERS | _INTERNAL_RESPONSE_HEADERS
+        for options in response.headers.getlist("connection"):
+            dropped = dropped | {name.strip().lower() for name in options.split(",")}
         headers = [
-            (name, value.translate(_CONTROLS))
+            (name, value.translate(_CONTROL_CHARACTERS_TO_SPACES))
             for name, value in response.headers.items()
             if name.lower() not in dropped
         ]
         headers.append(("Request-Id", call.request_id))
-        reason = (response.reason or "Status").translate(_CONTROLS)
+        reason = (response.reason or "Status").translate(_CONTROL_CHARACTERS_TO_SPACES)
         start_response(f"{response.status} {reason}", headers)
 
-    def _break(self, environ):
-        """Make the caller see that the response is not whole."""
+    def _abort_response(self, environ):
+        """Reset the connection so that the caller detects the incomplete response."""
         self.metrics.increment("responses.broken")
         connection = environ.get("redwingspring.connection")
         if connection is not None:
             connection.abort()
 
-    def _fail(self, environ, start_response, request_id, failure, counted=False):
-        """Return the response for a failure."""
+    def _send_failure(
+        self, environ, start_response, request_id, failure, counted=False
+    ):
+        """Start the response for a failure and return its body."""
         if not counted:
             self.metrics.increment(f"requests.{failure.verdict}")
         self.metrics.increment(f"failures.{failure.reason}")
--- a/redwingspring/parsing.py
+++ b/redwingspring/parsing.py
@@ -1,4 +1,4 @@
-"""Strict parsing of callers' requests."""
+"""Strict parsing of callers' HTTP requests, to prevent request smuggling."""
 
 import io
 import re
@@ -8,18 +8,20 @@
 
 from .verdict import Reason, Verdict
 
-# RFC 9110 token characters; anything else in a name invites smuggling.
+# RFC 9110 token characters; parsers differ on header names with other characters,
+# which makes request smuggling possible.
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_URI = re.compile(rb"[\x21-\x7e]+")
+_REQUEST_TARGET = re.compile(rb"[\x21-\x7e]+")
 _PROTOCOL = re.compile(rb"HTTP/1\.[01]")
-_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-# Sixteen digits exceed every limit on a body; more could overflow elsewhere.
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+# Sixteen hexadecimal digits exceed every limit on a body; more digits could overflow
+# the integers of another parser.
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:[ \t]*;[^\r\n\0]*)?\r\n")
-_SINGLE_HEADERS = frozenset((b"Content-Length", b"Transfer-Encoding", b"Host"))
-MAX_CHUNK_LINE = 4096
+_SINGLETON_HEADERS = frozenset((b"Content-Length", b"Transfer-Encoding", b"Host"))
+MAX_CHUNK_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 16 << 10
 
-_PARSE_REASONS = {
+_REASONS_BY_STATUS = {
     "408": Reason.DEADLINE,
     "413": Reason.TOO_LARGE,
     "414": Reason.TOO_LARGE,
@@ -27,32 +29,32 @@
 }
 
 
-class MalformedBody(ValueError):
-    """A request body breaks the chunked coding."""
+class ChunkedCodingError(ValueError):
+    """A request body violates the chunked transfer coding."""
 
 
-class SizedBody(io.RawIOBase):
-    """A request body of a declared length.
+class FixedLengthBody(io.RawIOBase):
+    """Request body whose length is given by Content-Length.
 
     Parameters
     ----------
     stream : io.BufferedReader
-        The caller's connection.
+        Reader of the caller's connection.
     length : int
-        Bytes of the body.
+        Length of the body in bytes.
     on_read : callable
-        Called before the first read.
+        Called before each read from the stream.
     """
 
     def __init__(self, stream, length, on_read):
         self._stream = stream
-        self._left = length
+        self._remaining = length
         self._on_read = on_read
 
     @property
     def finished(self):
-        """Tell whether the connection stands behind the body."""
-        return not self._left
+        """Tell whether the whole body has been read from the connection."""
+        return not self._remaining
 
     def readable(self):
         """Return True.
@@ -65,7 +67,7 @@
         return True
 
     def readinto(self, buffer):
-        """Read what has arrived, at least one byte.
+        """Read the bytes that have arrived; wait for at least one.
 
         Parameters
         ----------
@@ -77,32 +79,33 @@
         int
             Bytes read; 0 at the end of the body or of the connection.
         """
-        if not self._left:
+        if not self._remaining:
             return 0
         self._on_read()
-        count = self._stream.readinto1(memoryview(buffer)[: self._left])
-        self._left -= count
+        count = self._stream.readinto1(memoryview(buffer)[: self._remaining])
+        self._remaining -= count
         return count
 
 
 class ChunkedBody(io.RawIOBase):
-    """A request body in chunks.
+    """Request body with chunked transfer coding.
 
-    The server's own reader accepts signs in sizes, takes a cut size line for
-    the last one and leaves trailers to be read as the next request.
+    cheroot's own reader accepts chunk sizes with a sign, treats a truncated size line
+    as the last chunk and leaves trailers in the stream, where they are parsed as the
+    next request.
 
     Parameters
     ----------
     stream : io.BufferedReader
-        The caller's connection.
+        Reader of the caller's connection.
     on_read : callable
-        Called before the first read.
+        Called before each read from the stream.
     """
 
     def __init__(self, stream, on_read):
         self._stream = stream
         self._on_read = on_read
-        self._left = 0
+        self._remaining = 0
         self.finished = False
 
     def readable(self):
@@ -116,7 +119,7 @@
         return True
 
     def readinto(self, buffer):
-        """Read what has arrived of the present chunk, at least one byte.
+        """Read the bytes of the current chunk that have arrived; wait for at least one.
 
         Parameters
         ----------
@@ -130,42 +133,42 @@
 
         Raises
         ------
-        MalformedBody
-            If the coding is broken or the connection ends within the body.
+        ChunkedCodingError
+            If the coding is invalid or the connection ends within the body.
         """
         if self.finished:
             return 0
         self._on_read()
-        if not self._left:
-            self._left = self._read_size()
-            if not self._left:
+        if not self._remaining:
+            self._remaining = self._read_size()
+            if not self._remaining:
                 self._skip_trailers()
                 self.finished = True
                 return 0
-        count = self._stream.readinto1(memoryview(buffer)[: self._left])
+        count = self._stream.readinto1(memoryview(buffer)[: self._remaining])
         if not count:
-            raise MalformedBody("the body ended within a chunk")
-        self._left -= count
-        if not self._left and self._stream.read(2) != b"\r\n":
-            raise MalformedBody("a chunk does not end with CR LF")
+            raise ChunkedCodingError("the body ended within a chunk")
+        self._remaining -= count
+        if not self._remaining and self._stream.read(2) != b"\r\n":
+            raise ChunkedCodingError("a chunk does not end with CR LF")
         return count
 
     def _read_size(self):
-        match = _CHUNK_LINE.fullmatch(self._stream.readline(MAX_CHUNK_LINE))
+        match = _CHUNK_LINE.fullmatch(self._stream.readline(MAX_CHUNK_LINE_BYTES))
         if match is None:
-            raise MalformedBody("a chunk has no valid size")
+            raise ChunkedCodingError("a chunk has no valid size")
         return int(match[1], 16)
 
     def _skip_trailers(self):
-        left = MAX_TRAILER_BYTES
-        while (line := self._stream.readline(left)) != b"\r\n":
-            left -= len(line)
-            if not line.endswith(b"\r\n") or left <= 0:
-                raise MalformedBody("the trailers are cut or too long")
+        remaining = MAX_TRAILER_BYTES
+        while (line := self._stream.readline(remaining)) != b"\r\n":
+            remaining -= len(line)
+            if not line.endswith(b"\r\n") or remaining <= 0:
+                raise ChunkedCodingError("the trailers are cut or too long")
 
 
 class StrictHeaderReader(HeaderReader):
-    """Header reader that refuses what two parsers could read differently."""
+    """Header reader that rejects headers on which parsers could disagree."""
 
     def __call__(self, rfile, hdict=None):
         """Read headers up to the empty line.
@@ -173,14 +176,14 @@
         Parameters
         ----------
         rfile : file-like
-            Where the headers come from.
+            Stream to read from.
         hdict : dict or None, default=None
-            Filled with the headers.
+            Dictionary that receives the headers; a new one if None.
 
         Returns
         -------
         dict
-            Values by title-case name.
+            Header values by name in title case.
 
         Raises
         ------
@@ -193,10 +196,10 @@
             if line == b"\r\n":
                 break
             self._add_line(headers, line)
-        coding = headers.get(b"Transfer-Encoding")
-        if b"Content-Length" in headers and coding is not None:
+        transfer_coding = headers.get(b"Transfer-Encoding")
+        if b"Content-Length" in headers and transfer_coding is not None:
             raise ValueError("Content-Length and Transfer-Encoding exclude each other.")
-        if coding is not None and coding.lower() != b"chunked":
+        if transfer_coding is not None and transfer_coding.lower() != b"chunked":
             raise ValueError("Transfer-Encoding is not chunked.")
         length = headers.get(b"Content-Length", b"0")
         if not length.isdigit():
@@ -210,29 +213,29 @@
         if not colon or not _TOKEN.fullmatch(name):
             raise ValueError("A header line has no valid name.")
         value = value.strip(b" \t")
-        if _CONTROL.search(value):
+        if _CONTROL_CHARACTER.search(value):
             raise ValueError("A header value has a control character.")
         if b"_" in name:
-            # WSGI maps '-' and '_' to the same name, so such a header could
-            # pass for another one.
+            # WSGI maps '-' and '_' to the same name, so such a header could be
+            # mistaken for another one.
             return
         name = name.title()
         if name in headers:
-            if name in _SINGLE_HEADERS:
+            if name in _SINGLETON_HEADERS:
                 raise ValueError(f"{name.decode()} is given twice.")
             value = headers[name] + (b"; " if name == b"Cookie" else b", ") + value
         headers[name] = value
 
 
 class EntryRequest(HTTPRequest):
-    """A caller's request; parse errors carry the verdict ``not-run``.
+    """Request of a caller; parse errors are answered with the verdict ``not-run``.
 
     Parameters
     ----------
     server : EntryServer
-        The server.
+        Server that received the request.
     conn : EntryConnection
-        Where the request arrives.
+        Connection on which the request arrived.
     **kwargs : object
         Passed to the base class.
     """
@@ -242,27 +245,27 @@
     def __init__(self, server, conn, **kwargs):
         super().__init__(server, conn, **kwargs)
         self.dispatched = False
-        self._expects = False
+        self._expects_continue = False
 
     def parse_request(self):
         """Parse the request line and headers within the caller's timeout."""
-        # The timeout of the socket alone would restart with every byte.
-        self.conn.limit_reads(self.server.timeout)
+        # The timeout of the socket alone would restart with each byte received.
+        self.conn.set_read_timeout(self.server.timeout)
         super().parse_request()
-        self.conn.limit_reads(None)
+        self.conn.set_read_timeout(None)
 
     def read_request_line(self):
-        """Read the request line.
+        """Read and check the request line.
 
         Returns
         -------
         bool
-            False when the request was refused.
+            False if the request was rejected.
         """
         if not super().read_request_line():
             return False
         valid = (
-            _URI.fullmatch(self.uri)
+            _REQUEST_TARGET.fullmatch(self.uri)
             and _TOKEN.fullmatch(self.method)
             and _PROTOCOL.fullmatch(self.request_protocol)
         )
@@ -271,12 +274,12 @@
         return bool(valid)
 
     def read_request_headers(self):
-        """Read the headers.
+        """Read and check the headers.
 
         Returns
         -------
         bool
-            False when the request was refused.
+            False if the request was rejected.
         """
         try:
             accepted = super().read_request_headers()
@@ -285,8 +288,8 @@
                 "431 Request Header Fields Too Large", "The headers are too large."
             )
             return False
-        listed = self.inheaders.get(b"Connection", b"").lower().split(b",")
-        if b"close" in (token.strip() for token in listed):
+        connection_options = self.inheaders.get(b"Connection", b"").lower().split(b",")
+        if b"close" in (option.strip() for option in connection_options):
             self.close_connection = True
         return accepted
 
@@ -296,9 +299,9 @@
         Parameters
         ----------
         rfile : file-like
-            Where the headers come from.
+            Stream to read from.
         hdict : dict
-            Filled with the headers.
+            Dictionary that receives the headers.
 
         Raises
         ------
@@ -312,40 +315,41 @@
         elif b"Host" not in hdict:
             raise ValueError("There is no Host header.")
         else:
-            # The base class would send 100 before anything wants the body.
+            # The base class would send 100 Continue before the application reads the
+            # body.
             expected = hdict.pop(b"Expect", b"").lower()
-            self._expects = expected == b"100-continue"
+            self._expects_continue = expected == b"100-continue"
 
     def respond(self):
-        """Run the application."""
+        """Run the application and send its response."""
         self.dispatched = True
         stream = self.conn.rfile
         if self.chunked_read:
-            self.rfile = ChunkedBody(stream, self._continue)
+            self.rfile = ChunkedBody(stream, self._send_continue)
         else:
             length = int(self.inheaders.get(b"Content-Length", 0))
-            self.rfile = SizedBody(stream, length, self._continue)
+            self.rfile = FixedLengthBody(stream, length, self._send_continue)
         self.server.gateway(self).respond()
         self.ensure_headers_sent()
         if self.chunked_write:
             self.conn.wfile.write(b"0\r\n\r\n")
 
     def send_headers(self):
-        """Send the head of the response."""
+        """Send the status line and headers of the response."""
         if not self.rfile.finished:
-            # The next request could not be told from the rest of the body.
+            # The unread rest of the body would be parsed as the next request.
             self.close_connection = True
         super().send_headers()
 
     def simple_response(self, status, msg=""):
-        """Send an error that the server found itself.
+        """Send an error response of the server, not of the application.
 
         Parameters
         ----------
         status : str
-            Code and phrase.
+            Status code and reason phrase.
         msg : str, default=""
-            Detail for a person.
+            Human-readable detail.
         """
         self.close_connection = True
         code = str(status)[:3]
@@ -353,36 +357,36 @@
             verdict, reason = Verdict.MAY_HAVE_RUN, Reason.INTERNAL
         else:
             verdict = Verdict.NOT_RUN
-            reason = _PARSE_REASONS.get(code, Reason.MALFORMED)
+            reason = _REASONS_BY_STATUS.get(code, Reason.MALFORMED)
         self.server.metrics.increment(f"server.rejected.{reason}")
         self.conn.wfile.write(render_refusal(status, verdict, reason, msg or status))
         self.sent_headers = True
 
-    def _continue(self):
-        """Ask a caller that waits for it to send the body."""
-        if self._expects:
-            self._expects = False
+    def _send_continue(self):
+        """Send ``100 Continue`` to a caller that waits for it."""
+        if self._expects_continue:
+            self._expects_continue = False
             self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
 
 def render_refusal(status, verdict, reason, detail):
-    """Return a whole response for a request that has no known id.
+    """Return the complete response to a request whose id is unknown.
 
     Parameters
     ----------
     status : str
-        Code and phrase.
+        Status code and reason phrase.
     verdict : Verdict
         Whether the request may have run.
     reason : Reason
-        The cause.
+        Cause of the refusal.
     detail : str
-        One sentence for a person.
+        Human-readable sentence.
 
     Returns
     -------
     bytes
-        Status line, headers and body; the connection is to be closed.
+        Status line, headers and body; the connection must be closed after it.
     """
     body = f"request - {verdict}\nreason {reason}: {detail}\n".encode()
     head = (
--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -1,6 +1,6 @@
-"""Connections of callers that send further requests before the first answer.
+"""HTTP/1.1 pipelining: callers' connections with several requests in progress.
 
-Requests without a body are worked on side by side in threads of their own; their
+Requests without a body are processed concurrently, each in a worker thread; their
 responses are written in the order of the requests.
 """
 
@@ -15,91 +15,91 @@
 
 logger = logging.getLogger(__name__)
 
-# Requests of one connection that are worked on at once.
-MAX_SIDE_BY_SIDE = 16
+# Requests of one connection that are processed concurrently.
+MAX_CONCURRENT_REQUESTS = 16
 MAX_WORKERS = 400
 _BODYLESS_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 
 
-class Turn:
-    """Place of one response in the order of a connection.
+class ResponseTurn:
+    """Position of one response in the order of responses on a connection.
 
     Parameters
     ----------
-    previous : Turn or None
-        The place before it.
+    previous : ResponseTurn or None
+        Turn of the previous response; None for the first one.
     """
 
     def __init__(self, previous):
         self._previous = previous
-        self._done = threading.Event()
+        self._finished = threading.Event()
 
-    def wait(self):
+    def wait_for_previous(self):
         """Wait until all earlier responses are written."""
         previous, self._previous = self._previous, None
         if previous is not None:
-            previous.wait_done()
+            previous.wait_until_finished()
 
-    def wait_done(self):
+    def wait_until_finished(self):
         """Wait until this response is written."""
-        self._done.wait()
+        self._finished.wait()
 
     def finish(self):
-        """Let the next response be written."""
-        self._done.set()
+        """Allow the next response to be written."""
+        self._finished.set()
 
 
 class PipelinedRequest(EntryRequest):
-    """A request whose response waits for its turn.
+    """Request whose response is written after all earlier ones.
 
     Parameters
     ----------
     server : EntryServer
-        The server.
+        Server that received the request.
     conn : PipelinedConnection
-        Where the request arrives.
+        Connection on which the request arrived.
     **kwargs : object
         Passed to the base class.
     """
 
     def __init__(self, server, conn, **kwargs):
         super().__init__(server, conn, **kwargs)
-        self.turn = conn.take_turn()
-        self.runs_beside = False
+        self.turn = conn.add_turn()
+        self.is_concurrent = False
         conn.request = self
 
     def respond(self):
-        """Run the application, beside others if the request has no body."""
+        """Run the application, in a worker thread if the request has no body."""
         bodyless = self.method in _BODYLESS_METHODS and not self.chunked_read
         if bodyless and int(self.inheaders.get(b"Content-Length", 0)) == 0:
-            self.runs_beside = True
-            self.conn.run_beside(self._respond_beside)
+            self.is_concurrent = True
+            self.conn.run_concurrently(self._respond_concurrently)
         else:
-            self.turn.wait()
-            with self.conn.mark_working():
+            self.turn.wait_for_previous()
+            with self.conn.count_active():
                 super().respond()
 
-    def _respond_beside(self):
+    def _respond_concurrently(self):
         try:
             super().respond()
         except OSError as error:
-            logger.debug("a caller's connection broke: %s", error)
+            logger.debug("connection to the caller failed: %s", error)
             self.close_connection = True
         except Exception:
-            # The caller must not take what was written for a whole response.
-            logger.exception("a request failed")
+            # A reset keeps the caller from accepting a partial response as complete.
+            logger.exception("unhandled exception in a request")
             self.server.metrics.increment("server.connection_errors")
             self.conn.abort()
             self.close_connection = True
         finally:
             if self.close_connection:
-                self.conn.end_writing()
+                self.conn.shut_down_writing()
             self.turn.finish()
-            self.conn.note_finished()
+            self.conn.finish_concurrent()
 
     def send_headers(self):
-        """Send the head of the response in its turn."""
-        self.turn.wait()
+        """Send the status line and headers after all earlier responses."""
+        self.turn.wait_for_previous()
         if self.conn.ended:
             raise ConnectionError("an earlier response ended the connection")
         if not self.server.keep_alive_enabled and not self.conn.has_later(self.turn):
@@ -107,31 +107,31 @@
         super().send_headers()
 
     def simple_response(self, status, msg=""):
-        """Send an error that the server found itself, in its turn.
+        """Send an error response of the server after all earlier responses.
 
         Parameters
         ----------
         status : str
-            Code and phrase.
+            Status code and reason phrase.
         msg : str, default=""
-            Detail for a person.
+            Human-readable detail.
         """
-        self.turn.wait()
+        self.turn.wait_for_previous()
         if not self.conn.ended:
             super().simple_response(status, msg)
 
 
 class PipelinedConnection(EntryConnection):
-    """A caller's connection that reads on while requests are worked on.
+    """Connection of a caller that reads further requests while others are processed.
 
     Parameters
     ----------
     server : RoutedServer
-        The server.
+        Server that accepted the connection.
     sock : socket.socket
-        The connection.
+        Socket of the connection.
     makefile : callable or None, default=None
-        Not used; the connection brings its own file objects.
+        Ignored; the connection creates its own file objects.
     """
 
     RequestHandlerClass = PipelinedRequest
@@ -140,108 +140,108 @@
         super().__init__(server, sock, makefile)
         self.ended = False
         self.request = None
-        self._last = None
-        self._places = threading.Semaphore(MAX_SIDE_BY_SIDE)
-        self._working = 0
+        self._last_turn = None
+        self._concurrency_limit = threading.Semaphore(MAX_CONCURRENT_REQUESTS)
+        self._active_requests = 0
         self._lock = threading.Lock()
 
     @property
     def is_idle(self):
-        """Tell whether no request is worked on."""
-        return self._working == 0
+        """Tell whether no request is in progress."""
+        return self._active_requests == 0
 
-    def take_turn(self):
-        """Return the place of the next response.
+    def add_turn(self):
+        """Append a turn for the response of a new request.
 
         Returns
         -------
-        Turn
-            It comes after all earlier ones.
+        ResponseTurn
+            Turn after those of all earlier requests.
         """
-        self._last = Turn(self._last)
-        return self._last
+        self._last_turn = ResponseTurn(self._last_turn)
+        return self._last_turn
 
     def has_later(self, turn):
-        """Tell whether a later request was read.
+        """Tell whether a later request has been read.
 
         Parameters
         ----------
-        turn : Turn
-            A place.
+        turn : ResponseTurn
+            Turn of a response.
 
         Returns
         -------
         bool
-            True when another response follows it.
+            True if another response follows it.
         """
-        return self._last is not turn and self._working > 1
+        return self._last_turn is not turn and self._active_requests > 1
 
     @contextlib.contextmanager
-    def mark_working(self):
-        """Count a request that runs in the reading thread while it runs."""
+    def count_active(self):
+        """Count a request as active while it runs in the connection's thread."""
         with self._lock:
-            self._working += 1
+            self._active_requests += 1
         try:
             yield
         finally:
             with self._lock:
-                self._working -= 1
+                self._active_requests -= 1
 
-    def run_beside(self, work):
-        """Run a request in a thread of its own.
+    def run_concurrently(self, process):
+        """Run a request in a worker thread, waiting while too many are in progress.
 
         Parameters
         ----------
-        work : callable
-            Called once.
+        process : callable
+            Processes the request; called once without arguments.
         """
-        self._places.acquire()
+        self._concurrency_limit.acquire()
         with self._lock:
-            self._working += 1
-        self.server.workers.submit(work)
+            self._active_requests += 1
+        self.server.workers.submit(process)
 
-    def note_finished(self):
-        """Count the end of a request that ran in a thread of its own."""
+    def finish_concurrent(self):
+        """Record that a request in a worker thread has ended."""
         with self._lock:
-            self._working -= 1
-        self._places.release()
+            self._active_requests -= 1
+        self._concurrency_limit.release()
 
-    def end_writing(self):
-        """Tell the caller that no further response follows."""
+    def shut_down_writing(self):
+        """Shut down writing: no further response follows."""
         self.ended = True
-        # The caller closes in turn, which ends the reading thread.
+        # The caller then closes its side, which ends this connection's thread.
         how = socket.SHUT_RDWR if self.aborted else socket.SHUT_WR
         try:
             self.socket.shutdown(how)
         except OSError as error:
-            logger.debug("a connection was closed by its caller: %s", error)
+            logger.debug("the caller has already closed its connection: %s", error)
 
     def communicate(self):
-        """Read one request and start to work on it.
+        """Read one request and start processing it.
 
         Returns
         -------
         bool
-            False when the connection is to be closed.
+            False if the connection must be closed.
         """
         if self.ended:
             return False
-        keeps = super().communicate()
+        keep_open = super().communicate()
         request = self.request
-        if not request.runs_beside:
+        if not request.is_concurrent:
             request.turn.finish()
-        return keeps and not self.ended
+        return keep_open and not self.ended
 
     def close(self):
-        """Close after the requests in work have been answered."""
-        last = self._last
+        """Close the connection after the requests in progress have been answered."""
+        last = self._last_turn
         if last is not None and not self.is_idle:
-            last.wait_done()
+            last.wait_until_finished()
         super().close()
 
 
 class RoutedServer(EntryServer):
-    """Server for callers that may send several requests at once.
+    """Server for callers that may pipeline requests.
 
     Parameters
     ----------
@@ -250,9 +250,9 @@
     application : callable
         WSGI application.
     settings : object
-        Bounds and timeouts.
+        Limits and timeouts.
     metrics : Metrics
-        Counters.
+        Counters of refused requests and connection errors.
     """
 
     ConnectionClass = PipelinedConnection
@@ -263,25 +263,25 @@
 
     @property
     def can_add_keepalive_connection(self):
-        """Return True; each request decides whether it ends its connection."""
+        """Return True; each request decides whether to close its connection."""
         return True
 
     def apply_limits(self, limits):
-        """Put the bounds on callers in force.
+        """Apply new limits on callers.
 
         Parameters
         ----------
         limits : CallerLimits
-            The bounds.
+            Limits and timeouts.
         """
         self.max_request_header_size = limits.header_bytes
-        # The application refuses larger bodies itself.
+        # 0 turns the check off; the application limits the size of bodies.
         self.max_request_body_size = 0
         self.timeout = limits.header_timeout_s
         self.keep_alive_timeout = limits.idle_timeout_s
 
     def close_idle(self):
-        """End the connections on which no request is worked on."""
+        """Shut down the connections without a request in progress."""
         for connection in self.requests.list_connections():
             if connection.is_idle:
-                connection.end_writing()
+                connection.shut_down_writing()
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -1,9 +1,9 @@
-"""WSGI application for requests that routes assign to services."""
+"""WSGI application that forwards requests to services by route."""
 
 from expression import Error, Ok
 
 from .body import RequestBody
-from .calls import HOP_BY_HOP_HEADERS, read_headers, read_length
+from .calls import HOP_BY_HOP_HEADERS, read_content_length, read_headers
 from .clock import read_clock
 from .routedispatch import Rejection, RoutedCall
 from .routes import WeightedRoundRobin
@@ -19,17 +19,17 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-# A host without configuration has one within about this time.
-NO_TABLE_RETURN_S = 0.3
-# Request bodies up to this size are kept, so that they can be sent again.
+# A starting host receives its configuration within about this time.
+NO_CONFIGURATION_RETRY_AFTER_S = 0.3
+# Request bodies up to this size are buffered, so that they can be replayed in a retry.
 MAX_BUFFERED_BODY_BYTES = 256 << 10
-# A host whose configuration was not confirmed for this long does not know that
-# a route is missing.
-TRUSTED_AGE_S = 3.0
+# With a configuration that was not confirmed for longer than this, a request without
+# a matching route may belong to a route that this host does not know yet.
+MAX_CONFIRMED_AGE_S = 3.0
 
 
 class RouteForwarder:
-    """Answers callers' requests with the responses of targets.
+    """Forward callers' requests and relay the targets' responses.
 
     Parameters
     ----------
@@ -38,15 +38,15 @@
     dispatcher : RouteDispatcher
         Sends calls to targets.
     dialect : module
-        Headers that callers use.
+        Module with the names of the request and response headers and their parser.
     metrics : Metrics
-        Counters.
+        Counters of requests and failures.
     decisions : DecisionLog
-        Takes one line for each decision.
+        Log with one line for each decision.
     latencies : Latencies
-        Histograms of latencies.
+        Latency histograms by route and outcome.
     clock : callable, default=read_clock
-        Returns seconds.
+        Clock; returns a time in seconds.
     """
 
     def __init__(
@@ -69,7 +69,7 @@
         self._round_robin = WeightedRoundRobin()
 
     def __call__(self, environ, start_response):
-        """Serve one request.
+        """Handle one request.
 
         Parameters
         ----------
@@ -83,25 +83,27 @@
         iterable of bytes
             The response body.
         """
-        received = self._clock()
-        read = self._read_call(environ, received)
-        if read.is_error():
-            return self._reject(environ, start_response, read.error, received)
-        call = read.ok
+        received_at = self._clock()
+        call_result = self._read_call(environ, received_at)
+        if call_result.is_error():
+            return self._reject(environ, start_response, call_result.error, received_at)
+        call = call_result.ok
         outcome = self.dispatcher.send(call)
-        seconds = self._clock() - received
+        latency_s = self._clock() - received_at
         if outcome.is_error():
-            self.latencies.observe(call.route, "failed", seconds)
-            return self._reject(environ, start_response, outcome.error, received, call)
-        self.latencies.observe(call.route, "answered", seconds)
+            self.latencies.observe(call.route, "failed", latency_s)
+            return self._reject(
+                environ, start_response, outcome.error, received_at, call
+            )
+        self.latencies.observe(call.route, "answered", latency_s)
         return self._relay(environ, call, outcome.ok, start_response)
 
-    def _read_call(self, environ, received):
+    def _read_call(self, environ, received_at):
         """Return Ok with a RoutedCall, or an Error with a Rejection."""
         table = self.knowledge.table
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
-            return Error(Rejection(failure, NO_TABLE_RETURN_S))
+            return Error(Rejection(failure, NO_CONFIGURATION_RETRY_AFTER_S))
         metadata = self.dialect.read_request(environ)
         path = environ.get("REQUEST_URI") or environ["PATH_INFO"]
         route = table.find_route(environ.get("HTTP_HOST", ""), path)
@@ -110,31 +112,31 @@
         if metadata.request_id is None:
             failure = refuse(Reason.MALFORMED, "the request has no id", 400)
             return Error(Rejection(failure))
-        length = read_length(environ)
-        most = table.limits.body_bytes
-        if length is not None and length > most:
+        length = read_content_length(environ)
+        max_bytes = table.limits.body_bytes
+        if length is not None and length > max_bytes:
             failure = refuse(Reason.TOO_LARGE, "the request body is too large", 413)
             return Error(Rejection(failure))
-        left = route.timeout_s
+        remaining_s = route.timeout_s
         if metadata.time_left_s is not None:
-            left = min(left, metadata.time_left_s)
-        deadline = received + left
+            remaining_s = min(remaining_s, metadata.time_left_s)
+        deadline = received_at + remaining_s
         connection = environ.get("redwingspring.connection")
         body = RequestBody(
             environ["wsgi.input"],
             length,
-            most,
+            max_bytes,
             deadline,
-            connection.limit_reads if connection else None,
+            connection.set_read_timeout if connection else None,
             self._clock,
         )
         try:
             body.buffer(MAX_BUFFERED_BODY_BYTES)
-        except CallerGone as gone:
-            return Error(Rejection(refuse(gone.reason, str(gone), gone.status)))
+        except CallerGone as error:
+            return Error(Rejection(refuse(error.reason, str(error), error.status)))
         except TimeoutError:
-            late = refuse(Reason.DEADLINE, "the request body was late")
-            return Error(Rejection(late))
+            failure = refuse(Reason.DEADLINE, "the request body was late")
+            return Error(Rejection(failure))
         service = table.services[self._round_robin.choose(route)]
         return Ok(
             RoutedCall(
@@ -145,24 +147,26 @@
                 path=path,
                 headers=read_headers(environ, self.dialect.OWN_REQUEST_HEADERS),
                 body=body,
-                received_at=received,
+                received_at=received_at,
                 deadline=deadline,
                 caller_socket=connection.socket if connection else None,
-                prior_wait_s=self.dispatcher.caller_timeouts.note(
+                prior_wait_s=self.dispatcher.caller_timeouts.record_time_left(
                     route, metadata.time_left_s
                 ),
             )
         )
 
     def _reject_unknown_route(self):
-        """Return the rejection of a request that no known route matches."""
-        if self.knowledge.age > TRUSTED_AGE_S:
+        """Return the rejection of a request that matches no known route."""
+        if self.knowledge.age > MAX_CONFIRMED_AGE_S:
             detail = "no route is known, but the configuration may be outdated"
-            return Rejection(refuse(Reason.NOT_READY, detail), NO_TABLE_RETURN_S)
+            return Rejection(
+                refuse(Reason.NOT_READY, detail), NO_CONFIGURATION_RETRY_AFTER_S
+            )
         return Rejection(refuse(Reason.UNKNOWN_SERVICE, "no route matches", 404))
 
     def _relay(self, environ, call, answer, start_response):
-        """Pass an answer on."""
+        """Start the response with the target's answer and return its body."""
         headers = [
             (name, value)
             for name, value in answer.headers
@@ -178,18 +182,18 @@
             return []
         if answer.stream is None:
             return [answer.body]
-        return _StreamedBody(answer, lambda: self._break(environ, call))
+        return _StreamedBody(answer, lambda: self._abort_response(environ, call))
 
-    def _break(self, environ, call):
-        """Make the caller see that the response is not whole."""
+    def _abort_response(self, environ, call):
+        """Reset the connection so that the caller detects the incomplete response."""
         self.metrics.increment("responses.broken")
         self.decisions.record("response broke off", request_id=call.request_id)
         connection = environ.get("redwingspring.connection")
         if connection is not None:
             connection.abort()
 
-    def _reject(self, environ, start_response, rejection, received, call=None):
-        """Return the response for a failure."""
+    def _reject(self, environ, start_response, rejection, received_at, call=None):
+        """Start the response for a failure and return its body."""
         failure = rejection.failure
         request_id = environ.get("HTTP_REQUEST_ID", "-")
         self.metrics.increment(f"requests.{failure.verdict}")
@@ -205,7 +209,7 @@
             retry_after_s=retry_after,
             route=call.route.name if call else None,
             priority=call.route.priority if call else None,
-            held_ms=round((self._clock() - received) * 1000, 1),
+            held_ms=round((self._clock() - received_at) * 1000, 1),
             configuration_version=self.knowledge.version,
             configuration_age_s=round(self.knowledge.age, 2),
         )
@@ -224,26 +228,26 @@
 
 
 class _StreamedBody:
-    """A long response body that ends only when it is whole."""
+    """Response body relayed in blocks, which ends normally only if it is complete."""
 
-    def __init__(self, answer, on_broken):
+    def __init__(self, answer, on_incomplete):
         self._answer = answer
-        self._on_broken = on_broken
-        self._next = answer.body
-        self._left = None if answer.length is None else answer.length
+        self._on_incomplete = on_incomplete
+        self._buffered = answer.body
+        self._remaining_bytes = None if answer.length is None else answer.length
         self._ended = False
 
     def __iter__(self):
         return self
 
     def __next__(self):
-        data, self._next = self._next, None
+        data, self._buffered = self._buffered, None
         try:
             if data is None:
                 data = self._answer.stream.read()
-            if self._left is not None:
-                self._left -= len(data)
-                if not data and self._left:
+            if self._remaining_bytes is not None:
+                self._remaining_bytes -= len(data)
+                if not data and self._remaining_bytes:
                     raise ResponseBroken("the body ended early")
         except ResponseBroken:
             self.close()
@@ -255,9 +259,9 @@
         raise StopIteration
 
     def close(self):
-        """End the relay; a body that is not whole breaks off visibly."""
+        """End the relay; abort a body that is not complete."""
         if self._ended:
             return
         self._ended = True
         self._answer.stream.abort()
-        self._on_broken()
+        self._on_incomplete()
--- a/redwingspring/server.py
+++ b/redwingspring/server.py
@@ -1,4 +1,4 @@
-"""HTTP server for callers: CherryPy's server with one thread per connection."""
+"""HTTP server for callers, built on cheroot, with one thread per connection."""
 
 import io
 import logging
@@ -17,27 +17,27 @@
 
 logger = logging.getLogger(__name__)
 
-LISTEN_QUEUE = 1024
+LISTEN_BACKLOG = 1024
 LINGER_S = 2.0
-REFUSER_THREADS = 8
+MAX_REFUSAL_THREADS = 8
 
 
-class _CallerReader(socket.SocketIO):
-    """Reader that can be bound to a point in time."""
+class _DeadlineReader(socket.SocketIO):
+    """Raw socket reader with an optional deadline and a non-blocking mode."""
 
+    # Monotonic time in seconds by which all reads must end.
     deadline = None
-    # Whether a read returns at once when nothing has arrived.
-    peeking = False
+    nonblocking = False
 
     def readinto(self, buffer):
-        if self.peeking and not _is_readable(self._sock):
+        if self.nonblocking and not _is_readable(self._sock):
             return None
         if self.deadline is not None:
-            left = self.deadline - time.monotonic()
-            if left <= 0:
-                # The server recognises a timeout by this text.
+            remaining = self.deadline - time.monotonic()
+            if remaining <= 0:
+                # cheroot recognises a timeout by this text.
                 raise TimeoutError("timed out")
-            self._sock.settimeout(left)
+            self._sock.settimeout(remaining)
         return super().readinto(buffer)
 
 
@@ -49,15 +49,15 @@
 
 def _make_file(sock, mode, size):
     """Return a buffered reader or an unbuffered writer over a socket."""
-    # The server's own file objects are written in Python and copy each block
-    # several times, which dominates the cost of a request.
+    # cheroot's own file objects are written in Python and copy each block several
+    # times, which dominates the cost of a request.
     if "r" in mode:
-        return io.BufferedReader(_CallerReader(sock, "r"), size)
+        return io.BufferedReader(_DeadlineReader(sock, "r"), size)
     return _SocketWriter(sock)
 
 
 class _SocketWriter:
-    """Writer that sends each block at once."""
+    """Unbuffered writer."""
 
     def __init__(self, sock):
         self._sock = sock
@@ -69,16 +69,16 @@
 
 
 class EntryConnection(HTTPConnection):
-    """A caller's connection.
+    """Connection of a caller.
 
     Parameters
     ----------
     server : EntryServer
-        The server.
+        Server that accepted the connection.
     sock : socket.socket
-        The connection.
+        Socket of the connection.
     makefile : callable or None, default=None
-        Not used; the connection brings its own file objects.
+        Ignored; the connection creates its own file objects.
     """
 
     RequestHandlerClass = EntryRequest
@@ -88,23 +88,23 @@
         self.aborted = False
 
     def abort(self):
-        """Mark the connection so that its close sends a reset."""
+        """Make ``close`` reset the connection."""
         self.aborted = True
 
-    def limit_reads(self, seconds):
-        """Bound the time of all reads together.
+    def set_read_timeout(self, seconds):
+        """Limit the total time of the following reads.
 
         Parameters
         ----------
         seconds : float or None
-            From now; None bounds only the time of each read.
+            Seconds from now; with None, only the time of each read is limited.
         """
         raw = self.rfile.raw
         raw.deadline = None if seconds is None else time.monotonic() + seconds
         self.socket.settimeout(self.server.timeout)
 
-    def wait_request(self, timeout):
-        """Wait for the first byte of another request.
+    def wait_for_request(self, timeout):
+        """Wait for the first byte of the next request.
 
         Parameters
         ----------
@@ -114,25 +114,25 @@
         Returns
         -------
         bool
-            False when the time is over.
+            False if the wait timed out or the connection failed.
         """
-        # A pipelined request can already be in the reader's buffer, where
-        # poll does not see it. The socket's own timeout stays as it is, because
-        # another thread may be writing.
-        self.rfile.raw.peeking = True
+        # A pipelined request can already be in the reader's buffer, which poll
+        # does not cover. The socket's own timeout is not changed, because another
+        # thread may be writing.
+        self.rfile.raw.nonblocking = True
         try:
             if self.rfile.peek(1):
                 return True
         except OSError:
             return False
         finally:
-            self.rfile.raw.peeking = False
+            self.rfile.raw.nonblocking = False
         poller = select.poll()
         poller.register(self.socket.fileno(), select.POLLIN)
         return bool(poller.poll(timeout * 1000))
 
     def close(self):
-        """Close so that the caller can still read the last response."""
+        """Close the connection; unless aborted, let the caller read what was sent."""
         try:
             if self.aborted:
                 abort_socket(self.socket)
@@ -144,8 +144,8 @@
             self.socket.close()
 
     def _linger(self):
-        # Closing with unread bytes sends a reset, which can destroy the last
-        # response on its way; so read what still arrives, for a short time.
+        # Closing a socket with unread bytes sends a reset, on which the caller may
+        # discard the last response. So drain the socket for a limited time first.
         self.socket.shutdown(socket.SHUT_WR)
         end = time.monotonic() + LINGER_S
         while (remaining := end - time.monotonic()) > 0:
@@ -155,7 +155,7 @@
 
 
 class EntryGateway(wsgi.Gateway_10):
-    """WSGI gateway that tells the application its connection."""
+    """WSGI gateway that adds the connection and the request to the environment."""
 
     def get_environ(self):
         """Return the WSGI environment of the request.
@@ -163,7 +163,8 @@
         Returns
         -------
         dict
-            The environment with two entries of this package.
+            The environment with the entries ``redwingspring.connection`` and
+            ``redwingspring.request``.
         """
         environ = super().get_environ()
         environ["redwingspring.connection"] = self.req.conn
@@ -172,24 +173,24 @@
 
 
 class ConnectionThreads:
-    """Runs each connection in a thread of its own.
+    """Run each connection in a thread of its own.
 
-    It stands in for the server's pool of worker threads, in which long
-    downloads could occupy all workers and stop short requests.
+    This replaces cheroot's pool of worker threads, in which long downloads could
+    occupy all workers and block short requests.
 
     Parameters
     ----------
     server : EntryServer
-        The server whose connections run here.
+        Server whose connections are run.
     limit : int
-        Connections at once; more are refused.
+        Maximum number of open connections; further ones are refused.
     """
 
     def __init__(self, server, limit):
         self.server = server
         self.limit = limit
         self._lock = threading.Lock()
-        self._refusing = threading.Semaphore(REFUSER_THREADS)
+        self._refusal_threads = threading.Semaphore(MAX_REFUSAL_THREADS)
         self._connections = set()
 
     @property
@@ -203,16 +204,16 @@
         Returns
         -------
         list of EntryConnection
-            As of now.
+            Connections that are open at the time of the call.
         """
         with self._lock:
             return list(self._connections)
 
     def start(self):
-        """Do nothing; threads start with their connections."""
+        """Do nothing; a thread is started for each connection."""
 
     def put(self, connection):
-        """Run a new connection.
+        """Start the thread of a new connection, or refuse it.
 
         Parameters
         ----------
@@ -220,13 +221,13 @@
             An accepted connection.
         """
         with self._lock:
-            full = len(self._connections) >= self.limit
-            if not full:
+            at_limit = len(self._connections) >= self.limit
+            if not at_limit:
                 self._connections.add(connection)
-        run = self._refuse if full else self._run
-        if full and not self._refusing.acquire(blocking=False):
-            # Without a thread there is no time to read what the caller sends,
-            # so a reset may overtake this refusal.
+        run = self._refuse if at_limit else self._serve
+        if at_limit and not self._refusal_threads.acquire(blocking=False):
+            # All refusal threads are busy, so the socket is closed without draining
+            # it; a reset may then reach the caller before this refusal.
             self._send_refusal(connection)
             connection.socket.close()
             return
@@ -240,23 +241,23 @@
             self.server.metrics.increment("server.no_thread")
             self._send_refusal(connection)
             connection.socket.close()
-            if full:
-                self._refusing.release()
+            if at_limit:
+                self._refusal_threads.release()
             else:
-                self._discard(connection)
+                self._remove(connection)
 
-    def _run(self, connection):
+    def _serve(self, connection):
         try:
             while connection.communicate():
-                if not connection.wait_request(self.server.keep_alive_timeout):
+                if not connection.wait_for_request(self.server.keep_alive_timeout):
                     break
         finally:
             try:
                 connection.close()
             finally:
-                self._discard(connection)
+                self._remove(connection)
 
-    def _discard(self, connection):
+    def _remove(self, connection):
         with self._lock:
             self._connections.discard(connection)
 
@@ -265,7 +266,7 @@
             self._send_refusal(connection)
             connection.close()
         finally:
-            self._refusing.release()
+            self._refusal_threads.release()
 
     def _send_refusal(self, connection):
         self.server.metrics.increment("server.rejected.connections")
@@ -282,31 +283,31 @@
             pass
 
     def stop(self, timeout=0):
-        """Return at once; ``drain`` waits for connections before the stop.
+        """Return at once; ``drain`` has already waited for the connections.
 
         Parameters
         ----------
         timeout : float, default=0
-            Not used.
+            Ignored.
         """
 
 
 @dataclass(frozen=True)
 class ServerLimits:
-    """Bounds and timeouts of a server for callers.
+    """Limits and timeouts of a server for callers.
 
     Attributes
     ----------
     max_connections : int, default=1024
-        Connections at once.
+        Maximum number of open connections.
     caller_timeout : float, default=10.0
-        Seconds that a caller may stall within a request or response.
+        Seconds without progress after which a request or response times out.
     keep_alive : float, default=30.0
-        Seconds that an unused connection is kept.
+        Seconds after which an idle connection is closed.
     max_header_bytes : int, default=16384
-        Size of a request's line and headers.
+        Maximum size of the request line and headers.
     max_body_bytes : int, default=0
-        Size of a request body; 0 leaves the bound to the application.
+        Maximum size of a request body; 0 leaves the limit to the application.
     """
 
     max_connections: int = 1024
@@ -317,7 +318,7 @@
 
 
 class EntryServer(wsgi.Server):
-    """The server for callers.
+    """HTTP server for callers.
 
     Parameters
     ----------
@@ -326,13 +327,13 @@
     application : callable
         WSGI application.
     settings : Settings or ServerLimits
-        Bounds and timeouts.
+        Limits and timeouts.
     metrics : Metrics
-        Counters.
+        Counters of refused requests and connection errors.
     """
 
     ConnectionClass = EntryConnection
-    request_queue_size = LISTEN_QUEUE
+    request_queue_size = LISTEN_BACKLOG
     keep_alive_conn_limit = None
 
     def __init__(self, address, application, settings, metrics):
@@ -349,21 +350,21 @@
         self.last_accept = 0.0
 
     def process_conn(self, conn):
-        """Run an accepted connection.
+        """Start an accepted connection.
 
         Parameters
         ----------
         conn : EntryConnection
-            The connection.
+            The accepted connection.
         """
         self.last_accept = time.monotonic()
         super().process_conn(conn)
 
     def close_listener(self):
-        """Run every connection that waits in the listen queue, then close it."""
+        """Accept the connections in the listen backlog, then close the listener."""
+        # The server's accept loop must not poll a closed listener, so it ends first.
         self._connections.stop()
         self.socket.settimeout(0)
-        # The server's loop must not wait for a listener that is closed.
         while (conn := self._connections._from_server_socket(self.socket)) is not None:
             self.process_conn(conn)
         self.socket.close()
@@ -374,16 +375,18 @@
         return self.keep_alive_enabled
 
     def error_log(self, msg="", level=logging.INFO, traceback=False):
-        """Count errors of connections; log those that are faults of this code.
+        """Count a connection error; log it if it is a fault of this process.
+
+        Faults of this process have the level ERROR or higher.
 
         Parameters
         ----------
         msg : str, default=""
-            What happened.
+            Text of the log line.
         level : int, default=logging.INFO
-            Level of the line.
+            Level of the log line.
         traceback : bool, default=False
-            Whether to log the present exception.
+            Whether to log the traceback of the current exception.
         """
         self.metrics.increment("server.connection_errors")
         if level >= logging.ERROR:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -18,7 +18,11 @@
 
 
 class ConcurrentCallersTest(RedwingspringTestCase):
-    """Callers share connections to targets that fail in many ways."""
+    """Concurrent callers share pooled connections to targets that inject faults.
+
+    Guards against responses delivered to the wrong caller, corrupted bodies, POSTs
+    that run twice and requests reported as not run that did run.
+    """
 
     def setUp(self):
         super().setUp()
@@ -27,33 +31,33 @@
         self.fixture = DataPathFixture(
             self, 3, {"request.deadline": 0.4, "retry.share": 0.5}, behaviour
         )
-        self.wrong = []
+        self.mismatches = []
         self.outcomes = Counter()
-        self.denied = []
+        self.reported_not_run = []
 
     def call_many(self, number):
-        random_ = random.Random(number)
+        rng = random.Random(number)
         connection = None
         for count in range(REQUESTS):
             if connection is None:
                 connection = http.client.HTTPConnection(
                     "127.0.0.1", self.fixture.path.port, timeout=10
                 )
-            if not self.call_once(connection, random_, f"c{number}-{count}"):
+            if not self.call_once(connection, rng, f"c{number}-{count}"):
                 connection.close()
                 connection = None
         if connection is not None:
             connection.close()
 
-    def call_once(self, connection, random_, request_id):
-        """Send one request and check its response; return whether it is whole."""
-        kind = random_.choice(("GET", "POST", "download"))
+    def call_once(self, connection, rng, request_id):
+        """Send a request, check its response; return whether to keep the connection."""
+        kind = rng.choice(("GET", "POST", "download"))
         body, path = None, f"/x/{request_id}"
         if kind == "POST":
-            body, path = random_.randbytes(random_.randrange(1, 100_000)), "/echo"
+            body, path = rng.randbytes(rng.randrange(1, 100_000)), "/echo"
             expected = body
         elif kind == "download":
-            size = random_.randrange(1, 100_000)
+            size = rng.randrange(1, 100_000)
             path = f"/download/{size}"
             expected = b"".join(slice_content(size, 0, size))
         else:
@@ -66,15 +70,15 @@
         except (OSError, http.client.HTTPException):
             self.outcomes["broken"] += 1
             return False
-        said = response.headers.get("Request-Run")
-        self.outcomes[said or response.status] += 1
-        if said == "not-run":
-            self.denied.append(request_id)
-        if said is None and data != expected:
+        verdict = response.headers.get("Request-Run")
+        self.outcomes[verdict or response.status] += 1
+        if verdict == "not-run":
+            self.reported_not_run.append(request_id)
+        if verdict is None and data != expected:
             digest = hashlib.sha256(data).hexdigest()[:12]
-            self.wrong.append(f"{request_id} {kind} {len(data)} bytes {digest}")
+            self.mismatches.append(f"{request_id} {kind} {len(data)} bytes {digest}")
         if response.headers["Request-Id"] != request_id:
-            self.wrong.append(f"{request_id} got {response.headers['Request-Id']}")
+            self.mismatches.append(f"{request_id} got {response.headers['Request-Id']}")
         return not response.will_close
 
     def test_callers_get_their_own_bytes_and_posts_run_once(self):
@@ -86,9 +90,9 @@
             thread.start()
         for thread in threads:
             thread.join()
-        self.assertEqual([], self.wrong)
+        self.assertEqual([], self.mismatches)
         runs = Counter(run["request"] for run in self.fixture.runs())
-        self.assertEqual([], [name for name in self.denied if runs[name]])
+        self.assertEqual([], [name for name in self.reported_not_run if runs[name]])
         posts = Counter(
             run["request"] for run in self.fixture.runs() if run["method"] == "POST"
         )
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,10 +7,10 @@
 from .datapath import DataPathFixture, read_all, read_response, wait_until
 
 HEAD = b"POST /desk/x HTTP/1.1\r\nHost: x\r\n"
-LENGTH = HEAD + b"Content-Length: 5\r\n"
-CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
-# A request that must never be found inside another one's bytes.
-INNER = b"GET /desk/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+LENGTH_HEAD = HEAD + b"Content-Length: 5\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Sent within the body of another request; it must never be parsed as a request.
+SMUGGLED = b"GET /desk/smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
 
 MALFORMED_HEADS = {
     "two lengths": HEAD + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\n",
@@ -37,13 +37,13 @@
     "signed version": b"GET /desk/x HTTP/+1.1\r\nHost: x\r\n\r\n",
     "no host": b"GET /desk/x HTTP/1.1\r\n\r\n",
     "two hosts": b"GET /desk/x HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
-    "negative attempt": LENGTH + b"Request-Attempt: -1\r\n\r\n",
-    "huge deadline": LENGTH + b"Request-Deadline: " + b"9" * 400 + b"\r\n\r\n",
-    "bad id": LENGTH + b"Request-Id: a b\r\n\r\n",
-    "two ids": LENGTH + b"Request-Id: a\r\nRequest-Id: b\r\n\r\n",
+    "negative attempt": LENGTH_HEAD + b"Request-Attempt: -1\r\n\r\n",
+    "huge deadline": LENGTH_HEAD + b"Request-Deadline: " + b"9" * 400 + b"\r\n\r\n",
+    "bad id": LENGTH_HEAD + b"Request-Id: a b\r\n\r\n",
+    "two ids": LENGTH_HEAD + b"Request-Id: a\r\nRequest-Id: b\r\n\r\n",
 }
 MALFORMED_CHUNKS = {
-    "negative size": b"-1\r\n" + INNER,
+    "negative size": b"-1\r\n" + SMUGGLED,
     "signed size": b"+5\r\nhello\r\n0\r\n\r\n",
     "prefixed size": b"0x5\r\nhello\r\n0\r\n\r\n",
     "size with underscore": b"0_5\r\nhello\r\n0\r\n\r\n",
@@ -65,21 +65,21 @@
         self.fixture = DataPathFixture(self, caller_timeout=3.0)
 
     def exchange(self, raw):
-        """Send requests, the last one to close; return what comes back."""
+        """Send requests, the last with ``Connection: close``; return all responses."""
         head, _, tail = raw.rpartition(b"Host: x\r\n")
         return self.fixture.path.exchange(
             head + b"Host: x\r\nConnection: close\r\n" + tail
         )
 
-    def exchange_half(self, raw):
-        """Send bytes and an orderly end; return what comes back."""
+    def exchange_until_eof(self, raw):
+        """Send bytes, shut down the sending side and return all responses."""
         with self.fixture.path.connect() as sock:
             sock.sendall(raw)
             sock.shutdown(socket.SHUT_WR)
             return read_all(sock)
 
     def assert_refused(self, name, raw, statuses):
-        answer = self.exchange_half(raw)
+        answer = self.exchange_until_eof(raw)
         self.assertIn(answer[9:12], statuses, f"{name}: {answer!r}")
         self.assertIn(b"Request-Run: not-run\r\n", answer, name)
         self.assertEqual(1, answer.count(b"HTTP/1.1 "), f"{name}: {answer!r}")
@@ -87,7 +87,7 @@
 
     def test_ambiguous_heads_are_refused_and_end_the_connection(self):
         for name, raw in MALFORMED_HEADS.items():
-            self.assert_refused(name, raw + b"hello" + INNER, (b"400", b"501"))
+            self.assert_refused(name, raw + b"hello" + SMUGGLED, (b"400", b"501"))
 
     def test_malformed_input_of_callers_ejects_no_target(self):
         self.test_ambiguous_heads_are_refused_and_end_the_connection()
@@ -96,16 +96,17 @@
 
     def test_malformed_chunks_are_refused_and_end_the_connection(self):
         for name, raw in MALFORMED_CHUNKS.items():
-            # Whether it was a hang-up or a fault, nothing was sent.
-            self.assert_refused(name, CHUNKED + raw, (b"400",))
+            # Both a truncated and a malformed body are refused before anything is sent
+            # to a target.
+            self.assert_refused(name, CHUNKED_HEAD + raw, (b"400",))
 
-    def test_a_trailer_section_is_not_taken_for_a_request(self):
-        raw = CHUNKED + b"5\r\nhello\r\n0\r\n" + INNER[:-2] + b"\r\n"
-        self.exchange_half(raw)
+    def test_a_trailer_section_is_not_parsed_as_a_request(self):
+        raw = CHUNKED_HEAD + b"5\r\nhello\r\n0\r\n" + SMUGGLED[:-2] + b"\r\n"
+        self.exchange_until_eof(raw)
         self.assertNotIn("/smuggled", [run["path"] for run in self.fixture.runs()])
 
     def test_trailers_do_not_break_the_next_request(self):
-        raw = CHUNKED + b"5\r\nhello\r\n0\r\nDigest: x\r\n\r\n" + INNER
+        raw = CHUNKED_HEAD + b"5\r\nhello\r\n0\r\nDigest: x\r\n\r\n" + SMUGGLED
         answer = self.exchange(raw)
         self.assertEqual(2, answer.count(b"HTTP/1.1 200"), answer)
 
@@ -116,11 +117,11 @@
         )
         self.assertTrue(self.fixture.path.exchange(raw).endswith(b"hello, everyone"))
 
-    def test_headers_with_underscores_cannot_pass_for_others(self):
+    def test_headers_with_underscores_are_not_mistaken_for_others(self):
         self.exchange(b"GET /desk/x HTTP/1.1\r\nHost: x\r\nRequest_Id: forged\r\n\r\n")
         self.assertNotIn("forged", [run["request"] for run in self.fixture.runs()])
 
-    def test_a_path_with_a_url_stays_with_its_service(self):
+    def test_a_path_that_contains_a_url_is_routed_to_its_service(self):
         answer = self.exchange(b"GET /desk/to/http://x/y HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertIn(b"GET /to/http://x/y 0\n", answer)
 
@@ -133,16 +134,16 @@
         self.assertEqual(sorted(found), found)
         self.assertNotIn(-1, found)
 
-    def test_the_body_of_a_refused_request_is_no_request(self):
+    def test_the_body_of_a_refused_request_is_not_parsed_as_a_request(self):
         raw = b"POST /unknown/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b" % (
-            len(INNER),
-            INNER,
+            len(SMUGGLED),
+            SMUGGLED,
         )
         answer = self.exchange(raw)
         self.assertIn(b"Failure-Reason: unknown-service", answer)
         self.assertEqual([], self.fixture.runs())
 
-    def test_http_1_0_callers_get_no_chunks(self):
+    def test_http_1_0_callers_get_no_chunked_response(self):
         raw = b"GET /desk/download/70000?chunked=1 HTTP/1.0\r\n\r\n"
         answer = self.fixture.path.exchange(raw)
         head, _, body = answer.partition(b"\r\n\r\n")
@@ -163,7 +164,7 @@
         bodies = [part.partition(b"\r\n\r\n")[2] for part in parts]
         self.assertEqual([b"", b"", b"", b"GET /last 0\n"], bodies)
 
-    def test_expect_gets_100_only_when_the_body_is_wanted(self):
+    def test_100_continue_is_sent_only_when_the_body_is_read(self):
         expect = b"Expect: 100-continue\r\nContent-Length: 5\r\n\r\n"
         with self.fixture.path.connect() as sock:
             sock.sendall(b"POST /unknown/x HTTP/1.1\r\nHost: x\r\n" + expect)
@@ -192,7 +193,7 @@
         self.assert_limit(exchange(long_line), b"414", b"too-large")
         long_body = HEAD + b"Content-Length: 1001\r\n\r\n"
         self.assert_limit(exchange(long_body), b"413", b"too-large")
-        long_chunks = CHUNKED + b"3e9\r\n" + b"x" * 1001 + b"\r\n0\r\n\r\n"
+        long_chunks = CHUNKED_HEAD + b"3e9\r\n" + b"x" * 1001 + b"\r\n0\r\n\r\n"
         self.assert_limit(exchange(long_chunks), b"413", b"too-large")
         self.assertEqual([], fixture.runs())
 
@@ -202,15 +203,15 @@
         for sock in held:
             self.addCleanup(sock.close)
         wait_until(lambda: fixture.path.server.requests.count == 2)
-        # More than the threads that refuse, so that every refusal is answered.
+        # More connections than refusal threads: each must still get a response.
         extra = [fixture.path.connect() for _ in range(20)]
         for sock in extra:
             self.addCleanup(sock.close)
         for sock in extra:
             self.assert_limit(sock.recv(4096), b"503", b"connections")
 
-    def trickle(self, fixture, start, rest):
-        """Send bytes, then others slowly; return the answer and its time."""
+    def send_slowly(self, fixture, start, rest):
+        """Send bytes, then more one at a time; return the response and the seconds."""
         started = time.monotonic()
         with fixture.path.connect() as sock:
             sock.sendall(start)
@@ -222,11 +223,11 @@
                     return answer, time.monotonic() - started
                 except TimeoutError:
                     pass
-        self.fail("there was no answer")
+        self.fail("no response arrived while the bytes were sent")
 
     def test_a_slow_head_ends_within_the_timeout(self):
         fixture = DataPathFixture(self, caller_timeout=0.5)
-        answer, seconds = self.trickle(fixture, HEAD, b"Extra: a long header")
+        answer, seconds = self.send_slowly(fixture, HEAD, b"Extra: a long header")
         self.assert_limit(answer, b"408", b"deadline")
         self.assertLess(seconds, 2.0)
 
@@ -242,14 +243,14 @@
     def test_a_slow_upload_ends_at_its_deadline(self):
         fixture = DataPathFixture(self, defaults={"request.deadline": 0.5})
         start = HEAD + b"Content-Length: 200000\r\n\r\n" + b"x" * 70_000
-        answer, seconds = self.trickle(fixture, start, b"x" * 60)
+        answer, seconds = self.send_slowly(fixture, start, b"x" * 60)
         self.assertIn(b"HTTP/1.1 504", answer)
         self.assertIn(b"Request-Run: may-have-run\r\n", answer)
         self.assertIn(b"Failure-Reason: deadline\r\n", answer)
         self.assertLess(seconds, 2.0)
 
     def test_many_slow_downloads_do_not_delay_short_requests(self):
-        # Downloads as many as exceed a default pool of threads (32 at most).
+        # More downloads than a default thread pool has workers (32 at most).
         behaviour = TargetBehaviour(slots=500, work_s=0.0, body_rate=30_000)
         fixture = DataPathFixture(self, behaviour=behaviour)
         socks = []
