--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -5,7 +5,7 @@
 from urllib3.exceptions import HTTPError
 
 from .targetconnection import FIRST_FINAL_STATUS, READ_SIZE, ResponseBroken
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 REFUSAL_STATUSES = (429, 503)
 
@@ -151,15 +151,17 @@
         echoed_id is not None or limits.echo_required
     ):
         detail = f"the response belongs to attempt {echoed_id}"
-        return doubt(Reason.CROSSED, detail)
+        return fail_uncertain(Reason.CROSSED, detail)
     refused = headers.get("request-run") == "not-run"
     if response.status in REFUSAL_STATUSES and refused:
         if echoed_id is None and reused:
             # It could be the late refusal of an earlier request.
-            return doubt(Reason.CROSSED, "a refusal without an attempt id")
+            return fail_uncertain(Reason.CROSSED, "a refusal without an attempt id")
         return refuse(Reason.TARGET_REFUSED, "the target refused the request")
     if response.status < FIRST_FINAL_STATUS:
-        return doubt(Reason.NO_ANSWER, "the target sent an unexpected interim response")
+        return fail_uncertain(
+            Reason.NO_ANSWER, "the target sent an unexpected interim response"
+        )
     return _check_framing(response, attempt)
 
 
@@ -167,13 +169,15 @@
     """Return a failure if the end of the body cannot be verified, else None."""
     if not has_unambiguous_framing(response, attempt.method):
         # Another HTTP parser could find a different end of the body.
-        return doubt(Reason.TRUNCATED, "the response has no single valid framing")
+        return fail_uncertain(
+            Reason.TRUNCATED, "the response has no single valid framing"
+        )
     if attempt.method == "HEAD" or response.status in (204, 304):
         return None
     headers = response.headers
     if "content-length" not in headers and "transfer-encoding" not in headers:
         # The end of such a body cannot be distinguished from a lost connection.
-        return doubt(Reason.TRUNCATED, "the response does not mark its end")
+        return fail_uncertain(Reason.TRUNCATED, "the response does not mark its end")
     return None
 
 
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -23,7 +23,7 @@
     TargetConnection,
 )
 from .targetresponse import TargetResponse, check_head
-from .verdict import Reason, doubt, refuse
+from .verdict import Reason, fail_uncertain, refuse
 
 # A target may close an idle connection just as a request is sent on it, and then
 # it is unknown whether the request ran. Requests that are not idempotent use only
@@ -281,7 +281,7 @@
             connection, Reason.DEADLINE, "no response before the deadline"
         )
         if not failure.proves_not_run:
-            failure = doubt(Reason.DEADLINE, failure.detail, 504)
+            failure = fail_uncertain(Reason.DEADLINE, failure.detail, 504)
         return failure
     if isinstance(error, InvalidHeader):
         return _build_failure(connection, Reason.TRUNCATED, str(error))
@@ -293,7 +293,7 @@
 def _build_failure(connection, reason, detail, status=503):
     """Return a failure; its verdict is ``NOT_RUN`` only if no byte was sent."""
     if connection.started:
-        return doubt(reason, detail)
+        return fail_uncertain(reason, detail)
     return refuse(reason, detail, status)
 
 
@@ -315,7 +315,7 @@
         connection.request(
             attempt.method,
             attempt.path,
-            body=body.chunks() if body.exists else None,
+            body=body.iter_blocks() if body.exists else None,
             headers=headers,
             chunked=body.exists and body.length is None,
             preload_content=False,
