Reword the adapters for the platform

Comments, docstrings and error messages of the store client, the document decoder and the header parser used figurative terms. They now state what the code does. Private names follow (_read -> _decode, _Share -> _SplitEntry).

--- a/redwingspring/platform/__init__.py
+++ b/redwingspring/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Translation between the users' platform and the types of the product."""
+"""Adapters for the users' platform: its metadata store, headers and HTTP pages."""
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -1,4 +1,4 @@
-"""Documents in the platform's store, decoded into types of the product."""
+"""Decoding of the documents in the platform's metadata store."""
 
 from typing import Annotated, Literal
 
@@ -20,13 +20,13 @@
 INSTANCE_PREFIX = "servers/"
 
 _Positive = Annotated[float, Meta(gt=0, le=1e9)]
-_NotNegative = Annotated[float, Meta(ge=0, le=1e9)]
+_NonNegative = Annotated[float, Meta(ge=0, le=1e9)]
 _Text = Annotated[str, Meta(min_length=1, max_length=1024)]
 
 
-class _Share(Struct, frozen=True):
+class _SplitEntry(Struct, frozen=True):
     service: _Text
-    weight: _NotNegative
+    weight: _NonNegative
 
 
 class _Route(Struct, frozen=True):
@@ -38,15 +38,17 @@
     max_attempts: Annotated[int, Meta(ge=1)] = 1
     priority: int = 0
     service: _Text | None = None
-    traffic_split: tuple[_Share, ...] = ()
+    traffic_split: tuple[_SplitEntry, ...] = ()
     allowed_regions: tuple[_Text, ...] = ()
 
     def __post_init__(self):
         if self.service is None and not any(s.weight for s in self.traffic_split):
-            raise ValueError("names no service with a weight")
+            raise ValueError(
+                "needs a service, or a traffic_split with a weight above 0"
+            )
 
 
-class _Host(Struct, frozen=True):
+class _VirtualHost(Struct, frozen=True):
     host: _Text
     paths: list[_Route]
 
@@ -55,8 +57,8 @@
     name: _Text
     health_path: _Text = "/health"
     max_conns: Annotated[int, Meta(ge=1)] = 1
-    warmup_s: _NotNegative = 0.0
-    warmup_per_s: _NotNegative = 0.0
+    warmup_s: _NonNegative = 0.0
+    warmup_per_s: _NonNegative = 0.0
 
 
 class _Limits(Struct, frozen=True):
@@ -69,17 +71,19 @@
 class _Configuration(Struct, frozen=True):
     config_version: int
     services: list[_Service]
-    virtual_hosts: list[_Host]
+    virtual_hosts: list[_VirtualHost]
     limits: _Limits = _Limits()
 
     def __post_init__(self):
         known = {service.name for service in self.services}
         for host in self.virtual_hosts:
             for route in host.paths:
-                named = {share.service for share in route.traffic_split}
-                named |= {route.service} - {None}
-                if unknown := named - known:
-                    raise ValueError(f"route {route.name} names {sorted(unknown)}")
+                used = {share.service for share in route.traffic_split}
+                used |= {route.service} - {None}
+                if unknown := used - known:
+                    raise ValueError(
+                        f"route {route.name} refers to unknown services {sorted(unknown)}"
+                    )
 
 
 class _InstanceInfo(Struct, frozen=True):
@@ -90,7 +94,7 @@
 
 class _InstanceStatus(Struct, frozen=True):
     state: Literal["ready", "draining"]
-    warmup_left_s: _NotNegative = 0.0
+    warmup_left_s: _NonNegative = 0.0
 
 
 class _InstanceEntry(Struct, frozen=True):
@@ -101,7 +105,7 @@
 
 
 def decode_change(change):
-    """Return what an entry of the store means to the product.
+    """Decode an entry of the store.
 
     Parameters
     ----------
@@ -111,7 +115,7 @@
     Returns
     -------
     TableChange, EvacuationChange, InstanceChange, InstanceRemoval or None
-        None for an entry without meaning here.
+        None for an entry that this host does not use.
 
     Raises
     ------
@@ -122,17 +126,17 @@
     if key.startswith(INSTANCE_PREFIX):
         if value is None:
             return InstanceRemoval(key.removeprefix(INSTANCE_PREFIX))
-        return InstanceChange(read_instance(key, value))
+        return InstanceChange(decode_instance(key, value))
     if key.startswith(EVACUATION_PREFIX):
         data_centre = key.removeprefix(EVACUATION_PREFIX)
         return EvacuationChange(data_centre, value is not None)
     if key == CONFIGURATION_KEY and value is not None:
-        return TableChange(read_configuration(value))
+        return TableChange(decode_configuration(value))
     return None
 
 
-def read_configuration(value):
-    """Return the routing table that the operator published.
+def decode_configuration(value):
+    """Decode the routing table that the operator published.
 
     Parameters
     ----------
@@ -149,7 +153,7 @@
     DocumentError
         If the document is invalid.
     """
-    document = _read(_Configuration, value, CONFIGURATION_KEY)
+    document = _decode(_Configuration, value, CONFIGURATION_KEY)
     limits = CallerLimits(
         document.limits.max_header_bytes,
         document.limits.max_body_bytes,
@@ -177,7 +181,7 @@
     return Route(
         name=route.name,
         prefix=route.prefix,
-        # A single service takes the place of a split.
+        # Without a weighted split, all requests go to the single service.
         weighted_services=weighted_services or (WeightedService(route.service, 1.0),),
         # Downloads are long responses to idempotent requests.
         idempotent=route.type != "non_idempotent",
@@ -189,13 +193,13 @@
     )
 
 
-def read_instance(key, value):
-    """Return the instance that an entry of the store describes.
+def decode_instance(key, value):
+    """Decode the entry of an instance.
 
     Parameters
     ----------
     key : str
-        Key of the entry; it holds the instance's id.
+        Key of the entry; the instance's id follows its prefix.
     value : bytes
         The document.
 
@@ -207,9 +211,9 @@
     Raises
     ------
     DocumentError
-        If the entry is invalid; it names no target to use then.
+        If the entry is invalid and thus describes no usable target.
     """
-    entry = _read(_InstanceEntry, value, key)
+    entry = _decode(_InstanceEntry, value, key)
     try:
         check_address(entry.address)
     except ValueError as error:
@@ -226,8 +230,8 @@
     )
 
 
-def _read(model, value, key):
-    """Return a checked document."""
+def _decode(model, value, key):
+    """Decode and validate a JSON document; errors name its key."""
     try:
         return json.decode(value, type=model)
     except (MsgspecError, UnicodeDecodeError, RecursionError) as error:
--- a/redwingspring/platform/headers.py
+++ b/redwingspring/platform/headers.py
@@ -1,4 +1,4 @@
-"""Headers of requests and responses on the platform."""
+"""Parsing and building of the platform's request and response headers."""
 
 from ..loadsamples import LoadSample
 from ..metadata import RequestMetadata, ResponseMetadata
@@ -7,12 +7,12 @@
 TIME_LEFT = "Deadline-Ms"
 EXPECTED_INSTANCE = "Target-Instance"
 SIGNATURE = "Response-Signature"
-LOAD = "Server-Load"
-NOT_RUN = "Not-Executed"
+SERVER_LOAD = "Server-Load"
+NOT_EXECUTED = "Not-Executed"
 INSTANCE = "Instance-Id"
-COLD = "Warmup-Ms"
+WARMUP_LEFT = "Warmup-Ms"
 
-# Headers that the entry host sets anew for each target.
+# Request headers that the entry host replaces on each attempt.
 OWN_REQUEST_HEADERS = frozenset(
     (
         "content-length",
@@ -22,16 +22,16 @@
         EXPECTED_INSTANCE.lower(),
     )
 )
-# Headers between targets and this system that callers do not see. A promise that
-# a request did not run is given by the status of this host's own answer.
+# Response headers of targets that are not passed on to callers. That a request did
+# not run is told to the caller by the status of this host's own response.
 OWN_RESPONSE_HEADERS = frozenset(
-    (LOAD.lower(), INSTANCE.lower(), COLD.lower(), NOT_RUN.lower())
+    (SERVER_LOAD.lower(), INSTANCE.lower(), WARMUP_LEFT.lower(), NOT_EXECUTED.lower())
 )
-MAX_ID_LENGTH = 256
+MAX_REQUEST_ID_LENGTH = 256
 
 
 def read_request(environ):
-    """Return what a caller's headers say.
+    """Parse the headers of a caller's request.
 
     Parameters
     ----------
@@ -41,27 +41,27 @@
     Returns
     -------
     RequestMetadata
-        Values that cannot be read are None.
+        Missing and malformed values are None.
     """
     request_id = environ.get("HTTP_REQUEST_ID") or None
-    if request_id is not None and len(request_id) > MAX_ID_LENGTH:
+    if request_id is not None and len(request_id) > MAX_REQUEST_ID_LENGTH:
         request_id = None
-    # The value is the time that is left, not a point in time.
+    # The header holds the remaining time, not a point in time.
     left_ms = _read_number(environ.get("HTTP_DEADLINE_MS"))
     return RequestMetadata(request_id, None if left_ms is None else left_ms / 1000)
 
 
 def render_request(request_id, time_left_s, instance_id):
-    """Return the headers of one sending of a request.
+    """Return the headers for one attempt of a request.
 
     Parameters
     ----------
     request_id : str
-        Given by the caller.
+        Id that the caller assigned.
     time_left_s : float
-        Seconds that the caller will wait from now on.
+        Seconds until the caller times out.
     instance_id : str
-        The only instance that may run it.
+        The only instance that may run the request.
 
     Returns
     -------
@@ -76,7 +76,7 @@
 
 
 def read_response(headers):
-    """Return what a target's headers say.
+    """Parse the headers of a target's response.
 
     Parameters
     ----------
@@ -86,28 +86,28 @@
     Returns
     -------
     ResponseMetadata
-        Values that cannot be read are None or 0.
+        Missing and malformed values are None, False or 0.
     """
-    cold_ms = _read_number(headers.get(COLD))
+    cold_ms = _read_number(headers.get(WARMUP_LEFT))
     return ResponseMetadata(
         request_id=headers.get(REQUEST_ID),
         signed=bool(headers.get(SIGNATURE)),
-        not_run=headers.get(NOT_RUN) is not None,
+        not_run=headers.get(NOT_EXECUTED) is not None,
         instance_id=headers.get(INSTANCE),
-        load=_read_load(headers.get(LOAD)),
+        load=_read_load(headers.get(SERVER_LOAD)),
         cold_s=(cold_ms or 0.0) / 1000,
     )
 
 
 def _read_load(text):
-    """Return the load in a header, or None if it cannot be read."""
+    """Return the load in a header, or None if it is missing or malformed."""
     if text is None:
         return None
     numbers = [_read_number(part.strip()) for part in text.split(",")]
     if len(numbers) < 3 or None in numbers:
         return None
     running, waiting, slots = (int(number) for number in numbers[:3])
-    # Percent of the usual time that work takes; absent means as usual.
+    # The fourth field is the service time in percent of normal; 100 if it is absent.
     slowness = numbers[3] / 100 if len(numbers) > 3 else 1.0
     return LoadSample(running, waiting, max(1, slots), max(0.01, slowness))
 
--- a/redwingspring/platform/pages.py
+++ b/redwingspring/platform/pages.py
@@ -1,4 +1,4 @@
-"""Calls of the platform and of callers that ask for addresses."""
+"""Readiness page for the platform, and host addresses for callers."""
 
 import json
 from urllib.parse import parse_qs
@@ -10,15 +10,15 @@
 
 
 class PlatformPages(ResponsePage):
-    """WSGI application for the ready and the directory address.
+    """WSGI application for the readiness and the directory address.
 
     Parameters
     ----------
     is_ready : callable
-        Tells whether this host takes new connections.
+        Returns whether this host takes new connections.
     find_addresses : callable
-        Returns addresses for callers in a data centre, and the seconds to keep
-        them.
+        Returns the host addresses for callers in a data centre, and the seconds
+        for which to cache them.
     """
 
     def __init__(self, is_ready, find_addresses):
@@ -26,7 +26,7 @@
         self._find_addresses = find_addresses
 
     def respond(self, environ):
-        """Return whether this host is ready, or addresses to use.
+        """Return whether this host is ready, or the hosts to connect to.
 
         Parameters
         ----------
@@ -49,7 +49,7 @@
 
     def _resolve(self, environ):
         query = parse_qs(environ.get("QUERY_STRING", ""))
-        # What the platform calls a zone is a data centre here.
+        # The platform's word for a data centre is zone.
         data_centre = query.get("zone", [None])[0]
         addresses, keep_s = self._find_addresses(data_centre)
         if not addresses:
--- a/redwingspring/platform/store.py
+++ b/redwingspring/platform/store.py
@@ -12,10 +12,11 @@
 
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 1.0
-# A watch answers at the end of its wait; its answer may take this much longer.
+# The store answers a watch without changes at the end of the wait, so the read
+# timeout is longer than the wait by this much.
 WATCH_MARGIN_S = 0.6
 MAX_PAGES = 200
-# A connection that goes silent is found by keep-alive probes of the kernel.
+# TCP keep-alive detects a connection whose peer no longer responds.
 _SOCKET_OPTIONS = [
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -27,7 +28,7 @@
 
 
 class StoreClient:
-    """Reads and watches the platform's store.
+    """Client that reads and watches the platform's store.
 
     Parameters
     ----------
@@ -54,18 +55,18 @@
         Parameters
         ----------
         stale : bool, default=False
-            Whether a state that is seconds old will do.
+            Whether the store may return a state that is seconds old.
 
         Returns
         -------
         StoreSnapshot
-            The revision is that of the first page, because the pages are not of
-            one moment.
+            The revision is that of the first page, because the pages are not
+            read atomically.
 
         Raises
         ------
         StoreError
-            If the store gives no usable answer.
+            If the store gives no usable response.
         """
         changes = []
         revision = None
@@ -81,15 +82,15 @@
                 revision = _read_revision(document)
             items = document.get("items")
             if not isinstance(items, list):
-                raise StoreError("the store answered without items")
+                raise StoreError("the store's response has no items")
             changes.extend(map(_read_change, items))
             if not document.get("has_more") or not items:
                 return StoreSnapshot(tuple(changes), revision)
             after = changes[-1].key
-        raise StoreError("the store answered with too many pages")
+        raise StoreError("the store returned too many pages")
 
     def watch(self, after, wait_s):
-        """Wait for changes.
+        """Wait for changes after a revision.
 
         Parameters
         ----------
@@ -101,20 +102,20 @@
         Returns
         -------
         tuple of (tuple of StoreChange, int)
-            The changes in their order, and the revision to go on from.
+            The changes in order, and the revision after which to watch next.
 
         Raises
         ------
         HistoryLost
-            If the store no longer knows the changes.
+            If the changes are no longer in the store's history.
         StoreError
-            If the store gives no usable answer.
+            If the store gives no usable response.
         """
         fields = {"prefix": "", "after": after, "wait_ms": int(wait_s * 1000)}
         document = self._call("kv-watch", fields, wait_s + WATCH_MARGIN_S)
         events = document.get("events")
         if not isinstance(events, list):
-            raise StoreError("the store answered without events")
+            raise StoreError("the store's response has no events")
         return tuple(map(_read_change, events)), _read_revision(document)
 
     def _call(self, name, fields, timeout_s):
@@ -127,41 +128,41 @@
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise StoreError(f"the store cannot be asked: {error}") from error
+            raise StoreError(f"a request to the store failed: {error}") from error
         if response.status == 410:
-            raise HistoryLost("the store has forgotten these changes")
+            raise HistoryLost("the changes are no longer in the store's history")
         if response.status in (429, 503):
-            raise StoreBusy(f"the store answered with status {response.status}")
+            raise StoreBusy(f"the store responded with status {response.status}")
         if response.status != 200:
-            raise StoreError(f"the store answered with status {response.status}")
+            raise StoreError(f"the store responded with status {response.status}")
         try:
             document = json.loads(response.data)
         except ValueError as error:
-            raise StoreError(f"the store's answer cannot be read: {error}") from error
+            raise StoreError(f"cannot decode the store's response: {error}") from error
         if not isinstance(document, dict):
-            raise StoreError("the store's answer is no object")
+            raise StoreError("the store's response is not a JSON object")
         return document
 
 
 def _read_revision(document):
     revision = document.get("store_revision")
     if not isinstance(revision, int):
-        raise StoreError("the store answered without its revision")
+        raise StoreError("the store's response has no revision")
     return revision
 
 
 def _read_change(item):
-    """Return one item or event; a value that cannot be read is empty bytes."""
+    """Parse one item or event; a value that is not valid base64 becomes empty."""
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
-        raise StoreError("the store answered with an item without key")
+        raise StoreError("the store returned an item without a key")
     revision = item.get("revision")
     if not isinstance(revision, int):
-        raise StoreError("the store answered with an item without revision")
+        raise StoreError("the store returned an item without a revision")
     if item.get("deleted"):
         return StoreChange(item["key"], None, revision)
     try:
         value = base64.b64decode(item.get("value", ""), validate=True)
     except (binascii.Error, TypeError, ValueError):
-        # Whoever reads the value finds it invalid and says so with its key.
+        # Decoding an empty document fails later, with an error that names the key.
         value = b""
     return StoreChange(item["key"], value, revision)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""Translation between the platform and the product."""
+"""Decoding of the platform's documents and headers, and its store client."""
 
 import json
 
@@ -39,7 +39,7 @@
 
 
 class InstanceEntryTest(RedwingspringTestCase):
-    def test_an_entry_becomes_an_instance(self):
+    def test_an_entry_is_decoded_into_an_instance(self):
         change = decode("servers/i-1", ENTRY)
         self.assertIsInstance(change, InstanceChange)
         instance = change.instance
@@ -51,13 +51,13 @@
             (3, 1.5, False), (instance.slots, instance.cold_s, instance.leaving)
         )
 
-    def test_a_removed_entry_names_the_instance_that_is_gone(self):
+    def test_a_deleted_entry_removes_its_instance(self):
         self.assertEqual(InstanceRemoval("i-1"), decode("servers/i-1", None))
 
-    def test_hostile_entries_name_no_target(self):
+    def test_an_invalid_entry_raises_an_error_with_its_key(self):
         status = ENTRY["status"]
         info = ENTRY["info"]
-        hostile = [
+        invalid_entries = [
             b"",
             b"\xff\xfe",
             b"[]",
@@ -74,7 +74,7 @@
             {**ENTRY, "born": "yesterday"},
             {key: value for key, value in ENTRY.items() if key != "info"},
         ]
-        for value in hostile:
+        for value in invalid_entries:
             error = self.assertRaises(DocumentError, decode, "servers/i-1", value)
             self.assertIn("servers/i-1", str(error))
 
@@ -84,7 +84,7 @@
 
 
 class ConfigurationTest(RedwingspringTestCase):
-    def test_a_configuration_becomes_a_routing_table(self):
+    def test_a_configuration_is_decoded_into_a_routing_table(self):
         split = [{"service": "desk", "weight": 90}, {"service": "desk", "weight": 0}]
         routes = [
             describe_route("r", "/r/", "download", service=None, traffic_split=split),
@@ -103,19 +103,19 @@
             (3.0, 15.0), (table.limits.header_timeout_s, table.limits.idle_timeout_s)
         )
 
-    def test_an_invalid_configuration_is_refused_whole(self):
-        bad = [
+    def test_a_configuration_with_an_invalid_route_is_rejected(self):
+        invalid_routes = [
             describe_route("r", "/r/", "perhaps"),
             describe_route("r", "/r/", "idempotent", service="nobody"),
             describe_route("r", "/r/", "idempotent", service=None),
             describe_route("r", "/r/", "idempotent", timeout_s=0),
             describe_route("r", "/r/", "idempotent", max_attempts=0),
         ]
-        for route in bad:
+        for route in invalid_routes:
             document = describe_configuration(2, [route])
             self.assertRaises(DocumentError, decode, "op/config", document)
 
-    def test_an_evacuation_is_there_as_long_as_its_key(self):
+    def test_an_evacuation_lasts_while_its_key_exists(self):
         self.assertEqual(
             EvacuationChange("akl-a", True), decode("op/evacuate/akl-a", {})
         )
@@ -123,12 +123,12 @@
             EvacuationChange("akl-a", False), decode("op/evacuate/akl-a", None)
         )
 
-    def test_other_keys_mean_nothing(self):
+    def test_unknown_keys_are_ignored(self):
         self.assertEqual(None, decode("my/leader", b"x"))
 
 
 class HeadersTest(RedwingspringTestCase):
-    def test_the_load_is_read_with_its_slowness(self):
+    def test_a_load_header_is_parsed_with_its_slowness(self):
         metadata = headers.read_response(
             {"Server-Load": "3,1,8,250", "Warmup-Ms": "900"}
         )
@@ -138,18 +138,18 @@
         )
         self.assertEqual(0.9, metadata.cold_s)
 
-    def test_a_load_that_cannot_be_read_is_no_load(self):
+    def test_a_malformed_load_header_is_ignored(self):
         for text in ("", "1,2", "a,b,c", "1,2,nan", "-1,0,3", "1,2,3,x"):
             self.assertEqual(None, headers.read_response({"Server-Load": text}).load)
 
-    def test_a_missing_or_broken_time_is_no_time(self):
+    def test_a_missing_or_malformed_deadline_is_none(self):
         for text in (None, "", "soon", "-5", "nan", "inf"):
             environ = {"HTTP_REQUEST_ID": "r"}
             if text is not None:
                 environ["HTTP_DEADLINE_MS"] = text
             self.assertEqual(None, headers.read_request(environ).time_left_s)
 
-    def test_a_send_names_the_time_left_and_the_instance(self):
+    def test_request_headers_carry_the_time_left_and_the_instance(self):
         self.assertEqual(
             {"Request-Id": "r", "Deadline-Ms": "750", "Target-Instance": "i"},
             headers.render_request("r", 0.7504, "i"),
@@ -171,7 +171,7 @@
         self.assertEqual(8, len(snapshot.changes))
         self.assertEqual(self.stand_in.revision, snapshot.revision)
 
-    def test_a_watch_tells_changes_and_where_to_go_on(self):
+    def test_a_watch_returns_changes_and_the_next_revision(self):
         after = self.stand_in.revision
         self.stand_in.put("servers/1", b"x")
         self.stand_in.delete("servers/1")
@@ -179,7 +179,7 @@
         self.assertEqual([b"x", None], [change.value for change in changes])
         self.assertEqual(((), revision), self.client.watch(revision, 0.05))
 
-    def test_each_trouble_of_the_store_has_an_error_of_its_own(self):
+    def test_each_failure_of_the_store_raises_its_own_error(self):
         self.stand_in.put("servers/1", b"x")
         self.stand_in.compact_history()
         self.assertRaises(HistoryLost, self.client.watch, 1, 0.1)
@@ -187,11 +187,11 @@
             self.stand_in.status = status
             self.assertRaises(error, self.client.read_all)
 
-    def test_a_silent_store_is_noticed(self):
+    def test_a_store_that_does_not_respond_raises_an_error(self):
         self.stand_in.hangs = True
         self.patch(store, "WATCH_MARGIN_S", 0.1)
         self.assertRaises(StoreError, self.client.watch, 1, 0.1)
 
-    def test_a_store_that_is_gone_is_noticed(self):
+    def test_an_unreachable_store_raises_an_error(self):
         self.stand_in.close()
         self.assertRaises(StoreError, self.client.read_all)
