--- a/harness/costs.py
+++ b/harness/costs.py
@@ -28,7 +28,7 @@
 from redwingspring.requestlog import RequestLog
 from redwingspring.slots import COLD, SlotCounter
 from redwingspring.stamp import Stamp
-from redwingspring.status import Moment, ValueInForce, render_status
+from redwingspring.status import Timestamp, ValueInForce, render_status
 from redwingspring.targets import TargetDirectory
 from redwingspring.upstream import PoolDirectory
 from redwingspring.values import KEYS, ValueStore
@@ -396,9 +396,9 @@
     settings = SimpleNamespace(
         name="entry-0", data_centre="dc-a", address=make_address(0, 7000)
     )
-    value = ValueInForce(Stamp(1, "d" * 64), "pushed by entry-1", Moment.now())
+    value = ValueInForce(Stamp(1, "d" * 64), "pushed by entry-1", Timestamp.now())
     return SimpleNamespace(
-        settings=settings, started=Moment.now(), membership=membership,
+        settings=settings, started=Timestamp.now(), membership=membership,
         in_force={key: value for key in KEYS}, directory=parts.directory,
         admissions=parts.admissions, requests=RequestLog(), metrics=Metrics(),
     )  # fmt: skip
--- a/redwingspring/audit.py
+++ b/redwingspring/audit.py
@@ -1,4 +1,4 @@
-"""Audit trail of changes, bounded in memory and sent out as log lines."""
+"""Audit trail of changes, kept in bounded memory and written to the log."""
 
 import logging
 import threading
@@ -10,29 +10,29 @@
 
 logger = logging.getLogger(__name__)
 
-# Hosts have no disks; log lines carry the trail away from the host.
+# Hosts have no disks; older entries exist only in the log lines sent off the host.
 MAX_ENTRIES = 2000
-# Bounds the memory of the trail; a refused document can have many problems.
+# Bound the memory of the trail: a rejected document can list many problems.
 MAX_SUBJECT_LENGTH = 200
 MAX_DETAIL_LENGTH = 1000
 
 
 @dataclass(frozen=True)
 class AuditEntry:
-    """One change.
+    """One recorded change.
 
     Attributes
     ----------
     number : int
-        Position in the trail of this process, from 1.
+        Sequence number in the trail of this process, from 1.
     time : float
         Unix time in seconds.
     kind : str
         What changed, for example ``configuration-taken``.
     subject : str
-        What it happened to: a key, target, data centre or host.
+        What the change affects: a key, target, data centre or host.
     detail : str
-        Why, and by which route.
+        Reason and source of the change.
     """
 
     number: int
@@ -47,18 +47,18 @@
         Returns
         -------
         dict
-            The fields by name.
+            Values by field name.
         """
         return asdict(self)
 
 
 class AuditTrail:
-    """The latest changes of one process.
+    """Keeps the latest changes of one process.
 
     Parameters
     ----------
     capacity : int, default=MAX_ENTRIES
-        How many entries are kept.
+        Number of entries kept.
     """
 
     def __init__(self, capacity=MAX_ENTRIES):
@@ -74,11 +74,11 @@
         kind : str
             What changed.
         subject : str
-            What it happened to.
+            What the change affects.
         detail : str, default=""
-            Why, and by which route.
+            Reason and source of the change.
         """
-        # Values of documents and peers could otherwise forge further lines.
+        # Without escaping, values from documents and peers could forge log lines.
         kind = escape_controls(str(kind), MAX_SUBJECT_LENGTH)
         subject = escape_controls(str(subject), MAX_SUBJECT_LENGTH)
         detail = escape_controls(str(detail), MAX_DETAIL_LENGTH)
@@ -99,13 +99,13 @@
         """Number of the newest entry, 0 before the first."""
         return self._count
 
-    def entries(self, after=0):
-        """Return the entries behind a position.
+    def list_entries(self, after=0):
+        """Return the entries after a sequence number.
 
         Parameters
         ----------
         after : int, default=0
-            Position of the last entry already known.
+            Number of the last entry that the reader already has.
 
         Returns
         -------
@@ -117,12 +117,12 @@
 
 
 def format_entry(fields):
-    """Return an entry as one line for a person.
+    """Return an entry as one line of text.
 
     Parameters
     ----------
     fields : dict
-        An entry as ``AuditEntry.as_dict`` gives it; may come from another
+        An entry as returned by ``AuditEntry.as_dict``, possibly in another
         process.
 
     Returns
@@ -130,12 +130,12 @@
     str
         Number, time in UTC, kind, subject and detail.
     """
-    moment = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(fields["time"]))
-    words = (
+    timestamp = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(fields["time"]))
+    values = (
         fields["number"],
-        moment,
+        timestamp,
         fields["kind"],
         fields["subject"],
         fields["detail"],
     )
-    return escape_controls(" ".join(str(word) for word in words).rstrip())
+    return escape_controls(" ".join(str(value) for value in values).rstrip())
--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -292,7 +292,7 @@
 
     typer.echo(str(error), err=True)
     missing = isinstance(error, NoAnswerError)
-    return typer.Exit(ExitCode.NO_ANSWER if missing else ExitCode.NOT_UNDERSTOOD)
+    return typer.Exit(ExitCode.NO_ANSWER if missing else ExitCode.INVALID_RESPONSE)
 
 
 @app.command()
--- a/redwingspring/control.py
+++ b/redwingspring/control.py
@@ -9,7 +9,7 @@
 from .configuration import parse_configuration
 from .drain import drain_server
 from .hosts import parse_hosts
-from .status import Moment, ValueInForce
+from .status import Timestamp, ValueInForce
 from .threads import run_always, run_thread
 from .values import CONFIGURATION_KEY, KEYS
 
@@ -25,7 +25,7 @@
 
     def __init__(self, settings):
         self.settings = settings
-        self.started = Moment.now()
+        self.started = Timestamp.now()
         self.in_force = {}
         self.stopping = threading.Event()
         self._stopped = threading.Event()
@@ -107,7 +107,7 @@
             self._apply_configuration(value)
         else:
             self.membership.apply(parse_hosts(value.text))
-        self.in_force[value.key] = ValueInForce(value.stamp, source, Moment.now())
+        self.in_force[value.key] = ValueInForce(value.stamp, source, Timestamp.now())
 
     def _apply_configuration(self, value):
         configuration = parse_configuration(value.text)
--- a/redwingspring/decisions.py
+++ b/redwingspring/decisions.py
@@ -1,4 +1,4 @@
-"""Log lines for decisions, bounded in rate."""
+"""Rate-limited log of decisions."""
 
 import logging
 import threading
@@ -12,10 +12,10 @@
 
 
 class DecisionLog:
-    """Writes one structured line for each decision.
+    """Writes one structured log line for each decision.
 
-    Lines beyond the rate are counted instead of written, so that the volume stays
-    bounded under load.
+    A token bucket limits the rate. Lines beyond it are counted instead of written,
+    so that the log volume stays bounded under load.
 
     Parameters
     ----------
@@ -30,32 +30,33 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._tokens = BURST_LINES
-        self._filled_at = clock()
+        self._refilled_at = clock()
 
     def record(self, event, level=logging.INFO, **fields):
-        """Write a line.
+        """Write a line unless the rate limit is reached.
 
         Parameters
         ----------
         event : str
             What was decided.
         level : int, default=logging.INFO
-            Level of the line.
+            Logging level of the line.
         **fields : object
-            Request id, inputs, their age or version, and the outcome.
+            Request id, inputs with their age or version, and the outcome. Fields
+            that are None are left out.
         """
-        if not self._take():
+        if not self._take_token():
             self._metrics.increment("logs.suppressed")
             return
         known = {name: value for name, value in fields.items() if value is not None}
         logger.log(level, event, extra={"fields": known})
 
-    def _take(self):
+    def _take_token(self):
         with self._lock:
             now = self._clock()
-            gained = (now - self._filled_at) * LINES_PER_S
-            self._tokens = min(BURST_LINES, self._tokens + gained)
-            self._filled_at = now
+            refill = (now - self._refilled_at) * LINES_PER_S
+            self._tokens = min(BURST_LINES, self._tokens + refill)
+            self._refilled_at = now
             if self._tokens < 1.0:
                 return False
             self._tokens -= 1.0
--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -246,7 +246,7 @@
         now = self._clock()
         headers = dict(call.headers)
         headers.update(
-            self._dispatcher.dialect.render_request(
+            self._dispatcher.dialect.build_request_headers(
                 call.request_id, call.deadline - now, instance.id
             )
         )
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -314,11 +314,11 @@
     def _skip_stale_responses(self, is_expected):
         """Return the first expected response, or the one after the last skipped."""
         response = self._read_response(is_first=True)
-        metadata = self._dialect.read_response(response.headers)
+        metadata = self._dialect.parse_response_headers(response.headers)
         skipped = 0
         while not is_expected(metadata) and skipped < MAX_STALE_RESPONSES:
             response = self._read_after_stale(response)
-            metadata = self._dialect.read_response(response.headers)
+            metadata = self._dialect.parse_response_headers(response.headers)
             skipped += 1
         return response, metadata
 
--- a/redwingspring/exposition.py
+++ b/redwingspring/exposition.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms as text for a metrics collector."""
+"""Counters, gauges and latency histograms in the Prometheus text format."""
 
 import re
 
@@ -9,18 +9,17 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "redwingspring_"
-# Upper bounds in seconds.
-BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 0.8, 1, 2, 4, 8)
-_UNSAFE = re.compile(r"[^A-Za-z0-9_]")
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 0.8, 1, 2, 4, 8)
+_UNSAFE_CHARACTERS = re.compile(r"[^A-Za-z0-9_]")
 
 
-class Latencies:
-    """Histograms of the time that requests take.
+class RequestLatencies:
+    """Histogram of request latencies.
 
     Parameters
     ----------
     registry : prometheus_client.CollectorRegistry
-        Where the histograms are listed.
+        Registry that exposes the histogram.
     """
 
     def __init__(self, registry):
@@ -28,65 +27,65 @@
             PREFIX + "request_seconds",
             "Seconds from a request's arrival to its response or failure.",
             ("idempotent", "outcome"),
-            buckets=BUCKETS,
+            buckets=BUCKETS_S,
             registry=registry,
         )
 
     def observe(self, route, outcome, seconds):
-        """Count one request.
+        """Record the latency of one request.
 
         Parameters
         ----------
         route : Route
-            Its route.
+            Route of the request.
         outcome : str
             ``answered`` or ``failed``.
         seconds : float
-            The time.
+            Latency of the request.
         """
         idempotent = "yes" if route.idempotent else "no"
         self._requests.labels(idempotent, outcome).observe(seconds)
 
 
-class TotalsCollector:
-    """Lists the counters and gauges of the process.
+class MetricsCollector:
+    """Prometheus collector of the counters and gauges of the process.
 
     Parameters
     ----------
     metrics : Metrics
-        The counters.
+        Counters and gauges.
     """
 
     def __init__(self, metrics):
         self._metrics = metrics
 
     def collect(self):
-        """Return all counters and gauges.
+        """Yield all counters and gauges.
 
         Yields
         ------
         prometheus_client.core.Metric
-            One for each name.
+            One metric for each name.
         """
         for name, total in sorted(self._metrics.snapshot().items()):
             text = f"Counter {name}, see docs/metrics.md."
-            yield CounterMetricFamily(_clean(name), text, value=total)
+            yield CounterMetricFamily(_build_metric_name(name), text, value=total)
         for name, value in sorted(self._metrics.gauges().items()):
             text = f"Gauge {name}, see docs/metrics.md."
-            yield GaugeMetricFamily(_clean(name), text, value=value)
+            yield GaugeMetricFamily(_build_metric_name(name), text, value=value)
 
 
-def _clean(name):
-    return PREFIX + _UNSAFE.sub("_", name)
+def _build_metric_name(name):
+    return PREFIX + _UNSAFE_CHARACTERS.sub("_", name)
 
 
 class MetricsPage(ResponsePage):
-    """WSGI application that serves the metrics.
+    """WSGI application that serves the metrics to Prometheus.
 
     Parameters
     ----------
     registry : prometheus_client.CollectorRegistry
-        What is served.
+        Registry to serve.
     """
 
     def __init__(self, registry):
@@ -109,18 +108,18 @@
 
 
 def build_registry(metrics):
-    """Return a registry with the totals of the process.
+    """Return a registry with the counters and gauges of the process.
 
     Parameters
     ----------
     metrics : Metrics
-        The counters.
+        Counters and gauges.
 
     Returns
     -------
     prometheus_client.CollectorRegistry
-        A registry of its own.
+        A new registry, separate from the global one.
     """
     registry = CollectorRegistry()
-    registry.register(TotalsCollector(metrics))
+    registry.register(MetricsCollector(metrics))
     return registry
--- a/redwingspring/inspection.py
+++ b/redwingspring/inspection.py
@@ -1,4 +1,4 @@
-"""Answers of entry hosts for the command line, with exit codes for scripts."""
+"""Queries of an entry host's control pages, for the command line."""
 
 import json
 import time
@@ -26,7 +26,7 @@
     RUNNING = 6
     UNKNOWN = 7
     NO_ANSWER = 8
-    NOT_UNDERSTOOD = 9
+    INVALID_RESPONSE = 9
 
 
 _REQUEST_CODES = {
@@ -39,21 +39,21 @@
 
 
 class NoAnswerError(PageError):
-    """An entry host gave no answer."""
+    """An entry host did not respond."""
 
 
 @dataclass(frozen=True)
 class Inspection:
-    """What an entry host says.
+    """Result of a query to an entry host.
 
     Attributes
     ----------
     code : ExitCode
-        The answer as an exit code.
+        Exit code that stands for the result.
     text : str
         The page.
     document : dict
-        The page as plain values.
+        Content of the page, for output as JSON.
     """
 
     code: ExitCode
@@ -62,15 +62,15 @@
 
 
 @dataclass(frozen=True)
-class AuditPart:
+class AuditItem:
     """One entry of an audit trail, or a notice about the trail.
 
     Attributes
     ----------
     entry : dict or None
-        Fields of an entry.
+        Fields of the entry; None for a notice.
     notice : str or None, default=None
-        One sentence for a person.
+        Text of the notice.
     """
 
     entry: dict | None
@@ -78,7 +78,7 @@
 
 
 def inspect_host(url):
-    """Return whether a host takes work, with its status page.
+    """Return whether a host accepts requests, with its status page.
 
     Parameters
     ----------
@@ -93,19 +93,21 @@
     Raises
     ------
     PageError
-        If the host gives no answer or one that is not understood.
+        If the host does not respond or its response cannot be parsed.
     """
-    text = _read(url, "/-/status").text
+    text = _fetch_page(url, "/-/status").text
     facts = parse_status(text)
     taken = [fact["taken"] for fact in facts if "state" in fact and "taken" in fact]
     if taken not in (["yes"], ["no"]):
-        raise PageError("the status page does not say whether the host takes work")
+        raise PageError(
+            "the status page does not state whether the host accepts requests"
+        )
     code = ExitCode.OK if taken == ["yes"] else ExitCode.REFUSED
     return Inspection(code, text, {"facts": facts})
 
 
 def inspect_service(url, service):
-    """Return whether a host takes requests of a service.
+    """Return whether a host accepts requests of a service.
 
     Parameters
     ----------
@@ -122,21 +124,21 @@
     Raises
     ------
     PageError
-        If the host gives no answer or one that is not understood.
+        If the host does not respond or its response cannot be parsed.
     """
-    text = _read(url, f"/-/service/{quote(service, safe='')}").text
+    text = _fetch_page(url, f"/-/service/{quote(service, safe='')}").text
     kind, name, state, reason = _read_words(text, 4)
     if (kind, name) != ("service", format_word(service)):
-        raise PageError(f"the answer is not about service {service!r}")
+        raise PageError(f"the response is not about service {service!r}")
     if state not in ("taken", "refused"):
-        raise PageError(f"the answer {state!r} is unknown")
+        raise PageError(f"the service state {state!r} is unknown")
     taken = state == "taken"
     document = {"service": service, "taken": taken, "reason": reason}
     return Inspection(ExitCode.OK if taken else ExitCode.REFUSED, text, document)
 
 
 def inspect_request(url, request_id):
-    """Return what a host knows of a request.
+    """Return the state of a request at a host.
 
     Parameters
     ----------
@@ -148,21 +150,21 @@
     Returns
     -------
     Inspection
-        A code for each state.
+        The exit code depends on the state.
 
     Raises
     ------
     PageError
-        If the host gives no answer or one that is not understood.
+        If the host does not respond or its response cannot be parsed.
     """
-    text = _read(url, f"/-/request/{quote(request_id, safe='')}").text
+    text = _fetch_page(url, f"/-/request/{quote(request_id, safe='')}").text
     kind, name, state = _read_words(text, 3)
     if (kind, name) != ("request", format_word(request_id)):
-        raise PageError(f"the answer is not about request {request_id!r}")
+        raise PageError(f"the response is not about request {request_id!r}")
     try:
         code = _REQUEST_CODES[RequestState(state)]
     except ValueError as error:
-        raise PageError(f"the state {state!r} is unknown") from error
+        raise PageError(f"the request state {state!r} is unknown") from error
     return Inspection(code, text, {"request": request_id, "state": state})
 
 
@@ -174,56 +176,56 @@
     url : str
         ``http://ip:port`` of the host.
     after : int, default=0
-        Number of the last entry already known.
+        Number of the last entry that the reader already has.
     follow : bool, default=False
-        Whether to go on with entries as they appear.
+        Whether to wait for new entries and yield them too.
     interval : float, default=FOLLOW_INTERVAL_S
-        Seconds between two questions while no entry is new.
+        Seconds between two polls while there is no new entry.
 
     Yields
     ------
-    AuditPart
+    AuditItem
         Entries, oldest first, and notices about gaps.
 
     Raises
     ------
     PageError
-        If the host gives no answer and ``follow`` is false, or one that is
-        not understood.
+        If the host does not respond and ``follow`` is false, or if its response
+        cannot be parsed.
     """
     process = None
     answered = True
     while True:
         try:
-            page = _read(url, f"/-/audit?after={after}")
+            page = _fetch_page(url, f"/-/audit?after={after}")
         except NoAnswerError as error:
             if not follow:
                 raise
             if answered:
-                yield AuditPart(None, f"no answer, trying again: {error}")
+                yield AuditItem(None, f"no answer, trying again: {error}")
             answered = False
             time.sleep(interval)
             continue
         answered = True
-        former, process = process, page.headers.get("process-start")
-        if former not in (None, process):
-            yield AuditPart(None, "the process started again; numbers begin at 1")
+        previous_process, process = process, page.headers.get("process-start")
+        if previous_process not in (None, process):
+            yield AuditItem(None, "the process started again; numbers begin at 1")
             after = 0
             continue
         entries = _parse_entries(page)
         if entries and after and entries[0]["number"] > after + 1:
             lost = entries[0]["number"] - after - 1
-            yield AuditPart(None, f"{lost} entries are no longer kept")
+            yield AuditItem(None, f"{lost} entries are no longer kept")
         for entry in entries:
             after = entry["number"]
-            yield AuditPart(entry)
+            yield AuditItem(entry)
         if not entries:
             if not follow:
                 return
             time.sleep(interval)
 
 
-def _read(url, path):
+def _fetch_page(url, path):
     answer = read_page(url, path, timeout=PAGE_TIMEOUT_S)
     if answer.is_error():
         raise NoAnswerError(f"{url}: {answer.error}")
@@ -231,15 +233,15 @@
 
 
 def _read_words(text, count):
-    """Return the words of a page's first line."""
+    """Split the first line of a page into the expected number of words."""
     words = text.partition("\n")[0].split(" ")
     if len(words) != count:
-        raise PageError(f"the answer {text[:80]!r} is not understood")
+        raise PageError(f"cannot parse the response {text[:80]!r}")
     return words
 
 
 def _parse_entries(page):
-    """Return the entries of a page of an audit trail."""
+    """Parse the entries of an audit page."""
     try:
         entries = [json.loads(line) for line in page.text.splitlines()]
         if page.status == 200 and all(
@@ -251,4 +253,4 @@
             return entries
     except (ValueError, TypeError, KeyError, AttributeError):
         pass
-    raise PageError("the answer is not an audit trail")
+    raise PageError("the response is not an audit trail")
--- a/redwingspring/logs.py
+++ b/redwingspring/logs.py
@@ -1,4 +1,4 @@
-"""Logging set-up with an option for JSON lines."""
+"""Set-up of logging to standard error, as text or JSON lines."""
 
 import atexit
 import json
@@ -10,31 +10,32 @@
 from logging.handlers import QueueHandler, QueueListener
 
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
-# Lines wait here while standard error is blocked; more are dropped.
+# Lines are queued while standard error is blocked; when the queue is full, they
+# are dropped.
 MAX_QUEUED_LINES = 5000
 STOP_WAIT_S = 2.0
-# Control, format, line-separator and paragraph-separator characters.
+# Control, format, surrogate, line-separator and paragraph-separator characters.
 _UNSAFE_CATEGORIES = frozenset(("Cc", "Cf", "Cs", "Zl", "Zp"))
 
 
 def escape_controls(text, limit=None):
-    r"""Return text without characters that end a line or steer a terminal.
+    r"""Escape characters that end a line or control a terminal.
 
     Parameters
     ----------
     text : str
         Any text, for example from a published document.
     limit : int or None, default=None
-        Largest number of characters kept.
+        Number of characters after which the text is truncated.
 
     Returns
     -------
     str
         The text on one line; a line feed appears as ``\n``.
     """
-    cut = ""
+    suffix = ""
     if limit is not None and len(text) > limit:
-        cut = f" ({len(text) - limit} characters cut)"
+        suffix = f" ({len(text) - limit} characters cut)"
         text = text[:limit]
     if not text.isprintable():
         text = "".join(
@@ -43,11 +44,11 @@
             else char
             for char in text
         )
-    return text + cut
+    return text + suffix
 
 
 class TextFormatter(logging.Formatter):
-    """Format a record as one line; traceback lines follow indented."""
+    """Formats a record as one line, followed by an indented traceback if any."""
 
     def __init__(self):
         super().__init__(TEXT_FORMAT)
@@ -63,7 +64,7 @@
         Returns
         -------
         str
-            One line, with the request id where there is one.
+            One line, with the request id and the fields of the record, if any.
         """
         line = escape_controls(super().formatMessage(record))
         request_id = getattr(record, "request_id", None)
@@ -74,7 +75,7 @@
         return line
 
     def formatException(self, ei):
-        """Return a traceback whose lines cannot pass for log lines.
+        """Return an indented traceback whose lines cannot pass for log lines.
 
         Parameters
         ----------
@@ -91,7 +92,7 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Format a record as one JSON object on one line."""
+    """Formats a record as one JSON object on one line."""
 
     def format(self, record):
         """Return the record as JSON text.
@@ -124,9 +125,9 @@
 
 
 class DroppingQueueHandler(QueueHandler):
-    """Hand lines to the writer thread; drop them while its queue is full.
+    """Queues records for the writer thread and drops them while the queue is full.
 
-    A reader of standard error that stops reading must not stop requests.
+    Otherwise a process that stops reading standard error would block requests.
 
     Parameters
     ----------
@@ -139,7 +140,7 @@
         self.dropped = 0
 
     def enqueue(self, record):
-        """Add a record, or count it as dropped.
+        """Queue a record, or count it as dropped if the queue is full.
 
         Parameters
         ----------
@@ -153,14 +154,14 @@
 
 
 class LogWriter(QueueListener):
-    """Write queued lines in a thread of its own."""
+    """Writes queued lines in a separate thread."""
 
     def stop(self):
-        """Write the lines still queued, as far as a few seconds allow."""
+        """Write the lines still queued, but give up after a few seconds."""
         thread, self._thread = self._thread, None
         if thread is None:
             return
-        # A reader that stopped reading must not keep the process from ending.
+        # If standard error is blocked, the process must still be able to exit.
         try:
             self.queue.put(self._sentinel, timeout=STOP_WAIT_S)
         except queue.Full:
@@ -168,13 +169,13 @@
         thread.join(STOP_WAIT_S)
 
 
-def count_dropped():
-    """Return how many lines were dropped since the logs were set up.
+def count_dropped_lines():
+    """Return how many lines were dropped since logging was configured.
 
     Returns
     -------
     int
-        Lines of the package's logger.
+        Number of lines dropped by the package's logger.
     """
     handlers = logging.getLogger(__package__).handlers
     return sum(getattr(handler, "dropped", 0) for handler in handlers)
@@ -186,11 +187,11 @@
     Parameters
     ----------
     style : {"text", "json"}, default="text"
-        Form of the lines.
+        Format of the lines.
     level : str, default="INFO"
         Lowest level that is written.
     stream : file-like or None, default=None
-        Where the lines go instead of standard error.
+        Stream to write to instead of standard error.
 
     Returns
     -------
--- a/redwingspring/metrics.py
+++ b/redwingspring/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and timings, kept in the process and sent by statsd."""
+"""Counters, gauges and timings, kept in the process and sent to statsd."""
 
 import re
 import threading
@@ -7,15 +7,16 @@
 from dataclasses import dataclass
 
 FLUSH_INTERVAL_S = 1.0
-# One second holds too few requests of a quiet host for a 99th percentile.
+# On a host with little traffic, one second has too few requests for a 99th
+# percentile.
 TIMING_WINDOW_S = 10.0
-# About 5,000 requests a second over one window.
+# Enough for about 5,000 requests per second over one window.
 MAX_TIMING_SAMPLES = 50_000
 # Fits one Ethernet frame, so that no datagram is fragmented.
 MAX_DATAGRAM_BYTES = 1400
-# Leaves room for prefix and value within one datagram.
+# Leaves room for the prefix and the value within one datagram.
 MAX_NAME_LENGTH = 200
-_UNSAFE_IN_NAMES = re.compile(r"[^A-Za-z0-9._-]")
+_UNSAFE_CHARACTERS = re.compile(r"[^A-Za-z0-9._-]")
 
 
 @dataclass(frozen=True)
@@ -25,7 +26,7 @@
     Attributes
     ----------
     count : int
-        Measured events; at most ``MAX_TIMING_SAMPLES``.
+        Number of samples; at most ``MAX_TIMING_SAMPLES``.
     p50_ms : float
         Median in milliseconds.
     p99_ms : float
@@ -35,7 +36,7 @@
     max_ms : float
         Largest value in milliseconds.
     window_ms : int
-        Length of the window.
+        Length of the window in milliseconds.
     ended_at : float
         Monotonic time of the end of the window, in seconds.
     """
@@ -50,12 +51,12 @@
 
 
 class Metrics:
-    """Totals of one process.
+    """Counters, gauges and timings of one process.
 
     Parameters
     ----------
     client : statsd.StatsClient or None, default=None
-        Where ``flush`` sends the changes; nothing is sent without one.
+        Client that ``flush`` sends to; None sends nothing.
     """
 
     def __init__(self, client=None):
@@ -63,7 +64,7 @@
         self._lock = threading.Lock()
         self._totals = defaultdict(int)
         self._gauges = {}
-        self._sent = {}
+        self._sent_totals = {}
         self._samples = {}
         self._timings = {}
         self._samplers = []
@@ -77,35 +78,35 @@
         name : str
             Name of the counter, listed in docs/metrics.md.
         amount : int, default=1
-            What to add.
+            Amount to add.
         """
         with self._lock:
             self._totals[name] += amount
 
     def set_gauge(self, name, value):
-        """Set a gauge to its present value.
+        """Set a gauge to its current value.
 
         Parameters
         ----------
         name : str
             Name of the gauge, listed in docs/metrics.md.
         value : float
-            Present value.
+            Current value.
         """
         with self._lock:
             self._gauges[name] = value
 
     def record_time(self, name, seconds):
-        """Add one measured time.
+        """Add one sample to a timing.
 
         Parameters
         ----------
         name : str
             Name of the timing, listed in docs/metrics.md.
         seconds : float
-            The time.
+            Measured duration.
         """
-        # Appending takes no lock, so a request never waits for the flusher.
+        # Samples are appended without a lock, so that no request waits for a flush.
         samples = self._samples.get(name)
         if samples is None:
             samples = self._samples.setdefault(name, deque(maxlen=MAX_TIMING_SAMPLES))
@@ -117,7 +118,7 @@
         Parameters
         ----------
         sampler : callable
-            Called with these metrics.
+            Called with this object.
         """
         self._samplers.append(sampler)
 
@@ -133,7 +134,7 @@
             return dict(self._totals)
 
     def gauges(self):
-        """Return the present gauges.
+        """Return the current gauges.
 
         Returns
         -------
@@ -149,19 +150,19 @@
         Returns
         -------
         dict of str to TimingSummary
-            By name; a timing without events in the window is absent.
+            Summaries by name; timings without samples in the window are left out.
         """
         return dict(self._timings)
 
     def flush(self):
-        """Sample the gauges and send the changes since the last call."""
+        """Update the gauges and send what changed since the last call."""
         for sampler in self._samplers:
             sampler(self)
         now = time.monotonic()
         if now - self._window_start >= TIMING_WINDOW_S:
             self._end_window(now)
         if self._client is not None:
-            self._send()
+            self._send_changes()
 
     def run_flusher(self, stopping):
         """Flush once a second until the process stops.
@@ -179,28 +180,28 @@
         try:
             self.flush()
         except Exception:
-            # Metrics that cannot be sent must not end the flusher.
+            # A failed flush must not end the flush thread.
             self.increment("metrics.flush_errors")
 
-    def _send(self):
+    def _send_changes(self):
         totals = self.snapshot()
         with self._client.pipeline() as pipe:
             for name, total in totals.items():
-                change = total - self._sent.get(name, 0)
+                change = total - self._sent_totals.get(name, 0)
                 if change:
-                    pipe.incr(_clean_name(name), change)
+                    pipe.incr(_sanitize_name(name), change)
             for name, value in self.gauges().items():
-                pipe.gauge(_clean_name(name), value)
-        self._sent = totals
+                pipe.gauge(_sanitize_name(name), value)
+        self._sent_totals = totals
 
     def _end_window(self, now):
-        """Summarise the samples of a window and publish them as gauges."""
+        """Summarise the samples of the window and set the gauges of its timings."""
         window_ms = round((now - self._window_start) * 1000)
         self._window_start = now
         timings = {}
         gauges = {}
         for name, samples in list(self._samples.items()):
-            # Other threads append meanwhile; their samples stay for the next
+            # Samples that other threads append meanwhile belong to the next
             # window.
             values = sorted(samples.popleft() for _ in range(len(samples)))
             if not values:
@@ -210,7 +211,7 @@
             for field in ("count", "p50_ms", "p99_ms", "p999_ms", "max_ms"):
                 gauges[f"{name}.{field}"] = getattr(summary, field)
         with self._lock:
-            # A quiet window must not repeat the percentiles of the former one.
+            # A window without samples must not repeat the previous percentiles.
             for name in self._timings.keys() - timings.keys():
                 self._gauges[f"{name}.count"] = 0
                 for field in ("p50_ms", "p99_ms", "p999_ms", "max_ms"):
@@ -220,19 +221,27 @@
 
 
 def _summarise(values, window_ms, now):
-    """Return the summary of sorted times in seconds."""
+    """Summarise durations in seconds, sorted in ascending order."""
 
-    def _pick(share):
-        return round(values[min(len(values) - 1, int(share * len(values)))] * 1000, 3)
+    def _get_percentile_ms(fraction):
+        return round(
+            values[min(len(values) - 1, int(fraction * len(values)))] * 1000, 3
+        )
 
     return TimingSummary(
-        len(values), _pick(0.5), _pick(0.99), _pick(0.999), _pick(1), window_ms, now
+        len(values),
+        _get_percentile_ms(0.5),
+        _get_percentile_ms(0.99),
+        _get_percentile_ms(0.999),
+        _get_percentile_ms(1),
+        window_ms,
+        now,
     )
 
 
-def _clean_name(name):
-    """Return a name that neither ends a statsd field nor a datagram's bound."""
-    return _UNSAFE_IN_NAMES.sub("_", name)[:MAX_NAME_LENGTH]
+def _sanitize_name(name):
+    """Replace characters that are special to statsd, and limit the length."""
+    return _UNSAFE_CHARACTERS.sub("_", name)[:MAX_NAME_LENGTH]
 
 
 def connect_statsd(address, prefix):
@@ -243,20 +252,20 @@
     address : str or None
         ``ip:port`` of the statsd daemon.
     prefix : str
-        Prefix of every name.
+        Prefix of all metric names.
 
     Returns
     -------
     statsd.StatsClient or None
-        A client that sends UDP datagrams and ignores errors of the network.
+        A client that sends UDP datagrams and ignores network errors.
     """
     if not address:
         return None
-    # Many hosts send nothing to statsd and need not load it.
+    # Imported only when used, because many hosts do not send to statsd.
     import statsd
 
     host, port = address.rsplit(":", 1)
-    prefix = _clean_name(prefix)
+    prefix = _sanitize_name(prefix)
     return statsd.StatsClient(
         host, int(port), prefix=prefix, maxudpsize=MAX_DATAGRAM_BYTES
     )
--- a/redwingspring/pages.py
+++ b/redwingspring/pages.py
@@ -1,4 +1,4 @@
-"""CherryPy application of the control pages."""
+"""CherryPy application for the control pages."""
 
 import json
 
@@ -17,26 +17,26 @@
 from .verdict import Reason
 
 MOUNT_POINT = "/-"
-# Bounds one answer; a reader asks again behind the last entry it got.
+# Limits one response; clients page through the trail with ``after``.
 MAX_AUDIT_ENTRIES = 500
 
 
 def _send_text(text, status=200):
     cherrypy.response.status = status
     cherrypy.response.headers["Content-Type"] = "text/plain; charset=utf-8"
-    # Scripts act on the page, so no cache may answer in its place.
+    # Scripts act on the page, so caches must not serve an outdated copy.
     cherrypy.response.headers["Cache-Control"] = "no-store"
     return text.encode()
 
 
 def _send_error(status, message, traceback, version):
-    """Return a text page for an error that CherryPy found."""
+    """Return a text page for an HTTP error raised by CherryPy."""
     cherrypy.response.headers["Content-Type"] = "text/plain; charset=utf-8"
     return f"error {status}\n"
 
 
 class ControlPages:
-    """Pages for callers' scripts and operators.
+    """Control pages for operators and callers' scripts.
 
     Parameters
     ----------
@@ -54,13 +54,13 @@
         Returns
         -------
         bytes
-            Text.
+            The page as text.
         """
         return _send_text(render_status(self._entry))
 
     @cherrypy.expose
     def service(self, service):
-        """Return whether this host takes requests of a service.
+        """Return whether this host accepts requests of a service.
 
         Parameters
         ----------
@@ -70,7 +70,7 @@
         Returns
         -------
         bytes
-            Text; status 503 when it does not, 404 for an unknown service.
+            Text; status 503 if it does not, 404 for an unknown service.
         """
         readiness = check_service_readiness(self._entry, service)
         status = 200 if readiness.taken else 503
@@ -87,15 +87,15 @@
         service : str
             Name of the service.
         data_centre : str or None, default=None
-            Data centre of the caller; that of this host when absent.
+            Data centre of the caller; defaults to that of this host.
         format : {"json", "text"}, default="json"
-            Form of the answer.
+            Format of the response.
 
         Returns
         -------
         bytes
             JSON or text; status 404 for an unknown service, 503 while this
-            host has no configuration or knows no host that takes work.
+            host has no configuration or knows no host that accepts requests.
         """
         answer = self._entry.find_addresses(service, data_centre)
         if answer is None:
@@ -113,17 +113,17 @@
 
     @cherrypy.expose
     def request(self, request_id):
-        """Return what became of a request.
+        """Return the state of a request.
 
         Parameters
         ----------
         request_id : str
-            Its id.
+            Id of the request.
 
         Returns
         -------
         bytes
-            Text; status 400 when no request can have the id.
+            Text; status 400 for a malformed id.
         """
         if not is_request_id(request_id):
             return _send_text(f"refused {Reason.MALFORMED}\n", 400)
@@ -131,35 +131,35 @@
 
     @cherrypy.expose
     def audit(self, after="0"):
-        """Return the audit trail.
+        """Return the entries of the audit trail after a number.
 
         Parameters
         ----------
         after : str, default="0"
-            Number of the last entry already known.
+            Number of the last entry that the client already has.
 
         Returns
         -------
         bytes
             JSON lines; at most ``MAX_AUDIT_ENTRIES``.
         """
-        first = int(after) if after.isascii() and after.isdigit() else 0
-        entries = self._entry.audit.entries(first)[:MAX_AUDIT_ENTRIES]
+        last_known = int(after) if after.isascii() and after.isdigit() else 0
+        entries = self._entry.audit.list_entries(last_known)[:MAX_AUDIT_ENTRIES]
         body = _send_text("".join(json.dumps(e.as_dict()) + "\n" for e in entries))
         headers = cherrypy.response.headers
         headers["Content-Type"] = "application/jsonl"
-        # Numbers begin again with each process.
+        # Numbers restart with each process, which clients detect by its start time.
         headers["Process-Start"] = str(self._entry.started.unix_ms)
         return body
 
     @cherrypy.expose
     def ready(self):
-        """Return whether this host takes work.
+        """Return whether this host accepts requests.
 
         Returns
         -------
         bytes
-            Text; status 503 when it does not.
+            Text; status 503 if it does not.
         """
         refusal = self._entry.membership.check_serving()
         if refusal is None:
@@ -168,7 +168,7 @@
 
 
 def _render_addresses(answer):
-    """Return an answer as text, one fact on each line."""
+    """Return the addresses as text, one fact per line."""
     lines = [
         ADDRESS_VERSION_LINE,
         f"service {format_word(answer.service)}",
@@ -185,7 +185,7 @@
 
 
 def build_application(entry):
-    """Return the CherryPy application of the control pages.
+    """Return the CherryPy application for the control pages.
 
     Parameters
     ----------
@@ -195,7 +195,7 @@
     Returns
     -------
     cherrypy.Application
-        To be mounted at ``MOUNT_POINT``.
+        An application for mounting at ``MOUNT_POINT``.
     """
     config = {
         "/": {
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -81,9 +81,7 @@
                 used = {share.service for share in route.traffic_split}
                 used |= {route.service} - {None}
                 if unknown := used - known:
-                    raise ValueError(
-                        f"route {route.name} refers to unknown services {sorted(unknown)}"
-                    )
+                    raise ValueError(f"route {route.name} names {sorted(unknown)}")
 
 
 class _InstanceInfo(Struct, frozen=True):
--- a/redwingspring/platform/headers.py
+++ b/redwingspring/platform/headers.py
@@ -13,7 +13,7 @@
 WARMUP_LEFT = "Warmup-Ms"
 
 # Request headers that the entry host replaces on each attempt.
-OWN_REQUEST_HEADERS = frozenset(
+REPLACED_REQUEST_HEADERS = frozenset(
     (
         "content-length",
         "expect",
@@ -24,13 +24,13 @@
 )
 # Response headers of targets that are not passed on to callers. That a request did
 # not run is told to the caller by the status of this host's own response.
-OWN_RESPONSE_HEADERS = frozenset(
+INTERNAL_RESPONSE_HEADERS = frozenset(
     (SERVER_LOAD.lower(), INSTANCE.lower(), WARMUP_LEFT.lower(), NOT_EXECUTED.lower())
 )
 MAX_REQUEST_ID_LENGTH = 256
 
 
-def read_request(environ):
+def parse_request_headers(environ):
     """Parse the headers of a caller's request.
 
     Parameters
@@ -51,7 +51,7 @@
     return RequestMetadata(request_id, None if left_ms is None else left_ms / 1000)
 
 
-def render_request(request_id, time_left_s, instance_id):
+def build_request_headers(request_id, time_left_s, instance_id):
     """Return the headers for one attempt of a request.
 
     Parameters
@@ -75,7 +75,7 @@
     }
 
 
-def read_response(headers):
+def parse_response_headers(headers):
     """Parse the headers of a target's response.
 
     Parameters
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -1,7 +1,7 @@
 """Composition root: builds the parts of an entry process that follows a store."""
 
 from .decisions import DecisionLog
-from .exposition import Latencies, MetricsPage, build_registry
+from .exposition import MetricsPage, RequestLatencies, build_registry
 from .feed import FeedClient, FeedPage, StoreMirror
 from .follower import StoreFollower
 from .gossip import GossipNetwork
@@ -109,7 +109,7 @@
         headers,
         entry.metrics,
         entry.decisions,
-        Latencies(registry),
+        RequestLatencies(registry),
     )
     bounds = ServerBounds(settings.max_connections)
     entry.server = RoutedServer(settings.address, forwarder, bounds, entry.metrics)
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -43,7 +43,7 @@
         Counters.
     decisions : DecisionLog
         Takes one line for each decision.
-    latencies : Latencies
+    latencies : RequestLatencies
         Histograms of latencies.
     clock : callable, default=read_clock
         Returns seconds.
@@ -102,7 +102,7 @@
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
             return Error(Rejection(failure, NO_TABLE_RETURN_S))
-        metadata = self.dialect.read_request(environ)
+        metadata = self.dialect.parse_request_headers(environ)
         path = environ.get("REQUEST_URI") or environ["PATH_INFO"]
         route = table.find_route(environ.get("HTTP_HOST", ""), path)
         if route is None:
@@ -143,7 +143,7 @@
                 service=service,
                 method=environ["REQUEST_METHOD"],
                 path=path,
-                headers=read_headers(environ, self.dialect.OWN_REQUEST_HEADERS),
+                headers=read_headers(environ, self.dialect.REPLACED_REQUEST_HEADERS),
                 body=body,
                 received_at=received,
                 deadline=deadline,
@@ -167,7 +167,7 @@
             (name, value)
             for name, value in answer.headers
             if name.lower() not in HOP_BY_HOP_HEADERS
-            and name.lower() not in self.dialect.OWN_RESPONSE_HEADERS
+            and name.lower() not in self.dialect.INTERNAL_RESPONSE_HEADERS
             and name.lower() != "content-length"
         ]
         if answer.length is not None:
--- a/redwingspring/status.py
+++ b/redwingspring/status.py
@@ -1,4 +1,4 @@
-"""Text of the status page and of the pages that answer one question."""
+"""Text of the status page and of the pages for one service or one request."""
 
 import time
 from collections import Counter
@@ -7,7 +7,7 @@
 
 from .addresses import find_alternatives
 from .errors import PageError
-from .logs import count_dropped
+from .logs import count_dropped_lines
 from .readiness import check_host_readiness, check_service_readiness
 from .requestlog import RequestState
 from .version import __version__
@@ -15,11 +15,11 @@
 PAGE_NAME = "redwingspring-status"
 PAGE_VERSION = "1"
 VERSION_LINE = f"{PAGE_NAME} {PAGE_VERSION}"
-# Characters that a word shows as they are; all others are percent-encoded, so
-# that no value can end its word or its line.
-_WORD_CHARACTERS = "!#$&'()*+,/:;=?@[]~"
+# Characters that are not percent-encoded, besides letters, digits and ``_.-``. A
+# value thus cannot contain a space or a line break, which separate words and lines.
+_UNQUOTED_CHARACTERS = "!#$&'()*+,/:;=?@[]~"
 _TARGET_STATES = ("warm", "cold", "leaving", "out", "ejected")
-# Shown from the start, so that a script finds them at 0.
+# Shown even before the first event, so that scripts find them at 0.
 _COUNTERS = (
     "requests.ran",
     "requests.not-run",
@@ -38,15 +38,15 @@
 
 
 @dataclass(frozen=True)
-class Moment:
-    """One moment by both clocks.
+class Timestamp:
+    """One point in time by the wall clock and the monotonic clock.
 
     Attributes
     ----------
     unix : float
         Unix time in seconds.
     monotonic : float
-        Monotonic time in seconds; ages are taken from it.
+        Monotonic time in seconds, used for ages.
     """
 
     unix: float
@@ -54,12 +54,12 @@
 
     @classmethod
     def now(cls):
-        """Return the present moment.
+        """Return the present time.
 
         Returns
         -------
-        Moment
-            The present.
+        Timestamp
+            The present time.
         """
         return cls(time.time(), time.monotonic())
 
@@ -69,12 +69,12 @@
         return int(self.unix * 1000)
 
     def age_ms(self, now):
-        """Return how long ago this moment was.
+        """Return the age of this timestamp in milliseconds.
 
         Parameters
         ----------
-        now : Moment
-            The present.
+        now : Timestamp
+            The present time.
 
         Returns
         -------
@@ -86,21 +86,21 @@
 
 @dataclass(frozen=True)
 class ValueInForce:
-    """A published value that is in force at this host.
+    """A published value that this host currently uses.
 
     Attributes
     ----------
     stamp : Stamp
-        Its place in the order of publication.
+        Revision and digest, which order published values.
     source : str
-        Where it came from.
-    since : Moment
-        When it was put in force here.
+        Where this host got the value from.
+    since : Timestamp
+        When this host began to use the value.
     """
 
     stamp: object
     source: str
-    since: Moment
+    since: Timestamp
 
 
 def format_word(value):
@@ -114,9 +114,9 @@
     Returns
     -------
     str
-        Visible ASCII without spaces; ``-`` for an empty value.
+        Printable ASCII without spaces; ``-`` for an empty value.
     """
-    return quote(str(value), safe=_WORD_CHARACTERS) or "-"
+    return quote(str(value), safe=_UNQUOTED_CHARACTERS) or "-"
 
 
 def format_fact(fact):
@@ -125,12 +125,12 @@
     Parameters
     ----------
     fact : dict
-        Values by key, in order; the first pair names the fact.
+        Values by key, in order; the first key names the kind of fact.
 
     Returns
     -------
     str
-        The line without its end.
+        The line without a line break.
     """
     return " ".join(f"{key} {format_word(value)}" for key, value in fact.items())
 
@@ -146,14 +146,14 @@
     Returns
     -------
     str
-        The version line, then one fact on each line.
+        The version line, followed by one fact per line.
     """
     lines = [VERSION_LINE, *(format_fact(fact) for fact in collect_facts(entry))]
     return "\n".join(lines) + "\n"
 
 
 def parse_status(text):
-    """Return the facts of a status page.
+    """Parse the facts of a status page.
 
     Parameters
     ----------
@@ -163,8 +163,8 @@
     Returns
     -------
     list of dict
-        Values by key, one dict for each line. Lines that are not made of
-        pairs are left out.
+        Values by key, one dict per line. Lines that are not key-value pairs
+        are skipped.
 
     Raises
     ------
@@ -184,7 +184,7 @@
 
 
 def collect_facts(entry):
-    """Return what the status page says, in the order of its lines.
+    """Return the facts of the status page, in the order of its lines.
 
     Parameters
     ----------
@@ -194,9 +194,9 @@
     Returns
     -------
     list of dict
-        Values by key, one dict for each line.
+        Values by key, one dict per line.
     """
-    now = Moment.now()
+    now = Timestamp.now()
     facts = [{"printed": now.unix_ms}, *_collect_host(entry, now)]
     for key in ("configuration", "hosts"):
         facts.append(_describe_value(key, entry.in_force.get(key), now))
@@ -214,19 +214,21 @@
                 "data-centre": host.data_centre,
             }
         )
-    facts.append({"request-memory": "ids", **describe_memory(entry.requests.memory())})
+    facts.append(
+        {"request-memory": "ids", **describe_request_memory(entry.requests.memory())}
+    )
     facts += _collect_counters(entry.metrics.snapshot())
     facts += _collect_timings(entry.metrics.timings(), now)
     return facts
 
 
-def describe_memory(memory):
-    """Return how much a request log remembers, as pairs of a page.
+def describe_request_memory(memory):
+    """Return the size and completeness of a request log as a fact.
 
     Parameters
     ----------
     memory : RequestMemory
-        Size and completeness of the log.
+        State of the request log.
 
     Returns
     -------
@@ -242,12 +244,12 @@
 
 
 def render_service(readiness):
-    """Return the page that tells whether a service is taken.
+    """Return the page that tells whether requests of a service are accepted.
 
     Parameters
     ----------
     readiness : ServiceReadiness
-        What holds now.
+        Whether this host accepts requests of the service.
 
     Returns
     -------
@@ -259,50 +261,50 @@
 
 
 def render_request(request_id, requests):
-    """Return the page that tells what became of a request.
+    """Return the page with the state of a request.
 
     Parameters
     ----------
     request_id : str
-        Its id.
+        Id of the request.
     requests : RequestLog
-        What the host remembers.
+        Request log of the host.
 
     Returns
     -------
     str
-        The state, then how long the host remembers ids.
+        The state, then the size and completeness of the request log.
     """
-    # The memory is read first, so that the page never claims to remember
+    # The memory is read before the state, so that the page never claims to remember
     # an id that was evicted between the two reads.
     memory = requests.memory()
     state = RequestState(requests.find(request_id))
-    fact = {"request-memory": "ids", **describe_memory(memory)}
+    fact = {"request-memory": "ids", **describe_request_memory(memory)}
     return f"request {format_word(request_id)} {state}\n{format_fact(fact)}\n"
 
 
 def sample_gauges(entry, metrics):
-    """Set the gauges that describe the present load.
+    """Set the gauges that describe the current load.
 
     Parameters
     ----------
     entry : Entry
         The process.
     metrics : Metrics
-        Where the gauges are set.
+        Metrics to set the gauges in.
     """
     totals = entry.admissions.totals().values()
     metrics.set_gauge("requests.in_flight", sum(running for running, _ in totals))
     metrics.set_gauge("requests.waiting", sum(waiting for _, waiting in totals))
     metrics.set_gauge("server.connections", entry.server.requests.count)
-    metrics.set_gauge("logs.dropped", count_dropped())
+    metrics.set_gauge("logs.dropped", count_dropped_lines())
     value = entry.in_force.get("configuration")
     if value is not None:
         metrics.set_gauge("configuration.revision", value.stamp.revision)
 
 
 def _collect_host(entry, now):
-    """Return who this host is and whether it takes work."""
+    """Return the identity of this host and whether it accepts requests."""
     settings = entry.settings
     taken, reason = check_host_readiness(entry)
     started = entry.started
@@ -316,14 +318,14 @@
         {"process-start": started.unix_ms, "age-ms": started.age_ms(now)},
         {
             "state": entry.membership.state,
-            "taken": _say(taken),
+            "taken": _format_flag(taken),
             "reason": reason,
         },
     ]
 
 
 def _describe_value(key, value, now):
-    """Return which revision of a published value is in force."""
+    """Return which revision of a published value this host uses."""
     if value is None:
         return {key: "none"}
     return {
@@ -335,13 +337,13 @@
 
 
 def _collect_service(entry, states, service, now):
-    """Return the facts of one service."""
+    """Return readiness, targets, load reports and load of one service."""
     readiness = check_service_readiness(entry, service)
-    counts = Counter(_classify(state, now.monotonic) for state in states)
+    counts = Counter(_classify_target(state, now.monotonic) for state in states)
     facts = [
         {
             "service": service,
-            "taken": _say(readiness.taken),
+            "taken": _format_flag(readiness.taken),
             "reason": readiness.reason,
         },
         {"targets": service, **{name: counts[name] for name in _TARGET_STATES}},
@@ -370,8 +372,8 @@
     return facts
 
 
-def _classify(state, now):
-    """Return the one state under which a target is counted."""
+def _classify_target(state, now):
+    """Return the state by which a target is counted; the first that applies."""
     if state.limits.out:
         return "out"
     if state.leaving:
@@ -382,7 +384,7 @@
 
 
 def _collect_data_centres(table):
-    """Return which data centres are in service."""
+    """Return the targets and out-of-service targets of each data centre."""
     totals, outs = Counter(), Counter()
     for states in table.services.values():
         for state in states:
@@ -400,10 +402,11 @@
 
 
 def _collect_counters(totals):
-    """Return the counters that matter to scripts."""
-    more = sorted(name for name in totals if name.startswith(_COUNTER_PREFIXES))
+    """Return the counters that scripts read."""
+    by_prefix = sorted(name for name in totals if name.startswith(_COUNTER_PREFIXES))
     return [
-        {"counter": name, "total": totals.get(name, 0)} for name in (*_COUNTERS, *more)
+        {"counter": name, "total": totals.get(name, 0)}
+        for name in (*_COUNTERS, *by_prefix)
     ]
 
 
@@ -423,5 +426,5 @@
     ]
 
 
-def _say(flag):
+def _format_flag(flag):
     return "yes" if flag else "no"
--- a/tests/names.py
+++ b/tests/names.py
@@ -1,25 +1,25 @@
-"""Names that the package uses, and names that a page lists."""
+"""Compares names used in the package with those listed in the documentation."""
 
 import ast
 import re
 
-VARIABLE = "<>"
+PLACEHOLDER = "<>"
 
 
 def find_names(package, methods, receivers=None):
-    """Return the names given to methods such as ``increment``.
+    """Return the names passed to methods such as ``increment``.
 
-    The variable part of a name appears as ``<>``. A name that is not written
-    at the call is reported as ``?file:line``, so that no call escapes.
+    Variable parts of a name appear as ``<>``. A name that cannot be determined
+    statically is reported as ``?file:line``, so that no call is missed.
     """
     names = set()
     for path in sorted(package.rglob("*.py")):
         tree = ast.parse(path.read_text())
         for node in ast.walk(tree):
             if _is_call(node, methods, receivers):
-                place = f"?{path.name}:{node.lineno}"
+                location = f"?{path.name}:{node.lineno}"
                 for value in _resolve(node.args[0], tree):
-                    names |= _read_names(value, place)
+                    names |= _extract_names(value, location)
     return sorted(names)
 
 
@@ -28,13 +28,13 @@
         return False
     if node.func.attr not in methods or not node.args:
         return False
-    owner = node.func.value
-    last = getattr(owner, "attr", None) or getattr(owner, "id", None)
+    receiver = node.func.value
+    last = getattr(receiver, "attr", None) or getattr(receiver, "id", None)
     return receivers is None or last in receivers
 
 
 def _resolve(node, tree):
-    """Return what may be given: the argument, or all that its variable gets."""
+    """Return the argument, or all values assigned to its variable."""
     if not isinstance(node, ast.Name):
         return [node]
     values = [
@@ -46,30 +46,32 @@
     return values or [node]
 
 
-def _read_names(node, place):
+def _extract_names(node, location):
     if isinstance(node, ast.Constant):
         return {node.value}
     if isinstance(node, ast.IfExp):
-        return _read_names(node.body, place) | _read_names(node.orelse, place)
+        return _extract_names(node.body, location) | _extract_names(
+            node.orelse, location
+        )
     if isinstance(node, ast.JoinedStr):
         parts = (
-            p.value if isinstance(p, ast.Constant) else VARIABLE for p in node.values
+            p.value if isinstance(p, ast.Constant) else PLACEHOLDER for p in node.values
         )
         return {"".join(parts)}
-    return {place}
+    return {location}
 
 
 def read_table_names(page):
-    """Return the names in the first column of a page's tables."""
+    """Return the names in the first column of the page's tables."""
     names = re.findall(r"^\| `([^`]+)` \|", page.read_text(), re.MULTILINE)
-    return sorted(re.sub(r"<[^>]*>", VARIABLE, name) for name in names)
+    return sorted(re.sub(r"<[^>]*>", PLACEHOLDER, name) for name in names)
 
 
 def matches_name(name, others):
-    """Tell whether a name is among others, of which some are patterns."""
+    """Return whether a name matches one of others; both may be patterns."""
     for other in others:
         for pattern, text in ((other, name), (name, other)):
-            regexp = "[a-z0-9_.-]+".join(map(re.escape, pattern.split(VARIABLE)))
+            regexp = "[a-z0-9_.-]+".join(map(re.escape, pattern.split(PLACEHOLDER)))
             if text == pattern or re.fullmatch(regexp, text):
                 return True
     return False
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -20,8 +20,8 @@
     def setUp(self):
         super().setUp()
         logger = logging.getLogger("redwingspring")
-        former = logger.handlers[:], logger.level, logger.propagate
-        self.addCleanup(self.restore, logger, *former)
+        previous = logger.handlers[:], logger.level, logger.propagate
+        self.addCleanup(self.restore, logger, *previous)
 
     def restore(self, logger, handlers, level, propagate):
         logger.handlers[:] = handlers
@@ -41,22 +41,22 @@
             text = self.log(style, lambda _: trail.record(FORGED, FORGED, FORGED))
             self.assertEqual(1, len(text.splitlines()), text)
             self.assertNotIn("\x1b", text)
-        entry = trail.entries()[0]
+        entry = trail.list_entries()[0]
         for value in (entry.kind, entry.subject, entry.detail):
             self.assertTrue(value.isprintable(), value)
         self.assertEqual(1, len(format_entry(entry.as_dict()).splitlines()))
 
-    def test_a_line_of_another_process_cannot_forge_a_line_of_the_command(self):
+    def test_an_entry_of_another_process_prints_as_a_single_line(self):
         fields = {"number": 1, "time": 0, "kind": "k", "subject": FORGED, "detail": ""}
         self.assertEqual(1, len(format_entry(fields).splitlines()))
 
-    def test_memory_of_the_trail_is_bounded(self):
+    def test_number_and_length_of_entries_are_bounded(self):
         trail = AuditTrail(capacity=2)
         for _ in range(3):
             trail.record("k", "s" * 10_000, "d" * 10_000)
-        self.assertEqual([2, 3], [entry.number for entry in trail.entries()])
-        self.assertEqual([3], [entry.number for entry in trail.entries(after=2)])
-        self.assertTrue(all(len(str(e.as_dict())) < 2000 for e in trail.entries()))
+        self.assertEqual([2, 3], [entry.number for entry in trail.list_entries()])
+        self.assertEqual([3], [entry.number for entry in trail.list_entries(after=2)])
+        self.assertTrue(all(len(str(e.as_dict())) < 2000 for e in trail.list_entries()))
 
     def test_a_traceback_cannot_pass_for_log_lines(self):
         def write(logger):
@@ -69,34 +69,34 @@
         self.assertTrue(all(line.startswith("    ") for line in lines[1:]), lines)
         self.assertEqual(1, len(self.log("json", write).splitlines()))
 
-    def test_a_request_id_is_on_the_line(self):
+    def test_a_log_line_has_the_request_id(self):
         def write(logger):
             logger.info("state changed", extra={"request_id": "r-1"})
 
         self.assertTrue(self.log("text", write).endswith("state changed request r-1\n"))
         self.assertEqual("r-1", json.loads(self.log("json", write))["request_id"])
 
-    def test_a_blocked_reader_of_the_log_stops_no_request(self):
+    def test_a_blocked_log_stream_blocks_neither_logging_nor_the_exit(self):
         release = threading.Event()
 
-        class Blocked(io.StringIO):
+        class BlockedStream(io.StringIO):
             def write(self, text):
                 release.wait()
                 return super().write(text)
 
         self.patch(logs, "MAX_QUEUED_LINES", 5)
         self.patch(logs, "STOP_WAIT_S", 0.05)
-        writer = configure_logs("text", "INFO", Blocked())
+        writer = configure_logs("text", "INFO", BlockedStream())
         logger = logging.getLogger("redwingspring")
         for _ in range(20):
             logger.info("state changed")
-        self.assertTrue(logs.count_dropped() >= 14)
+        self.assertTrue(logs.count_dropped_lines() >= 14)
         started = time.monotonic()
         writer.stop()
         self.assertTrue(time.monotonic() - started < 5, "the process could not end")
         release.set()
 
-    def test_every_kind_is_documented(self):
+    def test_kinds_and_documentation_agree(self):
         used = find_names(ROOT / "redwingspring", {"record"}, {"audit", "_audit"})
         listed = read_table_names(ROOT / "docs" / "audit.md")
         self.assertEqual([], [n for n in used if not matches_name(n, listed)])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -237,7 +237,7 @@
             for text in order:
                 self.offer(1, text)
             self.assertEqual(texts[1], self.values.get(CONFIGURATION_KEY).text)
-        kinds = [entry.kind for entry in self.audit.entries()]
+        kinds = [entry.kind for entry in self.audit.list_entries()]
         self.assertEqual(2, kinds.count("configuration-conflict"))
 
     def test_a_refused_document_is_settled_without_a_change(self):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -31,13 +31,13 @@
         except TimeoutError:
             return datagrams
 
-    def test_every_name_is_documented_and_every_documented_name_is_used(self):
+    def test_names_and_documentation_agree(self):
         used = find_names(ROOT / "redwingspring", METHODS)
         listed = read_table_names(ROOT / "docs" / "metrics.md")
         self.assertEqual([], [n for n in used if not matches_name(n, listed)])
         self.assertEqual([], [n for n in listed if not matches_name(n, used)])
 
-    def test_a_datagram_is_bounded_and_a_name_cannot_add_a_metric(self):
+    def test_datagrams_are_bounded_and_a_name_cannot_inject_a_metric(self):
         sock, address = self.listen()
         totals = Metrics(connect_statsd(address, "redwingspring.entry-0"))
         for number in range(300):
@@ -53,7 +53,7 @@
         self.assertFalse([line for line in lines if line.startswith(b"forged")])
         self.assertIn(b"redwingspring.entry-0.failures.reason-6:7|c", lines)
 
-    def test_only_changes_of_counters_are_sent(self):
+    def test_counters_are_sent_as_increments(self):
         sock, address = self.listen()
         totals = Metrics(connect_statsd(address, "p"))
         for amount in (2, 3):
@@ -64,7 +64,7 @@
             [b"p.requests.ran:2|c", b"p.requests.ran:3|c"], self.receive(sock)
         )
 
-    def test_a_daemon_that_is_down_or_a_faulty_sampler_stops_nothing(self):
+    def test_a_down_daemon_or_failing_sampler_does_not_end_the_flusher(self):
         sock, address = self.listen()
         sock.close()
         totals = Metrics(connect_statsd(address, "p"))
@@ -97,7 +97,7 @@
         totals.record_time("requests.time", 0.1)
         self.assertTrue(time.monotonic() - started < 1)
 
-    def test_percentiles_belong_to_their_window(self):
+    def test_percentiles_cover_only_the_last_window(self):
         totals = Metrics()
         for milliseconds in range(1, 1001):
             totals.record_time("requests.time", milliseconds / 1000)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -17,9 +17,10 @@
 class AddressTest(RedwingspringTestCase):
     def setUp(self):
         super().setUp()
-        places = ("akl-a", "akl-a", "ham-b", "ham-b", "ham-b")
+        data_centres = ("akl-a", "akl-a", "ham-b", "ham-b", "ham-b")
         self.hosts = tuple(
-            make_host(number, place, number == 4) for number, place in enumerate(places)
+            make_host(number, data_centre, number == 4)
+            for number, data_centre in enumerate(data_centres)
         )
         self.membership = MembershipStub(self.hosts)
         own = self.hosts[0]
@@ -34,36 +35,36 @@
         found = addresses.find_hosts(self.membership, self.settings, data_centre)
         return [host.name for host in found]
 
-    def test_callers_do_not_all_go_to_one_host(self):
-        firsts = {self.find("ham-b")[0] for _ in range(200)}
-        self.assertEqual({"entry-2", "entry-3"}, firsts)
+    def test_callers_get_different_first_hosts(self):
+        first_hosts = {self.find("ham-b")[0] for _ in range(200)}
+        self.assertEqual({"entry-2", "entry-3"}, first_hosts)
 
-    def test_hosts_elsewhere_stay_as_later_choices(self):
+    def test_hosts_of_other_data_centres_are_listed_last(self):
         self.assertEqual({"entry-0", "entry-1"}, set(self.find("ham-b")[2:]))
         self.assertEqual({"entry-0", "entry-1"}, set(self.find()[:2]))
 
-    def test_a_leaving_host_is_not_named(self):
+    def test_a_leaving_host_is_not_listed(self):
         self.assertNotIn("entry-4", self.find("ham-b"))
 
-    def test_a_host_that_refuses_work_is_the_last_choice(self):
+    def test_a_host_that_refuses_requests_is_listed_last(self):
         self.membership.refusal = refuse(Reason.ISOLATED, "")
         for _ in range(20):
             self.assertEqual("entry-0", self.find()[-1])
 
 
 class RequestMemoryTest(RedwingspringTestCase):
-    def test_a_forgotten_id_is_never_within_the_stated_memory(self):
+    def test_the_log_does_not_claim_to_cover_an_evicted_id(self):
         log = RequestLog(capacity=2)
         for request_id in "abc":
             log.start(request_id)
             log.finish(request_id, Verdict.RAN)
-        forgotten = log.memory()
-        self.assertEqual((2, 2), (forgotten.ids, forgotten.capacity))
-        self.assertTrue(log._entries["b"].time >= forgotten.complete_since)
+        memory = log.memory()
+        self.assertEqual((2, 2), (memory.ids, memory.capacity))
+        self.assertTrue(log._entries["b"].time >= memory.complete_since)
 
 
 class FollowTest(RedwingspringTestCase):
-    def test_a_follower_notices_restarts_gaps_and_outages(self):
+    def test_following_the_trail_reports_restarts_gaps_and_outages(self):
         def entry(number):
             fields = {"number": number, "time": 0, "kind": "k", "subject": ""}
             return json.dumps({**fields, "detail": ""}) + "\n"
@@ -71,10 +72,16 @@
         def page(start, text):
             return Page(200, {"process-start": start}, text)
 
-        gone = inspection.NoAnswerError("refused")
-        pages = [page("1", entry(9)), gone, gone, page("2", ""), page("2", entry(1))]
+        no_answer = inspection.NoAnswerError("refused")
+        pages = [
+            page("1", entry(9)),
+            no_answer,
+            no_answer,
+            page("2", ""),
+            page("2", entry(1)),
+        ]
 
-        def read(url, path):
+        def fetch_page(url, path):
             if not pages:
                 raise inspection.PageError("end of the test")
             answer = pages.pop(0)
@@ -82,12 +89,12 @@
                 raise answer
             return answer
 
-        self.patch(inspection, "_read", read)
-        parts = []
+        self.patch(inspection, "_fetch_page", fetch_page)
+        items = []
         trail = inspection.read_audit("u", after=5, follow=True, interval=0)
         with self.assertRaisesRegex(inspection.PageError, "end of the test"):
-            for part in trail:
-                parts.append(part.notice or part.entry["number"])
+            for item in trail:
+                items.append(item.notice or item.entry["number"])
         self.assertEqual(
             [
                 "3 entries are no longer kept",
@@ -96,12 +103,12 @@
                 "the process started again; numbers begin at 1",
                 1,
             ],
-            parts,
+            items,
         )
 
 
 class PagesTest(RedwingspringTestCase):
-    """One fleet of real processes behind the commands that scripts use."""
+    """Runs the status and audit commands against real host processes."""
 
     def run_command(self, *args):
         command = [sys.executable, "-m", "redwingspring", *args]
@@ -112,12 +119,16 @@
         self.assertEqual(code, result.returncode, result.stdout + result.stderr)
         return result.stdout
 
-    def test_exit_codes_and_pages_agree_with_what_happened(self):
+    def test_exit_codes_and_pages_match_the_state_of_the_host(self):
         targets = (TargetSpec("fault-desk", "akl-a"), TargetSpec("shut", "ham-b"))
-        out = {"service": "shut", "set": {"serve": "out"}, "reason": "not open yet"}
+        exception = {
+            "service": "shut",
+            "set": {"serve": "out"},
+            "reason": "not open yet",
+        }
         with Fleet(targets, hosts=2) as fleet:
             url = f"http://{fleet.entry_address(0)}"
-            fleet.exceptions.append(out)
+            fleet.exceptions.append(exception)
             fleet.publish("configuration", fleet.configuration())
             fleet.wait_until(
                 lambda: fleet.get(0, "/-/service/shut").status == 503,
@@ -131,18 +142,18 @@
             facts = json.loads(self.check_command(0, "status", url, "--json"))["facts"]
             totals = {f["counter"]: int(f["total"]) for f in facts if "counter" in f}
             self.assertTrue(totals["requests.ran"] >= 1, totals)
-            ask = ("status", url, "--service")
-            taken = self.check_command(0, *ask, "fault-desk")
+            command = ("status", url, "--service")
+            taken = self.check_command(0, *command, "fault-desk")
             self.assertEqual("service fault-desk taken ok\n", taken)
-            self.check_command(3, *ask, "shut")
-            self.check_command(3, *ask, "no\nsuch")
-            ask = ("status", url, "--request")
-            ran = self.check_command(0, *ask, "fault-desk")
+            self.check_command(3, *command, "shut")
+            self.check_command(3, *command, "no\nsuch")
+            command = ("status", url, "--request")
+            ran = self.check_command(0, *command, "fault-desk")
             self.assertTrue(ran.startswith("request fault-desk ran\n"))
-            self.check_command(4, *ask, "shut")
-            self.check_command(7, *ask, "never-seen")
-            self.check_command(9, *ask, "a\nrequest a ran")
-            self.check_command(2, *ask, "a", "--service", "b")
+            self.check_command(4, *command, "shut")
+            self.check_command(7, *command, "never-seen")
+            self.check_command(9, *command, "a\nrequest a ran")
+            self.check_command(2, *command, "a", "--service", "b")
             self.check_command(9, "status", f"http://{fleet.service_address}")
             self.check_command(8, "status", f"{fleet.network}.99:7000")
             trail = self.check_command(0, "audit", url, "--after", "1", "--json")
@@ -177,7 +188,7 @@
         command = ("status", url, "--service", "fault-desk")
         fleet.wait_until(
             lambda: "taken leaving" in self.run_command(*command).stdout,
-            "a leaving host does not say so",
+            "the leaving host does not report that it is leaving",
         )
         answer = fleet.get(0, "/-/address/fault-desk").json()
         hosts = [host["address"] for host in answer["hosts"]]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -129,7 +129,7 @@
 
 class HeadersTest(RedwingspringTestCase):
     def test_a_load_header_is_parsed_with_its_slowness(self):
-        metadata = headers.read_response(
+        metadata = headers.parse_response_headers(
             {"Server-Load": "3,1,8,250", "Warmup-Ms": "900"}
         )
         load = metadata.load
@@ -140,19 +140,21 @@
 
     def test_a_malformed_load_header_is_ignored(self):
         for text in ("", "1,2", "a,b,c", "1,2,nan", "-1,0,3", "1,2,3,x"):
-            self.assertEqual(None, headers.read_response({"Server-Load": text}).load)
+            self.assertEqual(
+                None, headers.parse_response_headers({"Server-Load": text}).load
+            )
 
     def test_a_missing_or_malformed_deadline_is_none(self):
         for text in (None, "", "soon", "-5", "nan", "inf"):
             environ = {"HTTP_REQUEST_ID": "r"}
             if text is not None:
                 environ["HTTP_DEADLINE_MS"] = text
-            self.assertEqual(None, headers.read_request(environ).time_left_s)
+            self.assertEqual(None, headers.parse_request_headers(environ).time_left_s)
 
     def test_request_headers_carry_the_time_left_and_the_instance(self):
         self.assertEqual(
             {"Request-Id": "r", "Deadline-Ms": "750", "Target-Instance": "i"},
-            headers.render_request("r", 0.7504, "i"),
+            headers.build_request_headers("r", 0.7504, "i"),
         )
 
 
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -11,14 +11,14 @@
 from redwingspring.metrics import Metrics, TimingSummary
 from redwingspring.publication import Stamp
 from redwingspring.requestlog import RequestMemory
-from redwingspring.status import Moment, ValueInForce
+from redwingspring.status import Timestamp, ValueInForce
 from redwingspring.targets import LoadReport, TargetDirectory, Temperature
 from redwingspring.verdict import Reason, refuse
 
 from .base import RedwingspringTestCase
 
 PAGE = Path(__file__).parent.parent / "docs" / "status-page.md"
-NOW = Moment(1796377835.0, 1000.0)
+NOW = Timestamp(1796377835.0, 1000.0)
 DOCUMENT = """
 services:
   bundle-store:
@@ -44,7 +44,7 @@
 
 
 class MembershipStub:
-    """What the pages ask of the membership."""
+    """The part of the membership that the pages read."""
 
     def __init__(self, hosts):
         self.hosts = hosts
@@ -90,13 +90,13 @@
         admissions=admissions,
         metrics=metrics,
         requests=SimpleNamespace(memory=lambda: memory),
-        started=Moment(1796377235.0, 400.0),
+        started=Timestamp(1796377235.0, 400.0),
         in_force={
             "configuration": ValueInForce(
-                Stamp(42, "5d41"), "service", Moment(1796377834.0, 999.0)
+                Stamp(42, "5d41"), "service", Timestamp(1796377834.0, 999.0)
             ),
             "hosts": ValueInForce(
-                Stamp(7, "9b1c"), "service", Moment(1796377832.0, 997.0)
+                Stamp(7, "9b1c"), "service", Timestamp(1796377832.0, 997.0)
             ),
         },
     )
@@ -106,21 +106,21 @@
     def setUp(self):
         super().setUp()
         self.entry = make_entry()
-        self.patch(status.Moment, "now", staticmethod(lambda: NOW))
-        # The modules read the clocks of ages and ejections through `time`.
+        self.patch(status.Timestamp, "now", staticmethod(lambda: NOW))
+        # Ages and ejections depend on the clocks that these modules read from `time`.
         clock = SimpleNamespace(time=lambda: NOW.unix, monotonic=lambda: NOW.monotonic)
         self.patch(status, "time", clock)
         self.patch(readiness, "time", clock)
 
-    def judge(self, service="fault-desk"):
-        found = readiness.check_service_readiness(self.entry, service)
-        return found.taken, found.reason
+    def check_service(self, service="fault-desk"):
+        result = readiness.check_service_readiness(self.entry, service)
+        return result.taken, result.reason
 
-    def test_a_changed_line_would_break_scripts(self):
+    def test_the_page_matches_the_documented_example(self):
         example = PAGE.read_text().split("```text\n")[1].split("```")[0]
         self.assertEqual(example, status.render_status(self.entry))
 
-    def test_no_value_can_add_a_word_or_a_line(self):
+    def test_a_value_cannot_inject_a_word_or_a_line(self):
         table = self.entry.directory.table
         states = table.services["fault-desk"]
         self.entry.directory.table = SimpleNamespace(services={"a\nstate b": states})
@@ -133,38 +133,38 @@
         facts = status.parse_status(text)
         self.assertEqual("x taken\r\nno", facts[1]["host"])
 
-    def test_a_reader_passes_over_lines_it_does_not_know(self):
+    def test_the_parser_skips_unknown_lines_and_rejects_other_versions(self):
         text = f"{status.VERSION_LINE}\nnew thing x\n\nstate serving taken yes\n"
         facts = status.parse_status(text)
         self.assertEqual([{"state": "serving", "taken": "yes"}], facts)
         for other in ("redwingspring-status 2\n", "<html>", ""):
             self.assertRaises(PageError, status.parse_status, other)
 
-    def test_a_service_is_not_called_taken_when_a_request_would_be_refused(self):
-        self.assertEqual((True, "ok"), self.judge())
-        self.assertEqual((False, "no-capacity"), self.judge("bundle-store"))
-        self.assertEqual((False, "unknown-service"), self.judge("nothing"))
+    def test_a_service_is_not_taken_when_a_request_would_be_refused(self):
+        self.assertEqual((True, "ok"), self.check_service())
+        self.assertEqual((False, "no-capacity"), self.check_service("bundle-store"))
+        self.assertEqual((False, "unknown-service"), self.check_service("nothing"))
         admission = self.entry.admissions.find("fault-desk")
         admission.queue_length, admission.in_flight = 0, admission.limit
-        self.assertEqual((False, "queue-full"), self.judge())
+        self.assertEqual((False, "queue-full"), self.check_service())
         self.entry.membership.refusal = refuse(Reason.NOT_READY, "it is starting")
-        self.assertEqual((False, "not-ready"), self.judge())
+        self.assertEqual((False, "not-ready"), self.check_service())
 
-    def test_a_leaving_host_says_that_it_still_takes_work(self):
+    def test_a_leaving_host_still_takes_requests(self):
         self.entry.membership.state = HostState.LEAVING
-        self.assertEqual((True, "leaving"), self.judge())
+        self.assertEqual((True, "leaving"), self.check_service())
 
-    def test_an_isolated_host_says_so_for_every_service(self):
+    def test_an_isolated_host_takes_no_service(self):
         refusal = refuse(Reason.ISOLATED, "no majority was heard")
         self.entry.membership.refusal = refusal
-        self.assertEqual((False, "isolated"), self.judge())
+        self.assertEqual((False, "isolated"), self.check_service())
         self.assertIn("taken no reason isolated", status.render_status(self.entry))
 
-    def test_a_host_without_configuration_has_a_page(self):
+    def test_a_host_without_configuration_renders_a_page(self):
         self.entry.directory.table, self.entry.in_force = None, {}
         self.entry.admissions = AdmissionDirectory()
         self.assertIn("\nconfiguration none\n", status.render_status(self.entry))
 
-    def test_an_age_does_not_follow_steps_of_the_wall_clock(self):
-        now = Moment(time.time() - 3600, 10.5)
-        self.assertEqual(500, Moment(time.time(), 10.0).age_ms(now))
+    def test_a_step_of_the_wall_clock_does_not_change_an_age(self):
+        now = Timestamp(time.time() - 3600, 10.5)
+        self.assertEqual(500, Timestamp(time.time(), 10.0).age_ms(now))
