--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -297,7 +297,7 @@
 
     typer.echo(str(error), err=True)
     unanswered = isinstance(error, NoAnswerError)
-    return typer.Exit(ExitCode.NO_ANSWER if unanswered else ExitCode.NOT_UNDERSTOOD)
+    return typer.Exit(ExitCode.NO_ANSWER if unanswered else ExitCode.INVALID_RESPONSE)
 
 
 @app.command()
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -43,7 +43,7 @@
         Counters of requests and failures.
     decisions : DecisionLog
         Log with one line for each decision.
-    latencies : Latencies
+    latencies : RequestLatencies
         Latency histograms by route and outcome.
     clock : callable, default=read_clock
         Clock; returns a time in seconds.
@@ -104,7 +104,7 @@
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
             return Error(Rejection(failure, NO_CONFIGURATION_RETRY_AFTER_S))
-        metadata = self.dialect.read_request(environ)
+        metadata = self.dialect.parse_request_headers(environ)
         path = environ.get("REQUEST_URI") or environ["PATH_INFO"]
         route = table.find_route(environ.get("HTTP_HOST", ""), path)
         if route is None:
@@ -145,7 +145,7 @@
                 service=service,
                 method=environ["REQUEST_METHOD"],
                 path=path,
-                headers=read_headers(environ, self.dialect.OWN_REQUEST_HEADERS),
+                headers=read_headers(environ, self.dialect.REPLACED_REQUEST_HEADERS),
                 body=body,
                 received_at=received_at,
                 deadline=deadline,
@@ -171,7 +171,7 @@
             (name, value)
             for name, value in answer.headers
             if name.lower() not in HOP_BY_HOP_HEADERS
-            and name.lower() not in self.dialect.OWN_RESPONSE_HEADERS
+            and name.lower() not in self.dialect.INTERNAL_RESPONSE_HEADERS
             and name.lower() != "content-length"
         ]
         if answer.length is not None:
