--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -17,7 +17,7 @@
 import urllib3
 
 from .clock import read_clock
-from .responses import PageResponse, ResponsePage
+from .responses import PageApplication, PageResponse
 from .storestate import HistoryLost, StoreChange, StoreError, StoreSnapshot
 
 PROTOCOL_VERSION = 3
@@ -196,7 +196,7 @@
         return FeedUpdate(changes, self._revision, whole, confirmation)
 
 
-class FeedPage(ResponsePage):
+class FeedPage(PageApplication):
     """WSGI application that serves the feed of store changes to other hosts.
 
     Parameters
