--- a/harness/soak.py
+++ b/harness/soak.py
@@ -179,7 +179,7 @@
         end = time.monotonic() + self._seconds
         running = []
         while time.monotonic() < end:
-            name = rng.choice(sorted(troubles.names()))
+            name = rng.choice(sorted(troubles.list_names()))
             seconds = rng.uniform(0.1, MOST_TROUBLE_S)
             part = random.Random(f"{self._seed}-{len(self.played)}")
             self.played.append((name, round(seconds, 2)))
--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -12,7 +12,7 @@
 import typer
 
 from .errors import DocumentError, PageError, RedwingspringError
-from .startup import HeldSignal, pause_collection
+from .startup import DeferredSignal, pause_gc
 from .version import __version__
 from .yamlsource import read_file
 
@@ -56,8 +56,8 @@
     settings: Annotated[Path, typer.Option(help="YAML file of this host's settings.")],
 ):
     """Run the entry process of this host until SIGTERM."""
-    hangup = HeldSignal(signal.SIGHUP)
-    with pause_collection():
+    hangup = DeferredSignal(signal.SIGHUP)
+    with pause_gc():
         from .routedsettings import is_routed
 
     try:
@@ -65,7 +65,7 @@
         if is_routed(text):
             run_routed(text, settings, hangup)
         else:
-            hangup.release()
+            hangup.restore_default()
             run_plain(text, settings)
     except RedwingspringError as error:
         typer.echo(str(error), err=True)
@@ -74,7 +74,7 @@
 
 def run_plain(text, path):
     """Run an entry process with the product's own configuration service."""
-    with pause_collection():
+    with pause_gc():
         from .control import Entry
         from .logs import configure_logs
         from .settings import parse_settings
@@ -90,7 +90,7 @@
 
 def run_routed(text, path, hangup):
     """Run an entry process that follows a store, until it stops."""
-    with pause_collection():
+    with pause_gc():
         from .logs import configure_logs
         from .routedentry import RoutedEntry
         from .routedsettings import parse_routed_settings
@@ -101,7 +101,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: process.drain())
     process.start()
-    hangup.pass_to(lambda *_: reload_settings(process, path))
+    hangup.set_handler(lambda *_: reload_settings(process, path))
     process.wait()
     writer.stop()
     # Threads that wait for targets would keep the interpreter from ending.
--- a/redwingspring/control.py
+++ b/redwingspring/control.py
@@ -10,7 +10,7 @@
 from .drain import drain_server
 from .hosts import parse_hosts
 from .status import Moment, ValueInForce
-from .threads import run_always, run_thread
+from .threads import run_supervised, start_thread
 from .values import CONFIGURATION_KEY, KEYS
 
 
@@ -40,17 +40,17 @@
         """Start serving; return when the listener is open."""
         self.audit.record("process-started", self.settings.name)
         self.peers.start()
-        run_thread("metrics", self.metrics.run_flusher, self.stopping)
-        self._run_always("heartbeats", self.membership.run_heartbeats)
-        self._run_always("prober", self.prober.run)
-        self._run_always("apply", self.publication.run_apply)
+        start_thread("metrics", self.metrics.run_flusher, self.stopping)
+        self._run_supervised("heartbeats", self.membership.run_heartbeats)
+        self._run_supervised("prober", self.prober.run)
+        self._run_supervised("apply", self.publication.run_apply)
         for key in KEYS:
-            self._run_always(f"watch-{key}", self.publication.run_watch, key)
+            self._run_supervised(f"watch-{key}", self.publication.run_watch, key)
         self.bus.start()
 
     def drain(self):
         """Begin a graceful shutdown; return at once."""
-        run_thread("drain", self._drain)
+        start_thread("drain", self._drain)
 
     def stop(self):
         """Stop at once; requests in progress are cut."""
@@ -139,5 +139,5 @@
         times = [read("address.keep", service) for service in table.services]
         return max(times, default=0.0)
 
-    def _run_always(self, name, target, *args):
-        run_always(name, target, self.stopping, self.metrics, *args)
+    def _run_supervised(self, name, target, *args):
+        run_supervised(name, target, self.stopping, self.metrics, *args)
--- a/redwingspring/defaults.py
+++ b/redwingspring/defaults.py
@@ -8,13 +8,13 @@
     # Imported late: policies may import modules that read this table.
     from .policies import policies
 
-    return policies.names()
+    return policies.list_names()
 
 
 def _list_ramps():
     from .ramps import ramps
 
-    return ramps.names()
+    return ramps.list_names()
 
 
 @dataclass(frozen=True)
--- a/redwingspring/registry.py
+++ b/redwingspring/registry.py
@@ -38,7 +38,7 @@
 
         return _add
 
-    def names(self):
+    def list_names(self):
         """Return the registered names in order.
 
         Returns
@@ -69,7 +69,7 @@
         try:
             return self._entries[name]
         except KeyError:
-            known = ", ".join(self.names())
+            known = ", ".join(self.list_names())
             raise UnknownNameError(
                 f"unknown {self.kind} {name!r}; known are: {known}"
             ) from None
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -8,15 +8,15 @@
 from .errors import StartError
 from .members import MemberState
 from .routedassembly import assemble_routed
-from .threads import run_always, run_thread
+from .threads import run_supervised, start_thread
 
 logger = logging.getLogger(__name__)
 
 # New connections are accepted for this long after SIGTERM, since callers still
 # hold answers of the directory that name this host.
-ACCEPT_S = 2.0
+ACCEPT_AFTER_SIGTERM_S = 2.0
 # Idle connections of callers are closed after this time.
-CLOSE_IDLE_S = 3.0
+CLOSE_IDLE_AFTER_S = 3.0
 # Time kept for the end of the process itself.
 END_MARGIN_S = 0.5
 POLL_S = 0.05
@@ -58,15 +58,15 @@
             data_centre=self.settings.data_centre,
             address=self.settings.address,
         )
-        self._run_always("gossip-receiver", self.gossip.run_receiver)
-        self._run_always("gossip-sender", self.gossip.run_sender)
-        self._run_always("follower", self.follower.run)
-        self._run_always("sweep", self.follower.run_sweep)
-        self._run_always("metrics", self.metrics.run_flusher)
+        self._run_supervised("gossip-receiver", self.gossip.run_receiver)
+        self._run_supervised("gossip-sender", self.gossip.run_sender)
+        self._run_supervised("follower", self.follower.run)
+        self._run_supervised("sweep", self.follower.run_sweep)
+        self._run_supervised("metrics", self.metrics.run_flusher)
         # CherryPy's own bus takes 0.15 s to load, in which callers of a host that
         # restarts are not served; its server needs no more than this.
         for server in self.servers:
-            run_thread("server", server.serve)
+            start_thread("server", server.serve)
 
     def _open_listeners(self):
         """Open all listeners, or none is served."""
@@ -135,7 +135,7 @@
 
     def drain(self):
         """Begin a graceful shutdown; return at once."""
-        run_thread("drain", self._drain)
+        start_thread("drain", self._drain)
 
     def stop(self):
         """Stop at once; requests in progress are cut."""
@@ -168,9 +168,9 @@
         )
         self.server.keeps_connections = False
         self.gossip.announce(MemberState.LEAVING)
-        self._sleep_until(started + ACCEPT_S)
+        self._sleep_until(started + ACCEPT_AFTER_SIGTERM_S)
         self.server.close_listener()
-        self._sleep_until(started + CLOSE_IDLE_S)
+        self._sleep_until(started + CLOSE_IDLE_AFTER_S)
         end = started + self.settings.grace - END_MARGIN_S
         while self.server.requests.count and read_clock() < end:
             self.server.close_idle()
@@ -181,5 +181,5 @@
         while (left := end - read_clock()) > 0:
             self.stopping.wait(left)
 
-    def _run_always(self, name, target):
-        run_always(name, target, self.stopping, self.metrics)
+    def _run_supervised(self, name, target):
+        run_supervised(name, target, self.stopping, self.metrics)
--- a/redwingspring/startup.py
+++ b/redwingspring/startup.py
@@ -7,7 +7,7 @@
 
 
 @contextlib.contextmanager
-def pause_collection():
+def pause_gc():
     """Load without garbage collection, and leave out of it what was loaded.
 
     Collections find nothing while modules load, but take a third of the time until
@@ -21,7 +21,7 @@
         gc.enable()
 
 
-class HeldSignal:
+class DeferredSignal:
     """Keeps a signal whose handler is not loaded yet, instead of dying of it.
 
     Parameters
@@ -38,7 +38,7 @@
     def _note(self, *_):
         self._arrived = True
 
-    def pass_to(self, handler):
+    def set_handler(self, handler):
         """Let a handler take the signal from now on, and what arrived before.
 
         Parameters
@@ -50,7 +50,7 @@
         if self._arrived:
             handler(self._number, None)
 
-    def release(self):
+    def restore_default(self):
         """Let the signal have its usual effect, also if it arrived before."""
         signal.signal(self._number, signal.SIG_DFL)
         if self._arrived:
--- a/redwingspring/threads.py
+++ b/redwingspring/threads.py
@@ -8,7 +8,7 @@
 RESTART_PAUSE_S = 1.0
 
 
-def run_thread(name, target, *args):
+def start_thread(name, target, *args):
     """Run a function in a thread that does not keep the process alive.
 
     Parameters
@@ -23,7 +23,7 @@
     threading.Thread(target=target, args=args, name=name, daemon=True).start()
 
 
-def run_always(name, target, stopping, metrics, *args):
+def run_supervised(name, target, stopping, metrics, *args):
     """Run a function in a thread; call it again after an unexpected error.
 
     Parameters
@@ -51,4 +51,4 @@
                 logger.exception("restarting a thread")
                 stopping.wait(RESTART_PAUSE_S)
 
-    run_thread(name, _run)
+    start_thread(name, _run)
--- a/tests/outernames.py
+++ b/tests/outernames.py
@@ -134,7 +134,7 @@
     for module in modules:
         for value in vars(module).values():
             if isinstance(value, Registry):
-                yield " ".join(value.names())
+                yield " ".join(value.list_names())
 
 
 def _list_schema_names():
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -13,7 +13,7 @@
 
 class PoliciesTest(RedwingspringTestCase):
     def test_every_policy_chooses_one_of_the_candidates(self):
-        for name in policies.names():
+        for name in policies.list_names():
             for count in (1, 2, 50):
                 states = make_states(count)
                 self.assertIn(choose(name, states), states, name)
--- a/tests/test_routedpath.py
+++ b/tests/test_routedpath.py
@@ -283,8 +283,8 @@
     def test_a_graceful_shutdown_answers_a_post_on_a_connection_it_closes(self):
         host = HostFixture(self, instances=1, grace=6.0)
         host.instances[0].work_s = 1.2
-        self.patch(routedentry, "ACCEPT_S", 0.2)
-        self.patch(routedentry, "CLOSE_IDLE_S", 0.4)
+        self.patch(routedentry, "ACCEPT_AFTER_SIGTERM_S", 0.2)
+        self.patch(routedentry, "CLOSE_IDLE_AFTER_S", 0.4)
         threading.Timer(0.2, host.entry.drain).start()
         status, headers, _ = host.ask("POST", POSTS, body=b"x")
         self.assertEqual((200, "close"), (status, headers["connection"]))
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from redwingspring.startup import pause_collection
+from redwingspring.startup import pause_gc
 
 from .base import RedwingspringTestCase
 
@@ -18,7 +18,7 @@
     def test_collection_goes_on_after_loading_and_after_an_error(self):
         self.addCleanup(gc.unfreeze)
         try:
-            with pause_collection():
+            with pause_gc():
                 self.assertFalse(gc.isenabled())
                 raise ImportError
         except ImportError:
