Reword the peer connections, frames and messages

Comments, docstrings, log lines and private names now use the terms of network protocols. Names of fields, counters and threads are untouched.

MAX_UNPROVED -> MAX_UNAUTHENTICATED PROOF_TIMEOUT_S -> AUTHENTICATION_TIMEOUT_S MAX_ACCEPTED -> MAX_ACCEPTED_CONNECTIONS LISTEN_QUEUE (peers) -> LISTEN_BACKLOG

--- a/redwingspring/frames.py
+++ b/redwingspring/frames.py
@@ -2,7 +2,8 @@
 
 The accepting side of a connection sends a random nonce first. Each frame is a
 4-byte length, an HMAC-SHA256 over nonce and payload, and the payload. The nonce
-makes a recorded connection useless; the sequence number does so for single frames.
+prevents the replay of a whole connection, and the sequence number in the payload
+the replay of single frames.
 """
 
 import hashlib
@@ -26,12 +27,12 @@
 
 
 class FrameError(RedwingspringError):
-    """A peer connection carried something that is not accepted.
+    """A frame of a peer connection is invalid or not authentic.
 
     Parameters
     ----------
     kind : str
-        Last part of the name of the counter, such as ``bad_hmac``.
+        Kind of fault, such as ``bad_hmac``; last part of the name of its counter.
     """
 
     def __init__(self, kind):
@@ -40,16 +41,16 @@
 
 
 def read_exactly(sock, count, deadline=None):
-    """Return bytes from a socket.
+    """Read a given number of bytes from a socket.
 
     Parameters
     ----------
     sock : socket.socket
-        The socket; its timeout bounds each wait.
+        The socket. Its timeout limits each wait for data; a deadline replaces it.
     count : int
         Number of bytes.
     deadline : float or None, default=None
-        Monotonic time in seconds that bounds the whole call.
+        Monotonic time in seconds at which the call times out.
 
     Returns
     -------
@@ -59,9 +60,9 @@
     Raises
     ------
     EOFError
-        If the connection ended.
+        If the peer closed the connection.
     OSError
-        If it failed or a timeout passed.
+        If the connection failed or timed out.
     """
     data = bytearray(count)
     view = memoryview(data)
@@ -69,7 +70,7 @@
         if deadline is not None:
             remaining = deadline - time.monotonic()
             if remaining <= 0:
-                raise TimeoutError("the peer sent too slowly")
+                raise TimeoutError("the peer did not send the data before the deadline")
             sock.settimeout(remaining)
         received = sock.recv_into(view)
         if not received:
@@ -92,7 +93,7 @@
     key : bytes
         Shared key of all hosts.
     nonce : bytes
-        As sent by the accepting side.
+        Nonce that the accepting side sent.
     sender : str
         Name of this host.
     """
@@ -115,7 +116,7 @@
         Returns
         -------
         int
-            Bytes sent.
+            Size of the frame in bytes.
 
         Raises
         ------
@@ -130,8 +131,8 @@
         )
         if len(payload) > MAX_FRAME_BYTES:
             raise FrameError("bad_length")
-        code = _compute_hmac(self._key, self._nonce, payload)
-        frame = b"".join((_LENGTH.pack(len(payload)), code, payload))
+        mac = _compute_hmac(self._key, self._nonce, payload)
+        frame = b"".join((_LENGTH.pack(len(payload)), mac, payload))
         self._sock.sendall(frame)
         return len(frame)
 
@@ -146,7 +147,7 @@
     key : bytes
         Shared key of all hosts.
     nonce : bytes
-        As sent by this side.
+        Nonce that this side sent.
     """
 
     def __init__(self, sock, key, nonce):
@@ -164,19 +165,20 @@
         limit : int, default=MAX_FRAME_BYTES
             Largest payload in bytes.
         deadline : float or None, default=None
-            Monotonic time in seconds that bounds the whole call.
+            Monotonic time in seconds at which the call times out.
 
         Returns
         -------
         Envelope
-            Sent by a holder of the key, later than all before it.
+            Authenticated, from the same sender as the messages before it and with a
+            higher sequence number.
 
         Raises
         ------
         FrameError
-            If the frame is not accepted; the connection must be closed.
+            If the frame is invalid or not authentic; the connection must be closed.
         EOFError
-            If the connection ended.
+            If the peer closed the connection.
         OSError
             If the connection failed.
         """
@@ -185,8 +187,8 @@
         if not 0 < length <= limit:
             raise FrameError("bad_length")
         payload = bytes(read_exactly(self._sock, length, deadline))
-        code = _compute_hmac(self._key, self._nonce, payload)
-        if not hmac.compare_digest(code, bytes(header[_LENGTH.size :])):
+        mac = _compute_hmac(self._key, self._nonce, payload)
+        if not hmac.compare_digest(mac, bytes(header[_LENGTH.size :])):
             raise FrameError("bad_hmac")
         try:
             envelope = decode_envelope(payload)
--- a/redwingspring/links.py
+++ b/redwingspring/links.py
@@ -1,4 +1,4 @@
-"""Outgoing connections to peers, one thread each."""
+"""Outgoing connections to peers, each with its own thread."""
 
 import logging
 import queue
@@ -14,15 +14,15 @@
 
 QUEUE_LENGTH = 256
 CONNECT_TIMEOUT_S = 1.0
-# A peer that does not take data for this long counts as gone.
+# A peer that accepts no data for this long is considered lost.
 SEND_TIMEOUT_S = 3.0
-# The cap keeps the time to rejoin after a partition well under the 4 s in
-# which a configuration must be in force.
+# Reconnecting after a partition must take well under the 4 s within which a new
+# configuration has to be in force on all hosts.
 MAX_RECONNECT_DELAY_S = 1.0
 
 
 class PeerLink:
-    """Connection to one peer address, kept up by a thread.
+    """Connection to one peer address, which a thread opens and reopens.
 
     Parameters
     ----------
@@ -33,11 +33,11 @@
     name : str
         Name of this host.
     hello : Hello
-        First message on each connection.
+        Sent first on each connection.
     metrics : Metrics
         Counters.
     source : str
-        IP number that connections come from.
+        Local IP address that connections are bound to.
     """
 
     def __init__(self, address, key, name, hello, metrics, source):
@@ -48,8 +48,8 @@
         self._metrics = metrics
         self._source = source
         self._closed = threading.Event()
-        # None while there is no connection. Each connection has a new queue,
-        # so that no message outlives the connection it was meant for.
+        # None while there is no connection. Each connection has its own queue, so
+        # that messages queued for a lost connection are not sent on the next one.
         self._queue = None
 
     @property
@@ -73,7 +73,8 @@
         pending = self._queue
         if pending is None:
             return False
-        # Threads that send at once may exceed the bound by a few messages.
+        # Concurrent senders may exceed the limit by a few messages, since the
+        # check and put() are not atomic.
         if pending.qsize() >= QUEUE_LENGTH:
             self._metrics.increment("peers.queue_full")
             return False
@@ -81,13 +82,13 @@
         return True
 
     def start(self):
-        """Start the thread."""
+        """Start the thread that connects and sends."""
         threading.Thread(
             target=self._run, name=f"peer-sender-{self.address}", daemon=True
         ).start()
 
     def close(self):
-        """Close the connection and end the thread soon."""
+        """Ask the thread to close the connection and end."""
         self._closed.set()
 
     def _run(self):
@@ -97,17 +98,18 @@
                 return
             try:
                 with sock:
-                    self._send_all(sock)
+                    self._send_messages(sock)
             except (OSError, EOFError, FrameError) as error:
                 self._metrics.increment("peers.connections_lost")
                 logger.debug("connection to %s lost: %s", self.address, error)
             finally:
                 self._queue = None
-            # Spreads the reconnects to a peer that closes at once.
+            # Random, so that the hosts don't reconnect at the same time to a peer
+            # that closes each connection immediately.
             self._closed.wait(random.uniform(0.05, 0.2))
 
     def _connect(self):
-        """Return a connected socket, or None when the link was closed."""
+        """Return a connected socket, or None if the link has been closed."""
         retrying = tenacity.Retrying(
             retry=tenacity.retry_if_exception_type(OSError),
             wait=tenacity.wait_random_exponential(
@@ -121,18 +123,19 @@
 
     def _open_socket(self):
         host, port = self.address.rsplit(":", 1)
-        # The own address as source lets peers and networks tell hosts apart.
+        # Bound to this host's address, so that peers and packet filters can identify
+        # the host.
         source = (self._source, 0)
         sock = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S, source)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # Without this a connection that outlives a long partition waits for
-        # the retransmission timer, which grows to minutes.
+        # After a long partition, a connection would otherwise wait for the
+        # retransmission timer, which backs off to minutes.
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SEND_TIMEOUT_S * 1000)
         )
         return sock
 
-    def _send_all(self, sock):
+    def _send_messages(self, sock):
         nonce = read_exactly(sock, NONCE_BYTES)
         sock.settimeout(SEND_TIMEOUT_S)
         writer = FrameWriter(sock, self._key, nonce, self._name)
--- a/redwingspring/messages.capnp
+++ b/redwingspring/messages.capnp
@@ -1,13 +1,13 @@
 @0xd6a1f0c37be25a94;
-# Messages between entry hosts. The frame around an Envelope is described in
-# frames.py.
+# Messages between entry hosts. frames.py describes the frame that carries an
+# Envelope.
 
 struct Envelope {
   version @0 :UInt16;
   sender @1 :Text;
   sequence @2 :UInt64;
   sentAt @3 :Float64;
-  # Unix time in seconds, for diagnosis only.
+  # Unix time in seconds; used for diagnosis only.
 
   body :union {
     hello @4 :Hello;
--- a/redwingspring/messages.py
+++ b/redwingspring/messages.py
@@ -15,21 +15,21 @@
 
 
 class MessageError(RedwingspringError):
-    """A payload is not a message of this protocol."""
+    """A payload is not a valid message of this protocol."""
 
 
 @dataclass(frozen=True)
 class Hello:
-    """First message on each connection: who connects.
+    """First message on each connection; describes the connecting host.
 
     Attributes
     ----------
     address : str
-        ``ip:port`` of the sender for callers.
+        ``ip:port`` on which the sender serves callers.
     peer_address : str
-        ``ip:port`` of the sender for other hosts.
+        ``ip:port`` on which the sender accepts peers.
     data_centre : str
-        Where the sender is.
+        Data centre of the sender.
     """
 
     address: str
@@ -39,23 +39,23 @@
 
 @dataclass(frozen=True)
 class Heartbeat:
-    """Periodic state of a host.
+    """Periodic report of a host's state.
 
     Attributes
     ----------
     configuration_stamp : Stamp
-        Of the configuration in force.
+        Stamp of the configuration in force.
     hosts_stamp : Stamp
-        Of the host list in force.
+        Stamp of the host list in force.
     state : str
         ``starting``, ``serving`` or ``leaving``.
     start_id : str
-        Identifies one start of the sender.
+        Identifies a process of the sender; changes at each start.
     sent_tick : int, default=0
-        Time of sending on a clock of the sender.
+        Time of sending, by a clock of the sender.
     echo_tick : int, default=0
-        Newest ``sent_tick`` that the sender has received from the receiver;
-        0 when there is none.
+        Latest ``sent_tick`` that the sender has received from the receiver of this
+        heartbeat; 0 when there is none.
     """
 
     configuration_stamp: Stamp
@@ -75,9 +75,9 @@
     key : str
         ``configuration`` or ``hosts``.
     revision : int
-        Lowest revision that is of use.
+        Lowest revision that the sender needs.
     digest : str
-        Lowest digest that is of use within the revision.
+        Lowest digest that the sender needs of that revision.
     """
 
     key: str
@@ -94,11 +94,11 @@
     key : str
         ``configuration`` or ``hosts``.
     revision : int
-        Its revision.
+        Revision of the value.
     digest : str
         SHA-256 of the text.
     text : str
-        The value.
+        The document itself.
     """
 
     key: str
@@ -116,7 +116,7 @@
     target : str
         ``ip:port`` of the target.
     start_id : str
-        Identifies one start of the target.
+        Identifies a process of the target; changes at each start.
     temperature : str
         ``cold``, ``warm`` or ``leaving``.
     decided_ms : int
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True)
 class TargetStates:
-    """States of targets that changed.
+    """States of the targets whose state has changed.
 
     Attributes
     ----------
@@ -155,7 +155,7 @@
     target : str
         ``ip:port`` of the target.
     slot : int
-        Numbered slot, from 0.
+        Number of the slot, from 0.
     term_ms : int
         Length of the lease in milliseconds.
     """
@@ -169,16 +169,16 @@
 
 @dataclass(frozen=True)
 class LeaseReply:
-    """Answer of a grantor.
+    """Reply of a grantor to a lease request.
 
     Attributes
     ----------
     number : int
-        That of the request.
+        Number of the lease request.
     granted : bool
-        Whether the grantor agrees.
+        Whether the grantor grants the lease.
     slots_allowed : int
-        Slots that the ramp allows at present.
+        Number of slots that the ramp currently allows.
     """
 
     number: int
@@ -193,15 +193,15 @@
     Attributes
     ----------
     number : int
-        That of the request.
+        Number of the lease request.
     kind : str
         ``cold`` or ``probe``.
     target : str
         ``ip:port`` of the target.
     slot : int
-        Numbered slot, from 0.
+        Number of the slot, from 0.
     whole : bool
-        Whether a complete response arrived.
+        Whether the target sent a complete response.
     """
 
     number: int
@@ -213,14 +213,14 @@
 
 @dataclass(frozen=True)
 class SeenTarget:
-    """What the sender saw of one target.
+    """Latest observation of a target by the sender.
 
     Attributes
     ----------
     target : str
         ``ip:port`` of the target.
     age_ms : int
-        Time in milliseconds since then, at the time of sending.
+        Age of the observation in milliseconds at the time of sending.
     reported : bool
         Whether the target gave a load report.
     probed : bool
@@ -235,7 +235,7 @@
 
 @dataclass(frozen=True)
 class SeenTargets:
-    """Targets that reported or were probed, so that others need no probe.
+    """Targets that reported or were probed, which peers need not probe again.
 
     Attributes
     ----------
@@ -246,8 +246,8 @@
     entries: tuple
 
 
-# Names of the members of the union in messages.capnp.
-_MEMBERS = {
+# Names of the members of the union Envelope.body in messages.capnp.
+_UNION_MEMBERS = {
     Hello: "hello",
     Heartbeat: "heartbeat",
     Pull: "pull",
@@ -258,7 +258,7 @@
     LeaseRelease: "leaseRelease",
     SeenTargets: "seenTargets",
 }
-_CLASSES = {member: body_class for body_class, member in _MEMBERS.items()}
+_BODY_CLASSES = {member: body_class for body_class, member in _UNION_MEMBERS.items()}
 _ENTRY_CLASSES = {TargetStates: TargetStateEntry, SeenTargets: SeenTarget}
 
 
@@ -269,14 +269,14 @@
 
 _FIELDS = {
     body_class: tuple((f.name, _to_camel_case(f.name)) for f in fields(body_class))
-    for body_class in (*_MEMBERS, *_ENTRY_CLASSES.values())
+    for body_class in (*_UNION_MEMBERS, *_ENTRY_CLASSES.values())
 }
 _STAMP_FIELDS = ("configuration_stamp", "hosts_stamp")
 
 
 @dataclass(frozen=True)
 class Envelope:
-    """A message with its origin.
+    """A message with its sender and sequence number.
 
     Attributes
     ----------
@@ -300,7 +300,7 @@
 
 
 def encode_envelope(envelope):
-    """Return an envelope as bytes.
+    """Encode an envelope.
 
     Parameters
     ----------
@@ -318,12 +318,12 @@
     message.sequence = envelope.sequence
     message.sentAt = envelope.sent_at
     body = envelope.body
-    _encode_fields(message.body.init(_MEMBERS[type(body)]), body)
+    _encode_fields(message.body.init(_UNION_MEMBERS[type(body)]), body)
     return message.to_bytes()
 
 
 def decode_envelope(payload):
-    """Return the envelope that bytes encode.
+    """Decode an envelope.
 
     Parameters
     ----------
@@ -333,12 +333,12 @@
     Returns
     -------
     Envelope
-        The envelope; its body is None when the version is another one.
+        The envelope; its body is None when its protocol version is not this one.
 
     Raises
     ------
     MessageError
-        If the bytes are no valid envelope.
+        If the payload is not a valid envelope.
     """
     try:
         with _schema.Envelope.from_bytes(payload) as message:
@@ -346,7 +346,7 @@
             if message.version == PROTOCOL_VERSION:
                 union = message.body
                 member = str(union.which())
-                body = _decode_fields(_CLASSES[member], getattr(union, member))
+                body = _decode_fields(_BODY_CLASSES[member], getattr(union, member))
             return Envelope(
                 message.version,
                 message.sender,
@@ -355,24 +355,24 @@
                 body,
             )
     except (capnp.KjException, ValueError, KeyError, AttributeError) as error:
-        raise MessageError(f"the payload is no message: {error}") from error
+        raise MessageError(f"the payload is not a valid message: {error}") from error
 
 
-# Fields are set and read one by one, because pycapnp's conversions from and to
+# Fields are set and read individually, since pycapnp's conversions from and to
 # dicts take four times as long, and heartbeats are the main cost of an idle host.
 def _encode_fields(message, body):
-    for name, member in _FIELDS[type(body)]:
+    for name, capnp_name in _FIELDS[type(body)]:
         value = getattr(body, name)
         if isinstance(value, Stamp):
-            stamp = message.init(member)
+            stamp = message.init(capnp_name)
             stamp.revision = value.revision
             stamp.digest = bytes.fromhex(value.digest)
         elif isinstance(value, tuple):
-            items = message.init(member, len(value))
+            items = message.init(capnp_name, len(value))
             for index, entry in enumerate(value):
                 _encode_fields(items[index], entry)
         else:
-            setattr(message, member, value)
+            setattr(message, capnp_name, value)
 
 
 def _decode_fields(body_class, message):
@@ -382,8 +382,8 @@
             tuple(_decode_fields(entry_class, e) for e in message.entries)
         )
     values = []
-    for name, member in _FIELDS[body_class]:
-        value = getattr(message, member)
+    for name, capnp_name in _FIELDS[body_class]:
+        value = getattr(message, capnp_name)
         if name in _STAMP_FIELDS:
             value = Stamp(value.revision, value.digest.hex())
         values.append(value)
--- a/redwingspring/peers.py
+++ b/redwingspring/peers.py
@@ -1,4 +1,4 @@
-"""Network of entry hosts: sends to peers and dispatches what they send."""
+"""Peer network of entry hosts: sends messages and dispatches received ones."""
 
 import logging
 import secrets
@@ -13,14 +13,14 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_ACCEPTED = 512
-# Connections that have not proved yet that they hold the key.
-MAX_UNPROVED = 64
-PROOF_TIMEOUT_S = 2.0
+MAX_ACCEPTED_CONNECTIONS = 512
+# Accepted connections whose first frame has not been authenticated yet.
+MAX_UNAUTHENTICATED = 64
+AUTHENTICATION_TIMEOUT_S = 2.0
 MAX_HELLO_BYTES = 4 << 10
-# Heartbeats come every 250 ms, so a silent connection is of no use.
+# Peers send heartbeats every 250 ms, so a connection without data is dead.
 IDLE_TIMEOUT_S = 10.0
-LISTEN_QUEUE = 128
+LISTEN_BACKLOG = 128
 
 
 class PeerNetwork:
@@ -33,11 +33,11 @@
     key : str
         Shared secret of all hosts.
     hello : Hello
-        How this host introduces itself; it listens on ``peer_address``.
+        Describes this host to its peers; sent first on each connection.
     metrics : Metrics
         Counters.
     listen : str or None, default=None
-        ``ip:port`` to listen on; the peer address of ``hello`` when None.
+        ``ip:port`` to listen on; ``hello.peer_address`` when None.
     """
 
     def __init__(self, name, key, hello, metrics, listen=None):
@@ -51,12 +51,12 @@
         self._links = {}
         self._addresses = {}
         self._accepted = set()
-        self._unproved = 0
+        self._unauthenticated = 0
         self._listener = None
         self._stopped = False
 
     def register(self, body_class, handler):
-        """Set what is called for each message of a class.
+        """Set the handler of a message class.
 
         Parameters
         ----------
@@ -64,7 +64,7 @@
             One of the body classes of ``messages``.
         handler : callable
             Called as ``handler(sender_name, body)`` in the reader thread of
-            the connection; messages of one connection come one by one.
+            the connection, for one message of a connection at a time.
         """
         self._handlers[body_class] = handler
 
@@ -87,7 +87,7 @@
         return link is not None and link.put(body)
 
     def broadcast(self, body):
-        """Queue a message for every host that is connected.
+        """Queue a message for every connected host.
 
         Parameters
         ----------
@@ -97,7 +97,7 @@
         Returns
         -------
         int
-            Number of hosts for which it was queued.
+            Number of hosts that the message was queued for.
         """
         return sum(link.put(body) for link in tuple(self._links.values()))
 
@@ -132,7 +132,7 @@
             link.start()
 
     def start(self):
-        """Open the listener and start to accept.
+        """Open the listener and start accepting connections.
 
         Raises
         ------
@@ -143,7 +143,7 @@
         host, _, port = address.rpartition(":")
         try:
             self._listener = socket.create_server(
-                (host, int(port)), backlog=LISTEN_QUEUE
+                (host, int(port)), backlog=LISTEN_BACKLOG
             )
         except (OSError, ValueError) as error:
             raise StartError(
@@ -166,7 +166,7 @@
             try:
                 sock.shutdown(socket.SHUT_RDWR)
             except OSError:
-                pass  # Already closed by its own thread.
+                pass  # Already closed by its reader thread or the peer.
 
     def _accept(self):
         while not self._stopped:
@@ -176,8 +176,9 @@
                 if self._stopped:
                     self._listener.close()
                     return
-                # Such as no free descriptors; a pause keeps this from spinning.
-                logger.warning("cannot accept a peer: %s", error)
+                # For example, no file descriptors are left. The pause prevents a
+                # busy loop.
+                logger.warning("cannot accept a peer connection: %s", error)
                 time.sleep(0.1)
                 continue
             if not self._admit(sock):
@@ -195,29 +196,31 @@
         with self._lock:
             if (
                 self._stopped
-                or len(self._accepted) >= MAX_ACCEPTED
-                or self._unproved >= MAX_UNPROVED
+                or len(self._accepted) >= MAX_ACCEPTED_CONNECTIONS
+                or self._unauthenticated >= MAX_UNAUTHENTICATED
             ):
                 return False
             self._accepted.add(sock)
-            self._unproved += 1
+            self._unauthenticated += 1
             return True
 
     def _serve(self, sock):
-        proved = False
+        authenticated = False
         try:
             with sock:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.settimeout(PROOF_TIMEOUT_S)
+                sock.settimeout(AUTHENTICATION_TIMEOUT_S)
                 nonce = secrets.token_bytes(NONCE_BYTES)
                 sock.sendall(nonce)
                 reader = FrameReader(sock, self._key, nonce)
-                first = reader.read(MAX_HELLO_BYTES, time.monotonic() + PROOF_TIMEOUT_S)
+                first = reader.read(
+                    MAX_HELLO_BYTES, time.monotonic() + AUTHENTICATION_TIMEOUT_S
+                )
                 if not isinstance(first.body, Hello) or first.sender == self.name:
                     raise FrameError("bad_hello")
-                proved = True
+                authenticated = True
                 with self._lock:
-                    self._unproved -= 1
+                    self._unauthenticated -= 1
                 sock.settimeout(IDLE_TIMEOUT_S)
                 self._dispatch(first)
                 while True:
@@ -230,7 +233,7 @@
         finally:
             with self._lock:
                 self._accepted.discard(sock)
-                self._unproved -= not proved
+                self._unauthenticated -= not authenticated
 
     def _dispatch(self, envelope):
         handler = self._handlers.get(type(envelope.body))
@@ -240,6 +243,7 @@
         try:
             handler(envelope.sender, envelope.body)
         except Exception:
-            # A fault in one handler must not cut the host off from its peers.
+            # An error in one handler must not close the connection, which carries
+            # the messages of all handlers.
             self._metrics.increment("peers.handler_errors")
-            logger.exception("cannot handle a message of %s", envelope.sender)
+            logger.exception("error while handling a message from %s", envelope.sender)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -147,8 +147,8 @@
         self.assert_closed(sock, metrics, "peers.bad_version")
 
     def test_silent_strangers_do_not_hold_connections(self):
-        self.patch(peers, "MAX_UNPROVED", 2)
-        self.patch(peers, "PROOF_TIMEOUT_S", 0.3)
+        self.patch(peers, "MAX_UNAUTHENTICATED", 2)
+        self.patch(peers, "AUTHENTICATION_TIMEOUT_S", 0.3)
         _, address, metrics = self.start_network("two")
         strangers = [self.dial(address)[0] for _ in range(2)]
         self.assertRaises((EOFError, OSError), self.dial, address)
