Reword the facades, composition roots and process startup

Comments, docstrings, one log line and private names now use the usual terms of process startup, shutdown and address caching. The tests of the peers, the process and its startup are named after the failure they guard against; their number, assertions and checked values are the same.

QUIET_S -> IDLE_PERIOD_S MAX_QUIET_WAIT_S -> MAX_IDLE_WAIT_S MIN_NEAR_HOSTS -> MIN_PREFERRED_HOSTS END_MARGIN_S -> EXIT_MARGIN_S RESTART_PAUSE_S -> RESTART_DELAY_S POLL_S (drain, routedentry) -> POLL_INTERVAL_S last_name -> fallback_name

--- a/redwingspring/__init__.py
+++ b/redwingspring/__init__.py
@@ -4,8 +4,8 @@
 
 from .version import __version__
 
-# Loaded on first use: a process that serves callers loads only what it needs,
-# since a restarted host answers nobody until it has loaded.
+# Modules of the public names, imported on first use. An entry process imports only
+# what it needs, since a restarted host serves no callers until its imports are done.
 _MODULES = {
     "Entry": "control",
     "Failure": "verdict",
@@ -18,17 +18,17 @@
 
 
 def __getattr__(name):
-    """Return a public name of the package, loading its module.
+    """Import the module of a public name and return the object.
 
     Parameters
     ----------
     name : str
-        The name.
+        One of the public names.
 
     Returns
     -------
     object
-        What the package offers under it.
+        The object with this name.
     """
     if name not in _MODULES:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/redwingspring/addresses.py
+++ b/redwingspring/addresses.py
@@ -1,4 +1,4 @@
-"""Answers to callers that ask which entry host to use."""
+"""Selection of the entry hosts that a caller should use."""
 
 import random
 from dataclasses import dataclass
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class AddressAnswer:
-    """Hosts for a caller, in the order to try.
+    """Answer to a caller that asks which entry hosts to use.
 
     Attributes
     ----------
@@ -18,7 +18,7 @@
     hosts : tuple of Host
         Hosts in the order to try.
     keep_seconds : float
-        How long the caller may keep the answer.
+        How long the caller may cache the answer, in seconds.
     """
 
     service: str
@@ -26,7 +26,7 @@
     keep_seconds: float
 
     def as_dict(self):
-        """Return the answer as it is sent.
+        """Return the answer as a dict for JSON.
 
         Returns
         -------
@@ -43,28 +43,28 @@
         }
 
 
-def order_hosts(hosts, data_centre, last_name=None):
-    """Return hosts in random order, those of a data centre first.
+def order_hosts(hosts, data_centre, fallback_name=None):
+    """Shuffle hosts and put those of a data centre first.
 
     Parameters
     ----------
     hosts : iterable of Host
-        Hosts that take work.
+        Hosts that accept requests.
     data_centre : str
         Data centre of the caller.
-    last_name : str or None, default=None
-        Name of a host to place behind all others.
+    fallback_name : str or None, default=None
+        Name of a host that goes behind all others.
 
     Returns
     -------
     tuple of Host
-        The order to try.
+        Hosts in the order to try.
     """
     shuffled = list(hosts)
-    # Random order spreads callers that ask at the same time.
+    # The random order spreads the load of callers that ask at the same time.
     random.shuffle(shuffled)
     shuffled.sort(
-        key=lambda host: (host.name == last_name, host.data_centre != data_centre)
+        key=lambda host: (host.name == fallback_name, host.data_centre != data_centre)
     )
     return tuple(shuffled)
 
@@ -75,7 +75,7 @@
     Parameters
     ----------
     membership : Membership
-        What this host knows of all hosts.
+        State of all hosts as this host knows it.
     settings : Settings
         This host's own settings.
     data_centre : str or None, default=None
@@ -84,7 +84,7 @@
     Returns
     -------
     tuple of Host
-        In the order to try. This host is the last one while it refuses work.
+        Hosts in the order to try; this host comes last while it refuses requests.
     """
     refuses = membership.check_serving() is not None
     return order_hosts(
@@ -95,19 +95,19 @@
 
 
 def find_alternatives(membership, settings):
-    """Return where a script can go instead of this host.
+    """Return the hosts that can be used instead of this one.
 
     Parameters
     ----------
     membership : Membership
-        What this host knows of all hosts.
+        State of all hosts as this host knows it.
     settings : Settings
         This host's own settings.
 
     Returns
     -------
     tuple of Host
-        In the order to try, without this host.
+        Hosts in the order to try, without this one.
     """
     return tuple(
         host for host in find_hosts(membership, settings) if host.name != settings.name
--- a/redwingspring/assembly.py
+++ b/redwingspring/assembly.py
@@ -1,4 +1,4 @@
-"""Composition root: builds the parts of an entry process."""
+"""Composition root: builds the components of an entry process."""
 
 from cherrypy import _cptree
 
@@ -37,16 +37,17 @@
 
 
 def assemble(entry, settings):
-    """Build all parts of an entry process and set them on its facade.
+    """Build all components of an entry process and set them on its facade.
 
     Parameters
     ----------
     entry : Entry
-        The facade; it offers the callbacks that the parts need.
+        The facade; provides the callbacks that the components need.
     settings : Settings
         The host's own settings.
     """
-    # Gauges of several hosts under one name would overwrite each other.
+    # The host name in the prefix keeps the gauges of hosts from overwriting each
+    # other.
     prefix = f"redwingspring.{settings.name.replace('.', '_')}"
     entry.metrics = Metrics(connect_statsd(settings.statsd, prefix))
     entry.metrics.add_sampler(lambda metrics: sample_gauges(entry, metrics))
@@ -113,7 +114,7 @@
 
 
 def assemble_leases(entry, settings):
-    """Build both sides of leases.
+    """Build the client and the grantor of leases and connect their messages.
 
     Parameters
     ----------
--- a/redwingspring/clock.py
+++ b/redwingspring/clock.py
@@ -1,17 +1,17 @@
-"""Time that also passes while the process or its host is suspended."""
+"""Monotonic clock that includes the time while the host is suspended."""
 
 import time
 
 
 def read_clock():
-    """Return the seconds since the host started.
+    """Return the time since the host booted.
 
-    The steady clock of ``time.monotonic`` stops while a host is suspended, so a
-    deadline on it would be met too late; the time of day may step.
+    ``time.monotonic`` stops while the host is suspended, so deadlines based on it
+    would pass too late. The wall clock may jump.
 
     Returns
     -------
     float
-        Seconds, time of suspension included.
+        Time in seconds, including suspension.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/redwingspring/control.py
+++ b/redwingspring/control.py
@@ -1,4 +1,4 @@
-"""The facade of an entry process."""
+"""Facade of an entry process that uses the configuration service."""
 
 import threading
 
@@ -15,7 +15,7 @@
 
 
 class Entry:
-    """One entry process.
+    """Entry process that uses the configuration service.
 
     Parameters
     ----------
@@ -37,7 +37,7 @@
         adapter.subscribe()
 
     def start(self):
-        """Start serving; return when the listener is open."""
+        """Start all threads and the server; return when the listener is open."""
         self.audit.record("process-started", self.settings.name)
         self.peers.start()
         start_thread("metrics", self.metrics.run_flusher, self.stopping)
@@ -49,11 +49,11 @@
         self.bus.start()
 
     def drain(self):
-        """Begin a graceful shutdown; return at once."""
+        """Begin a graceful shutdown without waiting for its end."""
         start_thread("drain", self._drain)
 
     def stop(self):
-        """Stop at once; requests in progress are cut."""
+        """Stop immediately and abort the requests in progress."""
         if self.stopping.is_set():
             return
         self.audit.record("process-stopped", self.settings.name)
@@ -67,7 +67,7 @@
         self._stopped.wait()
 
     def find_addresses(self, service, data_centre=None):
-        """Return which hosts a caller of a service should use.
+        """Return the hosts that a caller of a service should use.
 
         Parameters
         ----------
@@ -79,29 +79,29 @@
         Returns
         -------
         AddressAnswer or None
-            None when there is no such service.
+            None when there is no such service or no configuration yet.
         """
         table = self.directory.table
         if table is None or service not in table.services:
             return None
-        ordered = find_hosts(self.membership, self.settings, data_centre)
-        keep = table.configuration.service_value("address.keep", service)
-        return AddressAnswer(service, ordered, keep)
+        hosts = find_hosts(self.membership, self.settings, data_centre)
+        keep_s = table.configuration.service_value("address.keep", service)
+        return AddressAnswer(service, hosts, keep_s)
 
     def apply_value(self, value, source):
-        """Put a newer published value in force.
+        """Apply a newer published value.
 
         Parameters
         ----------
         value : PublishedValue
             The value.
         source : str
-            Where it came from.
+            Where the value came from, for the status page.
 
         Raises
         ------
         DocumentError
-            If the document is invalid; nothing has changed then.
+            If the document is invalid; nothing has been applied then.
         """
         if value.key == CONFIGURATION_KEY:
             self._apply_configuration(value)
@@ -127,16 +127,16 @@
                 return
             self.audit.record("process-leaving", self.settings.name)
             self.membership.leave()
-            drain_server(self.server, self._read_keep_time())
+            drain_server(self.server, self._find_max_keep_s())
             self.stop()
 
-    def _read_keep_time(self):
-        """Return the longest time that a caller of any service keeps an address."""
+    def _find_max_keep_s(self):
+        """Return how long callers of any service may cache an address, in seconds."""
         table = self.directory.table
         if table is None:
             return 0.0
-        read = table.configuration.service_value
-        times = [read("address.keep", service) for service in table.services]
+        read_value = table.configuration.service_value
+        times = [read_value("address.keep", service) for service in table.services]
         return max(times, default=0.0)
 
     def _run_supervised(self, name, target, *args):
--- a/redwingspring/drain.py
+++ b/redwingspring/drain.py
@@ -1,33 +1,34 @@
-"""Graceful shutdown of the server for callers."""
+"""Graceful shutdown of the server that accepts callers."""
 
 import time
 
-# Callers' clocks and their way to this host may add a little to the time
-# that they keep an address.
+# Clock drift and network latency may lengthen the time for which callers cache an
+# address.
 KEEP_MARGIN_S = 5.0
-QUIET_S = 1.0
-# Health checks and callers that ignore the keep time never fall silent. They
-# may be refused a connection, which proves that their request did not run.
-MAX_QUIET_WAIT_S = 10.0
-POLL_S = 0.05
+# The listener is closed when no connection has been accepted for this long.
+IDLE_PERIOD_S = 1.0
+# Health checks and callers that ignore the cache time never stop connecting. Their
+# connections may be refused, since that proves that the request did not run.
+MAX_IDLE_WAIT_S = 10.0
+POLL_INTERVAL_S = 0.05
 
 
-def drain_server(server, keep_time):
-    """Stop accepting when no caller uses the address, then wait for the rest.
+def drain_server(server, keep_s):
+    """Close the listener once callers stop connecting, then finish the requests.
 
     Parameters
     ----------
     server : EntryServer
         The server.
-    keep_time : float
-        Seconds that callers keep an address.
+    keep_s : float
+        How long callers may cache the address, in seconds.
     """
     server.keeps_connections = False
-    margin = KEEP_MARGIN_S if keep_time else 0.0
-    time.sleep(keep_time + margin)
-    end = time.monotonic() + MAX_QUIET_WAIT_S
-    while time.monotonic() < min(end, server.last_accept + QUIET_S):
-        time.sleep(POLL_S)
+    margin = KEEP_MARGIN_S if keep_s else 0.0
+    time.sleep(keep_s + margin)
+    end = time.monotonic() + MAX_IDLE_WAIT_S
+    while time.monotonic() < min(end, server.last_accept + IDLE_PERIOD_S):
+        time.sleep(POLL_INTERVAL_S)
     server.close_listener()
     while server.requests.count:
-        time.sleep(POLL_S)
+        time.sleep(POLL_INTERVAL_S)
--- a/redwingspring/errors.py
+++ b/redwingspring/errors.py
@@ -1,8 +1,8 @@
-"""Exceptions that users of the package and operators may see."""
+"""Exceptions that are visible to users of the package and to operators."""
 
 
 class RedwingspringError(Exception):
-    """Base class of every error that users may see."""
+    """Base class of all exceptions that users may see."""
 
 
 class DocumentError(RedwingspringError):
@@ -20,15 +20,15 @@
 
 
 class UnknownNameError(RedwingspringError):
-    """A registry has no entry of the given name."""
+    """A registry has no entry with the given name."""
 
 
 class PublicationError(RedwingspringError):
-    """The configuration service did not give a usable answer."""
+    """The configuration service did not return a valid response."""
 
 
 class PageError(RedwingspringError):
-    """A control page of an entry host cannot be understood."""
+    """A control page of an entry host is unavailable or malformed."""
 
 
 class StartError(RedwingspringError):
--- a/redwingspring/registry.py
+++ b/redwingspring/registry.py
@@ -1,4 +1,4 @@
-"""Registries of named variants, filled by decorators."""
+"""Registries of named classes or functions, filled by decorators."""
 
 from .errors import UnknownNameError
 
@@ -9,7 +9,7 @@
     Parameters
     ----------
     kind : str
-        What the entries are, for messages.
+        What an entry is, in error messages.
     """
 
     def __init__(self, kind):
@@ -22,7 +22,7 @@
         Parameters
         ----------
         name : str
-            The name that settings and configuration use.
+            Name of the entry in settings and configuration.
 
         Returns
         -------
@@ -39,17 +39,17 @@
         return _add
 
     def list_names(self):
-        """Return the registered names in order.
+        """Return the registered names in alphabetical order.
 
         Returns
         -------
         tuple of str
-            The names, sorted.
+            The sorted names.
         """
         return tuple(sorted(self._entries))
 
     def find(self, name):
-        """Return the entry of a name.
+        """Return the entry with a name.
 
         Parameters
         ----------
@@ -64,7 +64,7 @@
         Raises
         ------
         UnknownNameError
-            If no entry has the name.
+            If no entry has this name.
         """
         try:
             return self._entries[name]
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -1,4 +1,4 @@
-"""Composition root: builds the parts of an entry process that follows a store."""
+"""Composition root of an entry process that follows a store."""
 
 from .decisions import DecisionLog
 from .exposition import Latencies, MetricsPage, build_registry
@@ -22,12 +22,12 @@
 
 
 def assemble_routed(entry, settings):
-    """Build all parts of an entry process that follows a store.
+    """Build all components of the process and set them on its facade.
 
     Parameters
     ----------
     entry : RoutedEntry
-        The facade; it offers the callbacks that the parts need.
+        The facade; provides the callbacks that the components need.
     settings : RoutedSettings
         The host's own settings.
     """
@@ -66,7 +66,7 @@
 
 
 def assemble_membership(entry, settings):
-    """Build what tells this host which others there are.
+    """Build the member list and the gossip that keeps it up to date.
 
     Parameters
     ----------
@@ -93,7 +93,7 @@
 
 
 def assemble_servers(entry, settings):
-    """Build the HTTP servers of an entry process that follows a store.
+    """Build the HTTP servers of the process.
 
     Parameters
     ----------
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -1,4 +1,4 @@
-"""The facade of an entry process that follows a store."""
+"""Facade of an entry process that follows a store."""
 
 import logging
 import random
@@ -13,21 +13,21 @@
 logger = logging.getLogger(__name__)
 
 # New connections are accepted for this long after SIGTERM, since callers still
-# hold answers of the directory that name this host.
+# use cached answers of the directory that name this host.
 ACCEPT_AFTER_SIGTERM_S = 2.0
-# Idle connections of callers are closed after this time.
+# Idle connections of callers are closed this long after SIGTERM.
 CLOSE_IDLE_AFTER_S = 3.0
-# Time kept for the end of the process itself.
-END_MARGIN_S = 0.5
-POLL_S = 0.05
-# Most addresses in one answer of the directory.
+# Part of the grace period that is reserved for the exit of the process.
+EXIT_MARGIN_S = 0.5
+POLL_INTERVAL_S = 0.05
+# Maximum number of addresses in an answer of the directory.
 MAX_ADDRESSES = 64
-# With fewer hosts in the caller's data centre, those of the others are named too.
-MIN_NEAR_HOSTS = 2
+# With fewer hosts in the caller's data centre, an answer includes all data centres.
+MIN_PREFERRED_HOSTS = 2
 
 
 class RoutedEntry:
-    """One entry process.
+    """Entry process that follows a store.
 
     Parameters
     ----------
@@ -44,7 +44,7 @@
         assemble_routed(self, settings)
 
     def start(self):
-        """Start serving; return when the listeners are open.
+        """Start all threads and servers; return when the listeners are open.
 
         Raises
         ------
@@ -63,13 +63,13 @@
         self._run_supervised("follower", self.follower.run)
         self._run_supervised("sweep", self.follower.run_sweep)
         self._run_supervised("metrics", self.metrics.run_flusher)
-        # CherryPy's own bus takes 0.15 s to load, in which callers of a host that
-        # restarts are not served; its server needs no more than this.
+        # CherryPy's process bus is not used: importing it takes 0.15 s, which delays
+        # the first response after a restart, and the server works without it.
         for server in self.servers:
             start_thread("server", server.serve)
 
     def _open_listeners(self):
-        """Open all listeners, or none is served."""
+        """Open all listeners before any of them is served."""
         address = self.settings.peer_address
         try:
             self.gossip.open()
@@ -81,23 +81,23 @@
 
     @property
     def is_ready(self):
-        """Tell whether this host takes new connections."""
+        """Tell whether this host has a routing table and is not draining."""
         return self.store_state.table is not None and not self._draining
 
     def apply_table(self, table):
-        """Put a routing table in force.
+        """Apply a routing table.
 
         Parameters
         ----------
         table : RoutingTable
-            The table.
+            The new table.
         """
         self.server.apply_limits(table.limits)
         if self.members.own.state is MemberState.STARTING and not self._draining:
             self.gossip.announce(MemberState.SERVING)
 
     def find_addresses(self, data_centre):
-        """Return the addresses that a caller should use.
+        """Return the addresses of the hosts that a caller should use.
 
         Parameters
         ----------
@@ -107,22 +107,23 @@
         Returns
         -------
         tuple of (list of str, float)
-            Addresses of hosts, and the seconds to keep them.
+            Addresses, and how long the caller may cache them in seconds.
         """
         serving = self.members.list_serving()
         evacuated = self.directory.view.evacuated
-        near = [m for m in serving if m.data_centre == data_centre]
+        preferred = [m for m in serving if m.data_centre == data_centre]
         if data_centre in evacuated:
-            # Requests that enter there all go on to another data centre.
-            near = [m for m in serving if m.data_centre not in evacuated]
-        chosen = near if len(near) >= MIN_NEAR_HOSTS else serving
+            # A host in an evacuated data centre would forward every request to
+            # another one.
+            preferred = [m for m in serving if m.data_centre not in evacuated]
+        chosen = preferred if len(preferred) >= MIN_PREFERRED_HOSTS else serving
         addresses = [member.address for member in chosen]
         if len(addresses) > MAX_ADDRESSES:
             addresses = random.sample(addresses, MAX_ADDRESSES)
         return addresses, self.settings.address_keep
 
     def reload(self, settings):
-        """Take settings that may change while the process runs.
+        """Apply the settings that may change while the process runs.
 
         Parameters
         ----------
@@ -134,11 +135,11 @@
         self.decisions.record("settings read again", changed=changed)
 
     def drain(self):
-        """Begin a graceful shutdown; return at once."""
+        """Begin a graceful shutdown without waiting for its end."""
         start_thread("drain", self._drain)
 
     def stop(self):
-        """Stop at once; requests in progress are cut."""
+        """Stop immediately and abort the requests in progress."""
         if self.stopping.is_set():
             return
         self.decisions.record("process stopped", host=self.settings.name)
@@ -146,7 +147,7 @@
         self._stopped.set()
 
     def close(self):
-        """Stop at once and close all listeners."""
+        """Stop immediately and close all listeners."""
         self.stop()
         for server in self.servers:
             server.stop()
@@ -171,15 +172,15 @@
         self._sleep_until(started + ACCEPT_AFTER_SIGTERM_S)
         self.server.close_listener()
         self._sleep_until(started + CLOSE_IDLE_AFTER_S)
-        end = started + self.settings.grace - END_MARGIN_S
+        end = started + self.settings.grace - EXIT_MARGIN_S
         while self.server.requests.count and read_clock() < end:
             self.server.close_idle()
-            self._sleep_until(read_clock() + POLL_S)
+            self._sleep_until(read_clock() + POLL_INTERVAL_S)
         self.stop()
 
     def _sleep_until(self, end):
-        while (left := end - read_clock()) > 0:
-            self.stopping.wait(left)
+        while (remaining_s := end - read_clock()) > 0:
+            self.stopping.wait(remaining_s)
 
     def _run_supervised(self, name, target):
         run_supervised(name, target, self.stopping, self.metrics)
--- a/redwingspring/startup.py
+++ b/redwingspring/startup.py
@@ -1,4 +1,4 @@
-"""Start of a process: loading in the least time, and signals that come meanwhile."""
+"""Process startup: fast imports, and signals that arrive during them."""
 
 import contextlib
 import gc
@@ -8,10 +8,10 @@
 
 @contextlib.contextmanager
 def pause_gc():
-    """Load without garbage collection, and leave out of it what was loaded.
+    """Disable garbage collection during imports, then freeze what they created.
 
-    Collections find nothing while modules load, but take a third of the time until
-    a restarted host serves its callers again.
+    Collections free nothing while modules are imported, but take a third of the time
+    until a restarted host serves callers again.
     """
     gc.disable()
     try:
@@ -22,7 +22,9 @@
 
 
 class DeferredSignal:
-    """Keeps a signal whose handler is not loaded yet, instead of dying of it.
+    """Defers a signal until its handler has been imported.
+
+    The default action of the signal would end the process in the meantime.
 
     Parameters
     ----------
@@ -33,25 +35,26 @@
     def __init__(self, number):
         self._number = number
         self._arrived = False
-        signal.signal(number, self._note)
+        signal.signal(number, self._record_arrival)
 
-    def _note(self, *_):
+    def _record_arrival(self, *_):
         self._arrived = True
 
     def set_handler(self, handler):
-        """Let a handler take the signal from now on, and what arrived before.
+        """Install a handler; call it now if the signal has already arrived.
 
         Parameters
         ----------
         handler : callable
-            Takes the number and the frame.
+            Called with the signal number and the stack frame, which is None for a
+            deferred signal.
         """
         signal.signal(self._number, handler)
         if self._arrived:
             handler(self._number, None)
 
     def restore_default(self):
-        """Let the signal have its usual effect, also if it arrived before."""
+        """Restore the default action; raise the signal again if it has arrived."""
         signal.signal(self._number, signal.SIG_DFL)
         if self._arrived:
             os.kill(os.getpid(), self._number)
--- a/redwingspring/threads.py
+++ b/redwingspring/threads.py
@@ -1,15 +1,15 @@
-"""Threads of a process that run until it stops."""
+"""Daemon threads of a process."""
 
 import logging
 import threading
 
 logger = logging.getLogger(__name__)
 
-RESTART_PAUSE_S = 1.0
+RESTART_DELAY_S = 1.0
 
 
 def start_thread(name, target, *args):
-    """Run a function in a thread that does not keep the process alive.
+    """Run a function in a daemon thread.
 
     Parameters
     ----------
@@ -24,20 +24,21 @@
 
 
 def run_supervised(name, target, stopping, metrics, *args):
-    """Run a function in a thread; call it again after an unexpected error.
+    """Run a function in a daemon thread; restart it after an exception.
 
     Parameters
     ----------
     name : str
         Name of the thread.
     target : callable
-        Called with ``args`` and ``stopping``; returns when that is set.
+        The function, called with ``args`` and ``stopping``; returns when
+        ``stopping`` is set.
     stopping : threading.Event
         Set when the process stops.
     metrics : Metrics
         Counters.
     *args : object
-        First arguments of the function.
+        Arguments that precede ``stopping``.
     """
 
     def _run():
@@ -45,10 +46,10 @@
             try:
                 target(*args, stopping)
             except Exception:
-                # A host without heartbeats or watches would look healthy while
-                # its knowledge ages.
+                # Without its heartbeat or watch threads, a host would look healthy
+                # while its state becomes stale.
                 metrics.increment("process.thread_failures")
-                logger.exception("restarting a thread")
-                stopping.wait(RESTART_PAUSE_S)
+                logger.exception("restarting a thread after an unexpected error")
+                stopping.wait(RESTART_DELAY_S)
 
     start_thread(name, _run)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -28,7 +28,7 @@
 
 from .base import RedwingspringTestCase
 
-_numbers = itertools.count(1)
+_address_numbers = itertools.count(1)
 HELLO = Hello("127.0.0.1:1", "127.0.0.1:2", "akl-a")
 
 
@@ -42,7 +42,7 @@
 
 
 class MessagesTest(RedwingspringTestCase):
-    def test_no_field_is_lost_on_the_wire(self):
+    def test_all_fields_survive_encoding_and_decoding(self):
         entry = TargetStateEntry("127.0.0.1:1", "5f3a", "cold", 2)
         for body in (
             HELLO,
@@ -65,8 +65,8 @@
         self.received = []
 
     def start_network(self, name, key="secret"):
-        # Other loopback addresses never meet an outgoing connection's port.
-        address = f"127.{64 + os.getpid() % 160}.251.{next(_numbers)}:7001"
+        # On 127.0.0.1, an outgoing connection may already use the port.
+        address = f"127.{64 + os.getpid() % 160}.251.{next(_address_numbers)}:7001"
         metrics = Metrics()
         network = PeerNetwork(name, key, Hello("", address, "akl-a"), metrics)
         network.register(Hello, lambda sender, body: None)
@@ -75,7 +75,7 @@
         self.addCleanup(network.stop)
         return network, address, metrics
 
-    def dial(self, address):
+    def connect(self, address):
         host, port = address.rsplit(":", 1)
         sock = socket.create_connection((host, int(port)), 5.0)
         self.addCleanup(sock.close)
@@ -103,13 +103,13 @@
 
     def test_a_sender_without_the_key_is_refused(self):
         _, address, metrics = self.start_network("two")
-        sock, nonce = self.dial(address)
+        sock, nonce = self.connect(address)
         FrameWriter(sock, b"wrong", nonce, "one").write(HELLO)
         self.assert_closed(sock, metrics, "peers.bad_hmac")
 
     def test_a_recorded_connection_cannot_be_replayed(self):
         _, address, metrics = self.start_network("two")
-        sock, _ = self.dial(address)
+        sock, _ = self.connect(address)
         other_nonce = os.urandom(NONCE_BYTES)
         writer = FrameWriter(sock, b"secret", other_nonce, "one")
         writer.write(HELLO)
@@ -117,51 +117,51 @@
 
     def test_a_repeated_frame_is_refused(self):
         _, address, metrics = self.start_network("two")
-        sock, nonce = self.dial(address)
+        sock, nonce = self.connect(address)
         FrameWriter(sock, b"secret", nonce, "one").write(HELLO)
         FrameWriter(sock, b"secret", nonce, "one").write(LeaseReply(1, True, 1))
         self.assert_closed(sock, metrics, "peers.bad_sequence")
 
-    def test_one_connection_cannot_speak_for_two_hosts(self):
+    def test_a_connection_cannot_change_its_sender(self):
         _, address, metrics = self.start_network("two")
-        sock, nonce = self.dial(address)
+        sock, nonce = self.connect(address)
         writer = FrameWriter(sock, b"secret", nonce, "one")
         writer.write(HELLO)
         writer._sender = "three"
         writer.write(LeaseReply(1, True, 1))
         self.assert_closed(sock, metrics, "peers.bad_sender")
 
-    def test_a_huge_length_is_refused_before_memory_is_taken(self):
+    def test_an_oversized_length_is_refused_before_allocation(self):
         _, address, metrics = self.start_network("two")
-        sock, _ = self.dial(address)
+        sock, _ = self.connect(address)
         sock.sendall(b"\xff" * 36)
         self.assert_closed(sock, metrics, "peers.bad_length")
 
     def test_another_protocol_version_is_refused(self):
         _, address, metrics = self.start_network("two")
-        sock, nonce = self.dial(address)
+        sock, nonce = self.connect(address)
         writer = FrameWriter(sock, b"secret", nonce, "one")
         frame = encode_envelope(Envelope(PROTOCOL_VERSION + 1, "one", 1, 0.0, HELLO))
         self.patch(frames, "encode_envelope", lambda envelope: frame)
         writer.write(HELLO)
         self.assert_closed(sock, metrics, "peers.bad_version")
 
-    def test_silent_strangers_do_not_hold_connections(self):
+    def test_silent_unauthenticated_connections_time_out(self):
         self.patch(peers, "MAX_UNAUTHENTICATED", 2)
         self.patch(peers, "AUTHENTICATION_TIMEOUT_S", 0.3)
         _, address, metrics = self.start_network("two")
-        strangers = [self.dial(address)[0] for _ in range(2)]
-        self.assertRaises((EOFError, OSError), self.dial, address)
-        self.assert_closed(strangers[0], metrics, "peers.connections_ended")
-        self.assertTrue(wait_until(lambda: self._can_dial(address)))
+        unauthenticated = [self.connect(address)[0] for _ in range(2)]
+        self.assertRaises((EOFError, OSError), self.connect, address)
+        self.assert_closed(unauthenticated[0], metrics, "peers.connections_ended")
+        self.assertTrue(wait_until(lambda: self._can_connect(address)))
 
-    def _can_dial(self, address):
+    def _can_connect(self, address):
         try:
-            return self.dial(address)
+            return self.connect(address)
         except (EOFError, OSError):
             return False
 
-    def test_a_stuck_peer_does_not_block_the_sender(self):
+    def test_a_peer_that_does_not_read_does_not_block_send(self):
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
         one, _, metrics = self.start_network("one")
--- a/tests/test_routedprocess.py
+++ b/tests/test_routedprocess.py
@@ -1,4 +1,4 @@
-"""The entry process as the platform starts it: settings, signals and its end."""
+"""Tests of the entry process as the platform runs it: settings, signals and exit."""
 
 import contextlib
 import json
@@ -86,7 +86,7 @@
         finally:
             caller.close()
 
-    def test_a_process_serves_reloads_and_ends_within_its_grace(self):
+    def test_a_process_serves_reloads_and_exits_within_its_grace_period(self):
         process = self.start()
         wait_until(lambda: self.ask() == 200)
         self.path.write_text("grace: never\n")
@@ -103,13 +103,14 @@
         for message in ("process started", "process leaving", "process stopped"):
             self.assertEqual(1, len(self.read_lines(message)), message)
 
-    def test_a_reload_during_the_start_is_made_up_for(self):
-        """The default effect of SIGHUP would end the process."""
+    def test_a_sighup_during_startup_reloads_afterwards(self):
+        """SIGHUP would end the process before its handler is installed."""
         text = self.path.read_text()
         self.path.unlink()
         os.mkfifo(self.path)
         process = self.start()
-        # Opening succeeds once the process waits for its settings.
+        # A non-blocking open succeeds once the process has opened the FIFO to read its
+        # settings.
         opened = []
 
         def open_fifo():
@@ -121,15 +122,15 @@
         process.send_signal(signal.SIGHUP)
         time.sleep(0.2)
         self.assertIsNone(process.poll())
-        settled = self.path.with_name("settled")
-        settled.write_text(text)
-        settled.rename(self.path)
+        replacement = self.path.with_name("replacement")
+        replacement.write_text(text)
+        replacement.rename(self.path)
         os.write(opened[0], text.encode())
         os.close(opened[0])
         wait_until(lambda: self.read_lines("settings read again"))
         wait_until(lambda: self.ask() == 200)
 
-    def test_bad_settings_end_with_one_error_that_names_the_key(self):
+    def test_invalid_settings_exit_with_one_error_that_names_the_key(self):
         self.path.write_text(SETTINGS.format(**{**self.values, "grace": "soon"}))
         process = self.start()
         self.assertEqual(2, process.wait(20))
@@ -137,10 +138,10 @@
         self.assertIn(f"{self.path}:11: grace: must be a duration", text)
         self.assertEqual(1, len(text.splitlines()))
 
-    def test_an_address_in_use_ends_with_one_error_that_names_it(self):
+    def test_an_address_in_use_exits_with_one_error_that_names_it(self):
         """The platform shows the last line of a process that does not start."""
-        holder = socket.create_server(("127.0.0.1", self.values["directory"]))
-        self.addCleanup(holder.close)
+        listener = socket.create_server(("127.0.0.1", self.values["directory"]))
+        self.addCleanup(listener.close)
         process = self.start()
         self.assertEqual(2, process.wait(20))
         last = self.output.read_text().splitlines()[-1]
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -1,4 +1,4 @@
-"""What a process loads, and how, before it serves."""
+"""Tests of imports and garbage collection during startup."""
 
 import gc
 import subprocess
@@ -10,12 +10,12 @@
 from .base import RedwingspringTestCase
 
 ROOT = Path(__file__).parent.parent
-# Parts of the other mode, and libraries that took 0.3 s of each restart.
-UNWANTED = ("cherrypy", "pydantic", "tenacity", "redwingspring.dispatch")
+# Modules of the other mode, and libraries whose import took 0.3 s of each restart.
+UNUSED_MODULES = ("cherrypy", "pydantic", "tenacity", "redwingspring.dispatch")
 
 
 class StartupTest(RedwingspringTestCase):
-    def test_collection_goes_on_after_loading_and_after_an_error(self):
+    def test_garbage_collection_is_enabled_again_after_a_failed_import(self):
         self.addCleanup(gc.unfreeze)
         try:
             with pause_gc():
@@ -26,12 +26,12 @@
         self.assertTrue(gc.isenabled())
         self.assertTrue(gc.get_freeze_count())
 
-    def test_a_host_that_follows_a_store_does_not_load_what_it_does_not_use(self):
+    def test_an_entry_that_follows_a_store_does_not_import_unused_modules(self):
         code = (
             "import sys, redwingspring.cmdline, redwingspring.routedentry;"
-            f"print([name for name in {UNWANTED} if name in sys.modules])"
+            f"print([name for name in {UNUSED_MODULES} if name in sys.modules])"
         )
-        done = subprocess.run(
+        result = subprocess.run(
             [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
         )
-        self.assertEqual("[]", done.stdout.strip(), done.stderr)
+        self.assertEqual("[]", result.stdout.strip(), result.stderr)
