--- a/redwingspring/peers.py
+++ b/redwingspring/peers.py
@@ -18,7 +18,7 @@
 MAX_UNAUTHENTICATED = 64
 AUTHENTICATION_TIMEOUT_S = 2.0
 MAX_HELLO_BYTES = 4 << 10
-# Peers send heartbeats every 250 ms, so a connection without data is dead.
+# Peers send heartbeats every 250 ms, so a connection without data is considered lost.
 IDLE_TIMEOUT_S = 10.0
 LISTEN_BACKLOG = 128
 
