--- a/redwingspring/drain.py
+++ b/redwingspring/drain.py
@@ -23,7 +23,7 @@
     keep_s : float
         How long callers may cache the address, in seconds.
     """
-    server.keeps_connections = False
+    server.keep_alive_enabled = False
     margin = KEEP_MARGIN_S if keep_s else 0.0
     time.sleep(keep_s + margin)
     end = time.monotonic() + MAX_IDLE_WAIT_S
--- a/redwingspring/relay.py
+++ b/redwingspring/relay.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from .targetconnection import ResponseBroken
-from .verdict import Reason, Verdict, doubt
+from .verdict import Reason, Verdict, fail_uncertain
 
 # Statuses whose responses have no body.
 _BODYLESS_STATUSES = (204, 304)
@@ -68,7 +68,7 @@
             self._first_chunk = b"" if self._is_bodyless else self._read()
         except ResponseBroken as error:
             self._end(Verdict.MAY_HAVE_RUN)
-            return doubt(Reason.TRUNCATED, str(error))
+            return fail_uncertain(Reason.TRUNCATED, str(error))
         return None
 
     def __iter__(self):
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -1,7 +1,7 @@
 """Composition root of an entry process that follows a store."""
 
 from .decisions import DecisionLog
-from .exposition import Latencies, MetricsPage, build_registry
+from .exposition import MetricsPage, RequestLatencies, build_registry
 from .feed import FeedClient, FeedPage, StoreMirror
 from .follower import StoreFollower
 from .gossip import GossipNetwork
@@ -15,7 +15,7 @@
 from .platform.store import StoreClient
 from .routedispatch import RouteDispatcher
 from .routeforwarder import RouteForwarder
-from .server import EntryServer, ServerBounds
+from .server import EntryServer, ServerLimits
 from .shares import ColdShare, HostCount, ProbeShare, RetryShare
 from .sources import WATCH_WAIT_S, SourceSelector, StoreSource
 from .storestate import StoreState
@@ -109,9 +109,9 @@
         headers,
         entry.metrics,
         entry.decisions,
-        Latencies(registry),
+        RequestLatencies(registry),
     )
-    bounds = ServerBounds(settings.max_connections)
+    bounds = ServerLimits(settings.max_connections)
     entry.server = RoutedServer(settings.address, forwarder, bounds, entry.metrics)
     pages = PlatformPages(lambda: entry.is_ready, entry.find_addresses)
     applications = {
