--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -12,7 +12,7 @@
 import typer
 
 from .errors import DocumentError, PageError, RedwingspringError
-from .startup import HeldSignal, pause_collection
+from .startup import DeferredSignal, pause_gc
 from .version import __version__
 from .yamlsource import read_file
 
@@ -56,8 +56,8 @@
     settings: Annotated[Path, typer.Option(help="YAML file of this host's settings.")],
 ):
     """Run the entry process of this host until SIGTERM."""
-    hangup_signal = HeldSignal(signal.SIGHUP)
-    with pause_collection():
+    hangup_signal = DeferredSignal(signal.SIGHUP)
+    with pause_gc():
         from .routedsettings import is_routed
 
     try:
@@ -65,7 +65,7 @@
         if is_routed(text):
             run_with_store(text, settings, hangup_signal)
         else:
-            hangup_signal.release()
+            hangup_signal.restore_default()
             run_with_configuration_service(text, settings)
     except RedwingspringError as error:
         typer.echo(str(error), err=True)
@@ -74,7 +74,7 @@
 
 def run_with_configuration_service(text, path):
     """Run an entry process that uses the configuration service."""
-    with pause_collection():
+    with pause_gc():
         from .control import Entry
         from .logs import configure_logs
         from .settings import parse_settings
@@ -90,7 +90,7 @@
 
 def run_with_store(text, path, hangup_signal):
     """Run an entry process that uses a store, until it stops."""
-    with pause_collection():
+    with pause_gc():
         from .logs import configure_logs
         from .routedentry import RoutedEntry
         from .routedsettings import parse_routed_settings
@@ -101,7 +101,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: process.drain())
     process.start()
-    hangup_signal.pass_to(lambda *_: reload_settings(process, path))
+    hangup_signal.set_handler(lambda *_: reload_settings(process, path))
     process.wait()
     writer.stop()
     # Threads that wait for targets would keep the interpreter from exiting.
--- a/redwingspring/defaults.py
+++ b/redwingspring/defaults.py
@@ -9,13 +9,13 @@
     # this table.
     from .policies import policies
 
-    return policies.names()
+    return policies.list_names()
 
 
 def _list_ramps():
     from .ramps import ramps
 
-    return ramps.names()
+    return ramps.list_names()
 
 
 @dataclass(frozen=True)
