Mend what the read-through found in words and names

Cause: read as a newcomer, a few names and comments still stood out. Change: note_connected -> mark_connected, note_lost -> mark_lost (StoreState); note_success -> record_success, note_failure -> record_failure (SourceSelector); a local of deliveries.py; the comment of HEDGE_PERCENTILE states the reason without the trial; the docstring of logs.py no longer names standard error, which is only the default.

--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -34,7 +34,7 @@
     Parameters
     ----------
     dispatcher : RouteDispatcher
-        Host shares, service history and instances.
+        Host shares, response statistics and instances.
     call : RoutedCall
         The call.
     """
@@ -229,9 +229,9 @@
     def _hedge(self, pending):
         """Send the call to a second instance if a fast one and the budget allow it."""
         call = self._call
-        wait = self._dispatcher.build_timing(call)
+        timing = self._dispatcher.build_timing(call)
         states = self._dispatcher.find_instances(call)
-        exchange = self._search.search_once(states, wait, _accepts_hedge)
+        exchange = self._search.search_once(states, timing, _accepts_hedge)
         if exchange is None:
             return
         if not self._dispatcher.retries.take(call.service.name, HEDGE_BUDGET_FRACTION):
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -49,8 +49,8 @@
             except StoreError as error:
                 self._handle_failure(source, error)
             else:
-                self._sources.note_success(source)
-                self._store_state.note_connected(source.name)
+                self._sources.record_success(source)
+                self._store_state.mark_connected(source.name)
                 if should_pause:
                     stopping.wait(BATCH_DELAY_S)
 
@@ -72,9 +72,9 @@
 
     def _handle_failure(self, source, error):
         """Back off from a source; the store is lost when no other one is left."""
-        self._sources.note_failure(source)
+        self._sources.record_failure(source)
         if self._sources.choose() is None:
-            self._store_state.note_lost(error)
+            self._store_state.mark_lost(error)
 
     def run_sweep(self, stopping):
         """Remove instances that stay missing, until the process stops.
--- a/redwingspring/hedges.py
+++ b/redwingspring/hedges.py
@@ -11,8 +11,8 @@
 
 from .verdict import Reason, fail_uncertain, refuse
 
-# Latency percentile after which a hedge is sent. With the 95th percentile, trials
-# spent the budget on requests that are slow at every target.
+# Latency percentile after which a hedge is sent. The 95th percentile would spend the
+# budget on requests that are slow at every target.
 HEDGE_PERCENTILE = 99.0
 # Minimum number of latencies in a window before its percentiles are used.
 MIN_WINDOW_SAMPLES = 100
--- a/redwingspring/logs.py
+++ b/redwingspring/logs.py
@@ -1,4 +1,4 @@
-"""Set-up of logging to standard error, as text or JSON lines."""
+"""Set-up of logging as text or JSON lines."""
 
 import atexit
 import json
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -29,7 +29,7 @@
 
 
 class RouteForwarder:
-    """Forward callers' requests and relay the targets' responses.
+    """Forwards callers' requests and relays the targets' responses.
 
     Parameters
     ----------
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -110,7 +110,7 @@
                 return source
         return None
 
-    def note_failure(self, source):
+    def record_failure(self, source):
         """Skip a source for a while after a failure.
 
         Parameters
@@ -124,7 +124,7 @@
             wait_s = FEED_BACKOFF_S
         self._skipped_until[source.name] = self._clock() + wait_s
 
-    def note_success(self, source):
+    def record_success(self, source):
         """Clear the backoff of a source.
 
         Parameters
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -171,7 +171,7 @@
         """Tell whether this host receives the changes of the store."""
         return self._lost_at is None
 
-    def note_lost(self, cause):
+    def mark_lost(self, cause):
         """Record that the store cannot be reached from any source.
 
         Parameters
@@ -192,7 +192,7 @@
             configuration_version=self.version,
         )
 
-    def note_connected(self, source):
+    def mark_connected(self, source):
         """Record that a source delivers the changes of the store.
 
         Parameters
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -172,7 +172,7 @@
         seconds = 0
         for selector in selectors:
             first = selector.choose()
-            selector.note_failure(first)
+            selector.record_failure(first)
             seconds += not first.is_store and selector.choose().is_store
         self.assertEqual(3, seconds)
 
@@ -197,7 +197,7 @@
         names = []
         while (source := selector.choose()) is not None:
             names.append(source.name)
-            selector.note_failure(source)
+            selector.record_failure(source)
         self.assertEqual(5, len(names))
         self.assertEqual("store", names[-1])
 
@@ -217,7 +217,7 @@
                 selector._members.merge(others)
                 while (source := selector.choose()) is not None:
                     store_calls += source.is_store
-                    selector.note_failure(source)
+                    selector.record_failure(source)
         self.assertTrue(store_calls <= 10 * (4 * 1.2 + 12 * 0.5), store_calls)
 
 
@@ -233,7 +233,7 @@
             def apply_changes(self, changes, revision):
                 pass
 
-            def note_connected(self, source):
+            def mark_connected(self, source):
                 pass
 
         class StoppingStub:
@@ -252,7 +252,7 @@
                 source.error = HistoryLost("x") if source.watch_calls == 1 else None
                 return source
 
-            def note_success(self, source):
+            def record_success(self, source):
                 pass
 
             def check_hops(self, source, confirmation):
--- a/tests/test_storestate.py
+++ b/tests/test_storestate.py
@@ -34,7 +34,7 @@
         self.store_state = StoreState(
             self.directory, decode, self.metrics, decisions, self.clock
         )
-        self.store_state.note_connected("store")
+        self.store_state.mark_connected("store")
         self.now += 60
 
     def clock(self):
@@ -88,10 +88,10 @@
     def test_entries_that_expired_during_a_store_outage_are_kept_for_a_while(self):
         self.list_instance("a", 1)
         self.list_instance("b", 2)
-        self.store_state.note_lost(StoreError("down"))
+        self.store_state.mark_lost(StoreError("down"))
         self.now += 5
         self.store_state.apply_snapshot(StoreSnapshot((), 9))
-        self.store_state.note_connected("store")
+        self.store_state.mark_connected("store")
         self.store_state.drop_missing()
         self.assertEqual({"a", "b"}, self.ids)
         self.list_instance("a", 10)
