--- a/review/rig.py
+++ b/review/rig.py
@@ -495,6 +495,64 @@
         self.writer.close()
 
 
+class Link:
+    """Proxy that delays each direction, like the link between callers and hosts."""
+
+    def __init__(self, address, delay_s):
+        self._target = address.rsplit(":", 1)
+        self._delay_s = delay_s
+        self.address = None
+
+    async def start(self, host="127.0.4.1"):
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        host, port = self._target
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(
+            self._carry(reader, far_writer), self._carry(far_reader, writer)
+        )
+        for end in (writer, far_writer):
+            end.close()
+
+    async def _carry(self, reader, writer):
+        """Deliver what arrives, and the end of the connection, after the delay."""
+        queue = asyncio.Queue(64)
+
+        async def receive():
+            data = b"-"
+            while data:
+                try:
+                    data = await reader.read(1 << 16)
+                except OSError:
+                    data = None
+                await queue.put((time.monotonic() + self._delay_s, data))
+
+        task = asyncio.create_task(receive())
+        try:
+            while True:
+                at, data = await queue.get()
+                await asyncio.sleep(at - time.monotonic())
+                if data is None:
+                    writer.transport.abort()
+                    return
+                if not data:
+                    writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            return
+        finally:
+            task.cancel()
+
+
 class Rig:
     """Store, targets and entry processes of one case."""
 
