--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,15 +21,18 @@
     TROUBLE,
     Caller,
     ConnectionEnded,
+    Link,
     Target,
     run_case,
 )
 
+# Sheet of malabon-braille: one way to requesters.
+LINK_DELAY_S = 0.008
 CALLERS = 40
 # The limit header_timeout_s of the configuration is 3 s; these callers need less.
-HEAD_TAKES_S = 1.0
-# The heads begin and end within this time after SIGTERM.
-FIRST_AT_S, LAST_AT_S = 1.0, 3.9
+HEAD_TAKES_S = 0.5
+# The heads are complete within this time after SIGTERM.
+FIRST_END_S, LAST_END_S = 2.97, 3.03
 LOST_SLACK_S = 0.2
 
 
@@ -67,9 +70,11 @@
         target.work_s = 0.16
     await rig.start(2)
     entry = rig.entries[0]
+    link = Link(entry.address, LINK_DELAY_S)
+    await link.start()
     callers = []
     for number in range(CALLERS):
-        caller = await Caller.connect(entry.address)
+        caller = await Caller.connect(link.address)
         caller.write("POST", f"{POSTS}first", f"first-{number}")
         await caller.read()
         callers.append(caller)
@@ -77,10 +82,11 @@
         entry.send_signal(signal.SIGTERM)
     stopped_at = time.monotonic()
     outcomes = {}
-    span_s = LAST_AT_S - FIRST_AT_S - HEAD_TAKES_S
+    first_at = stopped_at + FIRST_END_S - HEAD_TAKES_S
+    span_s = LAST_END_S - FIRST_END_S
     await asyncio.gather(*(
         send_slowly(
-            rig, caller, n, stopped_at + FIRST_AT_S + span_s * random.random(), outcomes
+            rig, caller, n, first_at + span_s * random.random(), outcomes
         )
         for n, caller in enumerate(callers)
     ))  # fmt: skip
--- a/review/rig.py
+++ b/review/rig.py
@@ -402,6 +402,7 @@
             "cores: 1",
             "core_share: 0.86",
             "link_mbit: 1000.0",
+            *(["log_level: DEBUG"] if os.environ.get("KEEP_LOGS") else []),
             *(["first_start: true"] if first_start else []),
         ]
         self.settings = self.rig.folder / f"entry-{self.number}.yaml"
@@ -495,8 +496,63 @@
         self.writer.close()
 
 
+class PipeliningCaller:
+    """Caller that sends further requests on its connection before it has answers."""
+
+    def __init__(self, rig, number, gaps_s):
+        self._rig = rig
+        self._number = number
+        self._gaps_s = gaps_s
+        self.answers = {}
+        self.waiting = []
+        self._must_stop = False
+
+    async def run(self, address, end_at):
+        """Send until the host says that it closes the connection."""
+        caller = await Caller.connect(address, limit=1 << 20)
+        receiving = asyncio.create_task(self._receive(caller))
+        count = 0
+        while not self._must_stop and time.monotonic() < end_at:
+            count += 1
+            request_id = f"c{self._number}-{count}"
+            self._rig.record.write("sent", "GET", request_id)
+            self.waiting.append(request_id)
+            caller.write("GET", f"{DOWNLOADS}{request_id}", request_id)
+            await asyncio.sleep(random.uniform(*self._gaps_s))
+            while len(self.waiting) >= 3 and not self._must_stop:
+                await asyncio.sleep(0.005)
+        await receiving
+        caller.close()
+
+    async def _receive(self, caller):
+        while True:
+            try:
+                line, headers = await read_head(caller.reader)
+                if headers.get("connection", "").lower() == "close":
+                    self._must_stop = True
+                body = await read_body(caller.reader, headers)
+            except (ConnectionEnded, OSError) as error:
+                self._must_stop = True
+                for request_id in self.waiting:
+                    self._rig.record.write("no answer", request_id, error)
+                return
+            request_id = self.waiting.pop(0)
+            words = request_id, line.split(" ")[1], len(body), headers.get("connection")
+            self._rig.record.write("answered", *words)
+            self.answers[request_id] = int(words[1])
+            if not self.waiting and self._must_stop:
+                return
+
+
 class Link:
-    """Proxy that delays each direction, like the link between callers and hosts."""
+    """Proxy that delays each direction, like the link between callers and hosts.
+
+    As on the links that the pages describe, windows are small; segments are those of
+    an Ethernet link, because the kernel sizes send buffers by them.
+    """
+
+    SEGMENT_BYTES = 1448
+    WINDOW_BYTES = 64 << 10
 
     def __init__(self, address, delay_s):
         self._target = address.rsplit(":", 1)
@@ -510,9 +566,17 @@
 
     async def _serve(self, reader, writer):
         host, port = self._target
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, self.SEGMENT_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.WINDOW_BYTES // 2)
+        sock.setblocking(False)
         try:
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+            far_reader, far_writer = await asyncio.open_connection(
+                sock=sock, limit=self.SEGMENT_BYTES
+            )
         except OSError:
+            sock.close()
             writer.transport.abort()
             return
         await asyncio.gather(
@@ -523,13 +587,15 @@
 
     async def _carry(self, reader, writer):
         """Deliver what arrives, and the end of the connection, after the delay."""
-        queue = asyncio.Queue(64)
+        queue = asyncio.Queue()
+        free = asyncio.Semaphore(self.WINDOW_BYTES // self.SEGMENT_BYTES)
 
         async def receive():
             data = b"-"
             while data:
+                await free.acquire()
                 try:
-                    data = await reader.read(1 << 16)
+                    data = await reader.read(self.SEGMENT_BYTES)
                 except OSError:
                     data = None
                 await queue.put((time.monotonic() + self._delay_s, data))
@@ -547,6 +613,7 @@
                     return
                 writer.write(data)
                 await writer.drain()
+                free.release()
         except OSError:
             return
         finally:
@@ -635,5 +702,10 @@
             await rig.end()
         return BROKEN if broken else HELD
 
-    # The stand-ins of a case hold many short connections at once.
-    sys.exit(asyncio.run(run()))
+    async def run_and_exit():
+        code = await run()
+        sys.stdout.flush()
+        # The stand-ins still hold open connections, which need no orderly end.
+        os._exit(code)
+
+    asyncio.run(run_and_exit())
