--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,6 +20,7 @@
     Link,
     PipeliningCaller,
     Target,
+    fill_body,
     run_case,
 )
 
@@ -67,7 +68,7 @@
     rig.targets = [GarblingTarget(rig, f"i-{n}", LIBRARY, slots=12) for n in range(TARGETS)]
     for target in rig.targets:
         target.work_s = WORK_S
-        target.choose_body = lambda line, request_id: b"x" * BODY_BYTES
+        target.choose_body = lambda line, request_id: fill_body(request_id, BODY_BYTES)
         target.write_answer = target.write_partly
     await rig.start(2)
     link = Link(rig.entries[0].address, LINK_DELAY_S)
@@ -97,7 +98,7 @@
     for caller in callers:
         if not caller.answers:
             continue  # The connection was not kept: nothing was answered on it.
-        lost += [key for key in caller.waiting[1:] if ran_at.get(key) in sound]
+        lost += [key for key in caller.waiting if ran_at.get(key) in sound]
     for key in lost:
         rig.record.write("LOST", key, "was passed on to", ran_at[key], "without an answer")
     print(f"requests that ran {len(ran_at)}, passed on to a sound target, on a kept "
--- a/review/rig.py
+++ b/review/rig.py
@@ -496,6 +496,11 @@
         self.writer.close()
 
 
+def fill_body(request_id, size):
+    """Return a body that names its request throughout."""
+    return (f"{request_id} ".encode() * (size // (len(request_id) + 1) + 1))[:size]
+
+
 class PipeliningCaller:
     """Caller that sends further requests on its connection before it has answers."""
 
@@ -505,6 +510,7 @@
         self._gaps_s = gaps_s
         self.answers = {}
         self.waiting = []
+        self.foreign = []
         self._must_stop = False
 
     async def run(self, address, end_at):
@@ -536,7 +542,17 @@
                 for request_id in self.waiting:
                     self._rig.record.write("no answer", request_id, error)
                 return
+            if not self.waiting:
+                self._rig.record.write("UNEXPECTED", self._number, line, headers, body[:80])
+                self.foreign.append((None, line))
+                return
             request_id = self.waiting.pop(0)
+            if headers.get("request-id", request_id) != request_id:
+                self._rig.record.write("FOREIGN", request_id, line, headers)
+                self.foreign.append((request_id, headers["request-id"]))
+            if line.split(" ")[1] == "200" and body != fill_body(request_id, len(body)):
+                self._rig.record.write("MIXED", request_id, line, headers)
+                self.foreign.append((request_id, "body"))
             words = request_id, line.split(" ")[1], len(body), headers.get("connection")
             self._rig.record.write("answered", *words)
             self.answers[request_id] = int(words[1])
@@ -552,6 +568,7 @@
     """
 
     SEGMENT_BYTES = 1448
+    READ_BYTES = 8 << 10
     WINDOW_BYTES = 64 << 10
 
     def __init__(self, address, delay_s):
@@ -573,7 +590,7 @@
         try:
             await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
             far_reader, far_writer = await asyncio.open_connection(
-                sock=sock, limit=self.SEGMENT_BYTES
+                sock=sock, limit=self.READ_BYTES
             )
         except OSError:
             sock.close()
@@ -588,14 +605,14 @@
     async def _carry(self, reader, writer):
         """Deliver what arrives, and the end of the connection, after the delay."""
         queue = asyncio.Queue()
-        free = asyncio.Semaphore(self.WINDOW_BYTES // self.SEGMENT_BYTES)
+        free = asyncio.Semaphore(self.WINDOW_BYTES // self.READ_BYTES)
 
         async def receive():
             data = b"-"
             while data:
                 await free.acquire()
                 try:
-                    data = await reader.read(self.SEGMENT_BYTES)
+                    data = await reader.read(self.READ_BYTES)
                 except OSError:
                     data = None
                 await queue.put((time.monotonic() + self._delay_s, data))
