--- a/review/2/case.py
+++ b/review/2/case.py
@@ -59,7 +59,7 @@
 def judge(rig, callers):
     """Apply the rule LOST, for planned work, as it is written."""
     counts = rig.count_runs()
-    unanswered = [key for caller in callers for key in caller.waiting]
+    unanswered = [key for caller in callers for key in caller.list_cut()]
     lost = [key for key in unanswered if key in counts]
     for key in lost:
         rig.record.write("LOST", key, "was passed on to a target, without an answer")
--- a/review/rig.py
+++ b/review/rig.py
@@ -28,6 +28,8 @@
 ORDERS, LIBRARY = "orders", "library"
 # Bounds and figures of the site malabon-braille.
 GRACE_S, DRAIN_S = 6, 2
+# Time budget of callers, and timeout of the route of downloads.
+TIME_BUDGET_S = 2.5
 START_TIMEOUT_S = 30.0
 
 
@@ -510,6 +512,8 @@
         self._gaps_s = gaps_s
         self.answers = {}
         self.waiting = []
+        self.sent_at = {}
+        self.ended_at = None
         self.foreign = []
         self._must_stop = False
 
@@ -523,6 +527,7 @@
             request_id = f"c{self._number}-{count}"
             self._rig.record.write("sent", "GET", request_id)
             self.waiting.append(request_id)
+            self.sent_at[request_id] = time.monotonic()
             caller.write("GET", f"{DOWNLOADS}{request_id}", request_id)
             await asyncio.sleep(random.uniform(*self._gaps_s))
             while len(self.waiting) >= 3 and not self._must_stop:
@@ -530,6 +535,16 @@
         await receiving
         caller.close()
 
+    def list_cut(self):
+        """Return the requests whose connection ended well before their time budget."""
+        if self.ended_at is None:
+            return []
+        return [
+            request_id
+            for request_id in self.waiting
+            if self.ended_at - self.sent_at[request_id] < TIME_BUDGET_S - 0.2
+        ]
+
     async def _receive(self, caller):
         while True:
             try:
@@ -539,6 +554,7 @@
                 body = await read_body(caller.reader, headers)
             except (ConnectionEnded, OSError) as error:
                 self._must_stop = True
+                self.ended_at = time.monotonic()
                 for request_id in self.waiting:
                     self._rig.record.write("no answer", request_id, error)
                 return
