--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,9 +29,14 @@
 
 # Sheet of malabon-braille: one way to requesters.
 LINK_DELAY_S = 0.008
-# In each round, in which one host is stopped and started.
+# Hosts are stopped and started in turn, as roll_term does, several times.
+HOSTS = 2
+ROUNDS = 3
+GAP_S = 5.0
+# At each host, in each round.
 CALLERS = 10
-ROUNDS = 10
+# A caller on a slow device closes its side so long after it sees the end.
+REACTION_S = 0.3
 # The limit header_timeout_s of the configuration is 3 s; these callers need less.
 HEAD_TAKES_S = 0.5
 # The heads are complete within this time after SIGTERM.
@@ -61,6 +66,7 @@
     except (ConnectionEnded, OSError) as error:
         after_s = time.monotonic() - sent_at
         rig.record.write("cut", request_id, f"{after_s:.3f} s after its last byte", error)
+        await asyncio.sleep(REACTION_S)
         outcomes[request_id] = "cut", after_s
     finally:
         caller.close()
@@ -71,21 +77,31 @@
     rig.targets = [Target(rig, f"i-{n}", ORDERS) for n in range(6)]
     for target in rig.targets:
         target.work_s = 0.16
-    await rig.start(2)
+    await rig.start(HOSTS)
     links = []
     for entry in rig.entries:
         link = Link(entry.address, LINK_DELAY_S)
         await link.start()
         links.append(link)
     outcomes = {}
-    for number in range(ROUNDS):
-        which = number % len(rig.entries)
-        await play_round(rig, rig.entries[which], links[which], number, outcomes)
+    started = time.monotonic()
+    await asyncio.gather(*(
+        play_rounds(rig, entry, link, started + which * GAP_S, outcomes)
+        for which, (entry, link) in enumerate(zip(rig.entries, links, strict=True))
+    ))  # fmt: skip
     return judge(rig, outcomes)
 
 
+async def play_rounds(rig, entry, link, first_at, outcomes):
+    """Stop and start a host in each round."""
+    for number in range(ROUNDS):
+        await asyncio.sleep(first_at + number * HOSTS * GAP_S - time.monotonic())
+        await play_round(rig, entry, link, number, outcomes)
+
+
 async def play_round(rig, entry, link, number, outcomes):
     """Stop a host while callers send the rest of their heads, and start it again."""
+    await entry.wait_until_ready()
     callers = []
     for n in range(CALLERS):
         caller = await Caller.connect(link.address)
@@ -110,8 +126,6 @@
     if TROUBLE:
         await asyncio.wait_for(entry.process.wait(), GRACE_S + 2)
         await entry.start()
-        await entry.wait_until_ready()
-        await asyncio.sleep(0.5)
 
 
 def judge(rig, outcomes):
