--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -4,7 +4,6 @@
 responses are written in the order of the requests.
 """
 
-import contextlib
 import logging
 import socket
 import threading
@@ -38,11 +37,7 @@
         """Wait until all earlier responses are written."""
         previous, self._previous = self._previous, None
         if previous is not None:
-            previous.wait_until_finished()
-
-    def wait_until_finished(self):
-        """Wait until this response is written."""
-        self._finished.wait()
+            previous._finished.wait()
 
     def finish(self):
         """Allow the next response to be written."""
@@ -70,18 +65,32 @@
 
     def respond(self):
         """Run the application, in a worker thread if the request has no body."""
+        if not self.conn.accept_request(self.turn):
+            # Its caller takes a request behind the last response for not run.
+            self.close_connection = True
+            return
         bodyless = self.method in _BODYLESS_METHODS and not self.chunked_read
         if bodyless and int(self.inheaders.get(b"Content-Length", 0)) == 0:
             self.is_concurrent = True
             self.conn.run_concurrently(self._respond_concurrently)
         else:
+            self._respond_in_turn()
+
+    def _respond_in_turn(self):
+        """Run the application in the thread of the connection."""
+        try:
             self.turn.wait_for_previous()
-            with self.conn.count_active():
-                super().respond()
+            if self.conn.ended:
+                self.close_connection = True
+                return
+            super().respond()
+        finally:
+            self.conn.finish_request()
 
     def _respond_concurrently(self):
         try:
-            super().respond()
+            if not self.conn.ended:
+                super().respond()
         except OSError as error:
             logger.debug("connection to the caller failed: %s", error)
             self.close_connection = True
@@ -102,7 +111,9 @@
         self.turn.wait_for_previous()
         if self.conn.ended:
             raise ConnectionError("an earlier response ended the connection")
-        if not self.server.keep_alive_enabled and not self.conn.has_later(self.turn):
+        if not self.server.keep_alive_enabled:
+            self.conn.stop_accepting()
+        if self.conn.is_last(self.turn):
             self.close_connection = True
         super().send_headers()
 
@@ -142,8 +153,11 @@
         self.request = None
         self._last_turn = None
         self._concurrency_limit = threading.Semaphore(MAX_CONCURRENT_REQUESTS)
+        # The condition guards the three attributes below.
+        self._changed = threading.Condition()
+        self._accepting = True
+        self._last_accepted_turn = None
         self._active_requests = 0
-        self._lock = threading.Lock()
 
     @property
     def is_idle(self):
@@ -161,31 +175,56 @@
         self._last_turn = ResponseTurn(self._last_turn)
         return self._last_turn
 
-    def has_later(self, turn):
-        """Tell whether a later request has been read.
+    def accept_request(self, turn):
+        """Accept a request that was read, unless the connection is closing.
+
+        An accepted request is passed on and gets a response, so the connection stays
+        open until then.
 
         Parameters
         ----------
         turn : ResponseTurn
-            Turn of a response.
+            Turn of its response.
 
         Returns
         -------
         bool
-            True if another response follows it.
+            False if the request must be dropped.
         """
-        return self._last_turn is not turn and self._active_requests > 1
-
-    @contextlib.contextmanager
-    def count_active(self):
-        """Count a request as active while it runs in the connection's thread."""
-        with self._lock:
+        with self._changed:
+            if not self._accepting:
+                return False
+            self._last_accepted_turn = turn
             self._active_requests += 1
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._active_requests -= 1
+            return True
+
+    def stop_accepting(self):
+        """Drop all requests from now on that have not been accepted.
+
+        Returns
+        -------
+        bool
+            True if no accepted request is in progress.
+        """
+        with self._changed:
+            self._accepting = False
+            return self._active_requests == 0
+
+    def is_last(self, turn):
+        """Tell whether no response follows one, now or later.
+
+        Parameters
+        ----------
+        turn : ResponseTurn
+            Turn of the response.
+
+        Returns
+        -------
+        bool
+            True if the connection closes after the response.
+        """
+        with self._changed:
+            return not self._accepting and self._last_accepted_turn is turn
 
     def run_concurrently(self, process):
         """Run a request in a worker thread, waiting while too many are in progress.
@@ -196,15 +235,23 @@
             Processes the request; called once without arguments.
         """
         self._concurrency_limit.acquire()
-        with self._lock:
-            self._active_requests += 1
         self.server.workers.submit(process)
 
+    def finish_request(self):
+        """Record that an accepted request has ended."""
+        with self._changed:
+            self._active_requests -= 1
+            self._changed.notify_all()
+
     def finish_concurrent(self):
         """Record that a request in a worker thread has ended."""
-        with self._lock:
-            self._active_requests -= 1
         self._concurrency_limit.release()
+        self.finish_request()
+
+    def drain(self):
+        """Accept no further request; shut down if none is in progress."""
+        if self.stop_accepting():
+            self.shut_down_writing()
 
     def shut_down_writing(self):
         """Shut down writing: no further response follows."""
@@ -233,10 +280,13 @@
         return keep_open and not self.ended
 
     def close(self):
-        """Close the connection after the requests in progress have been answered."""
-        last = self._last_turn
-        if last is not None and not self.is_idle:
-            last.wait_until_finished()
+        """Close the connection after the requests in progress have been answered.
+
+        A request in progress uses the socket also if its caller has hung up. Closed
+        earlier, its descriptor could already belong to another caller.
+        """
+        with self._changed:
+            self._changed.wait_for(lambda: self.is_idle)
         super().close()
 
 
@@ -282,8 +332,7 @@
         self.timeout = limits.header_timeout_s
         self.keep_alive_timeout = limits.idle_timeout_s
 
-    def close_idle(self):
-        """Shut down the connections without a request in progress."""
+    def drain_connections(self):
+        """Accept no further request; shut down the idle connections."""
         for connection in self.requests.list_connections():
-            if connection.is_idle:
-                connection.shut_down_writing()
+            connection.drain()
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -15,7 +15,8 @@
 # New connections are accepted for this long after SIGTERM, since callers still
 # use cached answers of the directory that name this host.
 ACCEPT_AFTER_SIGTERM_S = 2.0
-# Idle connections of callers are closed this long after SIGTERM.
+# This long after SIGTERM, idle connections of callers are closed and no request is
+# accepted any more, since it might not be answered before the end of the grace period.
 CLOSE_IDLE_AFTER_S = 3.0
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.5
@@ -213,7 +214,7 @@
         self._sleep_until(started + CLOSE_IDLE_AFTER_S)
         end = started + self.settings.grace - EXIT_MARGIN_S
         while self.server.requests.count and read_clock() < end:
-            self.server.close_idle()
+            self.server.drain_connections()
             self._sleep_until(read_clock() + POLL_INTERVAL_S)
         self.stop()
 
--- /dev/null
+++ b/tests/test_pipelining.py
@@ -0,0 +1,181 @@
+"""Pipelined requests on connections that a host closes."""
+
+import contextlib
+import socket
+import threading
+import time
+
+from redwingspring import routedentry
+
+from .base import RedwingspringTestCase
+from .standins import POSTS, READS, HostFixture, render_request, wait_until
+
+# More than the kernel buffers between the host and a caller that does not read.
+LONG_BODY = b"x" * (16 << 20)
+# Time for a request on loopback to reach a target that has a free slot.
+ARRIVAL_S = 0.5
+
+
+def render_post(request_id):
+    """Return a request with a body."""
+    head = render_request("POST", POSTS, request_id)
+    return head.replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\nab")
+
+
+def read_head(stream):
+    """Return status and headers of the next response; None at the end."""
+    status_line = stream.readline()
+    if not status_line:
+        return None
+    headers = {}
+    while (line := stream.readline()) != b"\r\n":
+        name, _, value = line.decode().partition(":")
+        headers[name.lower()] = value.strip()
+    return int(status_line.split()[1]), headers
+
+
+def read_response(stream):
+    """Return headers and body of the next response; None at the end."""
+    head = read_head(stream)
+    if head is None:
+        return None
+    return head[1], stream.read(int(head[1]["content-length"]))
+
+
+class DrainTest(RedwingspringTestCase):
+    def start(self, instances=1, **settings):
+        self.host = HostFixture(self, instances=instances, **settings)
+        self.addCleanup(wait_until, self.host.entry.stopping.is_set, 12)
+        self.caller = self.host.connect()
+        self.addCleanup(self.caller.close)
+
+    def send(self, request):
+        self.caller.send(request)
+        self.stream = self.caller.connection.sock.makefile("rb")
+
+    @property
+    def run_ids(self):
+        return [run[0] for run in self.host.runs]
+
+    def begin_long_response(self):
+        """Drain while the response that closes the connection is being written."""
+        self.start(grace=30.0)
+        self.host.instances[0].body = LONG_BODY
+        self.host.instances[0].work_s = 0.3
+        self.send(render_request("GET", READS, "last", deadline_ms=20_000))
+        wait_until(lambda: self.host.runs)
+        self.host.entry.drain()
+        _, headers = read_head(self.stream)
+        self.assertEqual("close", headers["connection"])
+
+    def test_a_request_behind_the_last_response_is_not_passed_on(self):
+        """Its connection closes without its response, so it must not run."""
+        self.begin_long_response()
+        self.caller.send(render_request("GET", READS, "late"))
+        self.caller.send(render_post("late-post"))
+        time.sleep(ARRIVAL_S)
+        self.assertEqual(["last"], self.run_ids)
+
+    def test_the_last_response_is_whole_though_requests_follow_it(self):
+        """A reset by unread requests would destroy what was not yet delivered."""
+        self.begin_long_response()
+        for number in range(20):
+            self.caller.send(render_request("GET", READS, f"late-{number}"))
+        time.sleep(ARRIVAL_S)
+        body = self.stream.read(len(LONG_BODY))
+        self.assertTrue(body == LONG_BODY, f"{len(body)} bytes")
+        self.assertEqual(b"", self.stream.read())
+
+    def test_a_post_that_was_read_is_answered_before_the_connection_closes(self):
+        """A request that waits for its turn counts as one that follows."""
+        self.start(grace=6.0)
+        self.host.instances[0].work_s = 0.5
+        self.send(render_request("GET", READS, "first") + render_post("second"))
+        wait_until(lambda: self.host.runs)
+        self.host.entry.drain()
+        options = []
+        while (response := read_response(self.stream)) is not None:
+            options.append(response[0].get("connection"))
+        self.assertEqual([None, "close"], options)
+        self.assertEqual(["first", "second"], self.run_ids)
+
+    def test_a_caller_that_always_pipelines_does_not_keep_its_connection(self):
+        """Its last requests would be cut at the end of the grace period."""
+        self.start(instances=2, grace=8.0)
+        for instance in self.host.instances:
+            instance.work_s = 0.15
+        self.send(render_request("GET", READS, "p0"))
+        threading.Thread(target=self.keep_sending, daemon=True).start()
+        self.host.entry.drain()
+        started = time.monotonic()
+        answered = []
+        while (response := read_response(self.stream)) is not None:
+            answered.append(response[0]["request-id"])
+        self.assertTrue(time.monotonic() - started < 2.0)
+        self.assertEqual(set(answered), set(self.run_ids))
+
+    def keep_sending(self):
+        """Send a request before each response until the connection ends."""
+        with contextlib.suppress(OSError):
+            for number in range(1, 200):
+                time.sleep(0.03)
+                self.caller.send(render_request("GET", READS, f"p{number}"))
+
+    def test_a_request_that_arrives_after_its_connection_closed_is_not_passed_on(self):
+        """Part of its head had arrived when the host closed idle connections."""
+        self.patch(routedentry, "ACCEPT_AFTER_SIGTERM_S", 0.2)
+        self.patch(routedentry, "CLOSE_IDLE_AFTER_S", 0.4)
+        self.start(grace=6.0)
+        request = render_post("slow")
+        self.send(request[:40])
+        time.sleep(0.1)
+        self.host.entry.drain()
+        self.assertEqual(b"", self.stream.read())
+        self.caller.send(request[40:])
+        time.sleep(ARRIVAL_S)
+        self.assertEqual([], self.run_ids)
+
+    def test_no_request_is_accepted_late_on_a_busy_connection(self):
+        """It could not be answered before the end of the grace period."""
+        self.patch(routedentry, "ACCEPT_AFTER_SIGTERM_S", 0.1)
+        self.patch(routedentry, "CLOSE_IDLE_AFTER_S", 0.2)
+        self.start(instances=2, grace=6.0)
+        for instance in self.host.instances:
+            instance.work_s = 1.5
+        self.send(render_request("GET", READS, "first"))
+        wait_until(lambda: self.host.runs)
+        self.host.entry.drain()
+        # Closing the listener takes up to half a second.
+        time.sleep(1.0)
+        self.caller.send(render_request("GET", READS, "late"))
+        self.assertEqual("first", read_response(self.stream)[0]["request-id"])
+        self.assertEqual(b"", self.stream.read())
+        # A read that takes long is hedged.
+        self.assertEqual({"first"}, set(self.run_ids))
+
+
+class CallerCloseTest(RedwingspringTestCase):
+    def test_the_socket_stays_open_while_a_request_uses_it(self):
+        """Otherwise its descriptor could already belong to another caller."""
+        host = HostFixture(self, instances=1)
+        started = threading.Event()
+        send = host.entry.dispatcher.send
+
+        def send_slowly(call):
+            started.set()
+            time.sleep(0.5)
+            return send(call)
+
+        self.patch(host.entry.dispatcher, "send", send_slowly)
+        caller = host.connect()
+        caller.send(render_request("GET", READS, "1"))
+        self.assertTrue(started.wait(5))
+        connections = host.entry.server.requests.list_connections()
+        [connection] = [c for c in connections if not c.is_idle]
+        descriptors = set()
+        caller.connection.sock.shutdown(socket.SHUT_WR)
+        while not connection.is_idle:
+            descriptors.add(connection.socket.fileno())
+            time.sleep(0.005)
+        caller.close()
+        self.assertNotIn(-1, descriptors)
