--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -30,11 +30,8 @@
 # Bodies up to this size are read completely before the head goes to the caller, so
 # that a truncated response can still be replaced by another attempt.
 BUFFERED_BODY_BYTES = 256 << 10
-# Longest pause while the rest of a long response is streamed.
-STREAM_STALL_TIMEOUT_S = 15.0
-# Bounds of a streamed response. A target in trouble may send bytes without end; one
-# that declares its length can only send that many.
-MAX_STREAM_S = 600.0
+# A target in trouble may send bytes without end; one that declares its length can only
+# send that many.
 MAX_UNDECLARED_BYTES = 1 << 30
 # Late responses to earlier requests that are skipped before the expected one.
 MAX_STALE_RESPONSES = 2
@@ -384,7 +381,7 @@
             raw = connection.getresponse()
         else:
             raw = _begin_next_response(connection)
-        # Reads are bound to the deadline until a stall timeout is set.
+        # All reads are bound to the deadline of the request.
         return TargetResponse(connection, self.state.pool, raw, None)
 
     def _read_body(self, response, attempt):
@@ -426,9 +423,10 @@
         )
 
     def _begin_stream(self, response, size):
-        """Return the source of the rest of a long body."""
-        response.set_stall_timeout(STREAM_STALL_TIMEOUT_S)
-        response.set_deadline(self._clock() + MAX_STREAM_S)
+        """Return the source of the rest of a long body.
+
+        Its reads are bound to the deadline of the request, as all before.
+        """
         if response.length is None:
             response.limit_body(MAX_UNDECLARED_BYTES - size)
         return response
--- a/redwingspring/targetconnection.py
+++ b/redwingspring/targetconnection.py
@@ -73,7 +73,6 @@
         self._clock = clock
         self.deadline = deadline
         self.stall_timeout = None
-        self.stream_deadline = float("inf")
         self.bytes_left = None
 
     def readable(self):
@@ -100,8 +99,7 @@
         if self.stall_timeout is None:
             remaining_s = self.deadline - self._clock()
         else:
-            stream_left_s = self.stream_deadline - self._clock()
-            remaining_s = min(self.stall_timeout, stream_left_s)
+            remaining_s = self.stall_timeout
         if remaining_s <= 0:
             raise TimeoutError("timed out")
         return remaining_s
--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -60,11 +60,10 @@
         Parameters
         ----------
         deadline : float
-            Time in seconds on the clock of the connection. It applies with a stall
-            timeout and without one.
+            Time in seconds on the clock of the connection. A stall timeout replaces
+            it.
         """
         self._strict_response.reader.deadline = deadline
-        self._strict_response.reader.stream_deadline = deadline
 
     def limit_body(self, max_bytes):
         """Limit the rest of the body.
--- a/tests/test_endlessbytes.py
+++ b/tests/test_endlessbytes.py
@@ -32,6 +32,20 @@
     "trailers": (HEAD + b"0\r\n", b"X-A: " + BLOCK + b"\r\n"),
     "unsigned body": (HEAD.replace(b"Response-S", b"Other-S"), b"1\r\nx\r\n" * 900),
 }
+# Bodies that are long enough to be streamed.
+UNCHUNKED = HEAD.replace(b"Transfer-Encoding: chunked\r\n", b"")
+STREAMS = {
+    "chunked": (HEAD, b"1000\r\n" + BLOCK + b"\r\n"),
+    "closed at its end": (UNCHUNKED, BLOCK),
+    "declared": (
+        UNCHUNKED.replace(b"\r\n\r\n", b"\r\nContent-Length: 99999999999\r\n\r\n"),
+        BLOCK,
+    ),
+}
+# Timeout of the route in the configuration of the host fixture.
+ROUTE_TIMEOUT_S = 2.0
+# Time after a timeout within which its caller must have the end of its response.
+END_MARGIN_S = 0.5
 REFUSAL = b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -145,14 +159,28 @@
         self.assertTrue(grown_kb < 6 << 10, grown_kb)
         self.assertTrue(self.target.closed.wait(3))
 
-    def test_a_streamed_body_is_cut_visibly_at_its_time(self):
-        self.patch(exchanges, "MAX_STREAM_S", 0.5)
-        self.start(HEAD, b"1000\r\n" + BLOCK + b"\r\n")
-        started = time.monotonic()
-        complete, _ = self.download()
-        self.assertFalse(complete)
-        self.assertTrue(time.monotonic() - started < 3.0)
-        self.assertTrue(self.target.closed.wait(3))
+    def test_a_streamed_body_is_cut_visibly_at_the_timeout_of_its_route(self):
+        """The operator wants no caller kept waiting for longer."""
+        for name, (start, repeated) in STREAMS.items():
+            self.start(start, repeated)
+            started = time.monotonic()
+            complete, _ = self.download()
+            self.assertFalse(complete, name)
+            elapsed_s = time.monotonic() - started
+            self.assertTrue(
+                elapsed_s < ROUTE_TIMEOUT_S + END_MARGIN_S, (name, elapsed_s)
+            )
+            self.assertTrue(self.target.closed.wait(3), name)
+
+    def test_a_streamed_body_is_cut_visibly_when_its_caller_times_out(self):
+        for name, (start, repeated) in STREAMS.items():
+            self.start(start, repeated)
+            started = time.monotonic()
+            complete, _ = self.download(b"Deadline-Ms: 700\r\n")
+            self.assertFalse(complete, name)
+            elapsed_s = time.monotonic() - started
+            self.assertTrue(elapsed_s < 0.7 + END_MARGIN_S, (name, elapsed_s))
+            self.assertTrue(self.target.closed.wait(3), name)
 
     def test_a_streamed_body_ends_when_its_caller_closes(self):
         self.start(HEAD, b"1000\r\n" + BLOCK + b"\r\n")
@@ -160,18 +188,17 @@
             connection.recv(4096)
         wait_until(self.target.closed.is_set, 5)
 
-    def open_download(self):
+    def open_download(self, headers=b""):
         host, port = self.host.entry.settings.address.rsplit(":", 1)
         connection = socket.create_connection((host, int(port)), timeout=5)
-        connection.sendall(
-            b"GET /read/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r\r\n\r\n"
-        )
+        request = b"GET /read/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r\r\n"
+        connection.sendall(request + headers + b"\r\n")
         return connection
 
-    def download(self):
+    def download(self, headers=b""):
         """Read a response to its end; return if it looks complete, and its size."""
         size, tail = 0, b""
-        with self.open_download() as connection:
+        with self.open_download(headers) as connection:
             try:
                 while data := connection.recv(1 << 16):
                     size += len(data)
