--- a/redwingspring/server.py
+++ b/redwingspring/server.py
@@ -335,13 +335,17 @@
     """
 
     ConnectionClass = EntryConnection
-    request_queue_size = LISTEN_BACKLOG
     keep_alive_conn_limit = None
 
     def __init__(self, address, application, settings, metrics, listener=None):
         host, port = address.rsplit(":", 1)
         self._listener = listener
-        super().__init__((host, int(port)), application, server_name="redwingspring")
+        super().__init__(
+            (host, int(port)),
+            application,
+            server_name="redwingspring",
+            request_queue_size=LISTEN_BACKLOG,
+        )
         self.gateway = EntryGateway
         self.metrics = metrics
         self.requests = ConnectionThreads(self, settings.max_connections)
--- a/tests/test_routedprocess.py
+++ b/tests/test_routedprocess.py
@@ -39,6 +39,10 @@
 """
 
 
+# Fewer than the backlog that every kernel allows.
+BURST_CALLERS = 100
+
+
 class ProcessTest(RedwingspringTestCase):
     command = ("redwingspring", "entry", "--settings")
 
@@ -106,6 +110,28 @@
         for message in ("process started", "process leaving", "process stopped"):
             self.assertEqual(1, len(self.read_lines(message)), message)
 
+    def test_callers_that_connect_at_the_same_moment_all_get_an_answer(self):
+        """A short listen backlog drops connections, which are opened again late."""
+        process = self.start()
+        wait_until(lambda: self.ask() == 200)
+        host, port = self.address.split(":")
+        ports = [port, self.values["ready"], self.values["directory"]]
+        ports.append(self.values["peer"])
+        process.send_signal(signal.SIGSTOP)
+        self.addCleanup(process.send_signal, signal.SIGCONT)
+        # While the process is stopped, the kernel alone accepts connections.
+        for number in map(int, ports):
+            for _ in range(BURST_CALLERS):
+                sock = socket.create_connection((host, number), timeout=0.9)
+                self.addCleanup(sock.close)
+        callers = [Caller(self.address) for _ in range(20)]
+        for caller in callers:
+            self.addCleanup(caller.close)
+            caller.connection.connect()
+        process.send_signal(signal.SIGCONT)
+        statuses = [caller.ask("GET", READS + "1")[0] for caller in callers]
+        self.assertEqual([200] * len(callers), statuses)
+
     def test_a_sighup_during_startup_reloads_afterwards(self):
         """SIGHUP would end the process before its handler is installed."""
         text = self.path.read_text()
