--- a/redwingspring/callerconnections.py
+++ b/redwingspring/callerconnections.py
@@ -7,9 +7,10 @@
 from http.client import HTTPException
 
 from expression import Error, Ok
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from .responsehead import WholeHeadConnection
+
 READ_SIZE = 64 << 10
 MAX_PAGE_BYTES = 4 << 20
 PAGE_TIMEOUT_S = 1.0
@@ -41,7 +42,7 @@
     text: str
 
 
-class HostConnection(HTTPConnection):
+class HostConnection(WholeHeadConnection):
     """A connection that knows whether a byte of a request was sent.
 
     Parameters
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -17,6 +17,7 @@
 import urllib3
 
 from .clock import read_clock
+from .responsehead import WholeHeadPool
 from .responses import PageApplication, PageResponse
 from .storestate import HistoryLost, StoreChange, StoreError, StoreSnapshot
 
@@ -255,9 +256,7 @@
         self.name = f"host {address}"
         self.is_store = False
         self._metrics = metrics
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=1, retries=False
-        )
+        self._pool = WholeHeadPool(host, int(port), maxsize=1, retries=False)
 
     def close(self):
         """Close the connection."""
--- a/redwingspring/platform/store.py
+++ b/redwingspring/platform/store.py
@@ -10,6 +10,7 @@
 from urllib3.connection import HTTPConnection
 
 from ..mappings import drop_oldest
+from ..responsehead import WholeHeadPool
 from ..storestate import HistoryLost, StoreBusy, StoreChange, StoreError, StoreSnapshot
 
 logger = logging.getLogger(__name__)
@@ -50,7 +51,7 @@
         host, port = address.rsplit(":", 1)
         self._metrics = metrics
         self._logged_keys = {}
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = WholeHeadPool(
             host,
             int(port),
             maxsize=2,
--- a/redwingspring/servicereader.py
+++ b/redwingspring/servicereader.py
@@ -5,6 +5,7 @@
 import urllib3
 
 from .errors import PublicationError
+from .responsehead import WholeHeadPool, WholeHeadSecurePool
 from .stamp import PublishedValue, Stamp
 from .version import __version__
 
@@ -53,6 +54,10 @@
             source_address=(source, 0) if source else None,
             headers={"User-Agent": f"redwingspring/{__version__} {name}"},
         )
+        self._http.pool_classes_by_scheme = {
+            "http": WholeHeadPool,
+            "https": WholeHeadSecurePool,
+        }
 
     def read(self, key, after=0, wait=0):
         """Read a value, waiting for a change if requested.
--- a/redwingspring/targetconnection.py
+++ b/redwingspring/targetconnection.py
@@ -1,7 +1,6 @@
 """Connections to targets, which track what was sent and parse responses strictly."""
 
 import errno
-import http.client
 import io
 import re
 import select
@@ -12,6 +11,7 @@
 
 from urllib3.connection import HTTPConnection
 
+from .responsehead import LineReader, WholeHeadResponse
 from .verdict import Reason
 
 READ_SIZE = 64 << 10
@@ -110,7 +110,7 @@
         super().close()
 
 
-class StrictResponse(http.client.HTTPResponse):
+class StrictResponse(WholeHeadResponse):
     """Response parser that rejects malformed and ambiguous responses.
 
     The base class accepts a truncated chunk size line, skips any two bytes after
@@ -137,7 +137,7 @@
         self.request_method = method
         if previous is None:
             self.reader = _DeadlineReader(self.fp.detach(), sock, deadline, clock)
-            self.fp = io.BufferedReader(self.reader)
+            self.fp = LineReader(self.reader)
         else:
             self.fp.close()
             self.reader, self.fp = previous.reader, previous.fp or previous.kept_fp
@@ -152,7 +152,7 @@
         Raises
         ------
         http.client.HTTPException
-            If the head is malformed.
+            If the head is malformed or not complete.
         """
         self.reader.bytes_left = MAX_HEAD_BYTES
         try:
