--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -245,7 +245,7 @@
         if failure is None:
             return self._read_body(response, attempt)
         if failure.proves_not_run:
-            self._skip_body(response)
+            self._discard(response, metadata)
         else:
             response.abort()
         self.stage = Stage.CLOSED
@@ -316,7 +316,7 @@
         self.connection.extend_deadline(self._clock() + PROBE_READ_TIMEOUT_S)
         try:
             response, metadata = self._read_probe_response()
-            failed = self._skip_body(response)
+            failed = self._discard(response, metadata)
         except _TRANSPORT_ERRORS as error:
             if not self._probe_again(error):
                 self._fail(refuse(Reason.CONNECT, f"no answer to a probe: {error}"))
@@ -431,6 +431,18 @@
             response.limit_body(MAX_UNDECLARED_BYTES - size)
         return response
 
+    def _discard(self, response, metadata):
+        """Discard a response; return True if the connection cannot be reused.
+
+        A target in trouble may send a copy of a refusal where the next response is
+        expected. Without an id, the copy could not be told from the refusal of the
+        next request, so the connection is closed.
+        """
+        if metadata.not_run and metadata.request_id is None:
+            response.abort()
+            return True
+        return self._skip_body(response)
+
     def _skip_body(self, response):
         """Discard a short body; return True if the connection cannot be reused."""
         self._record_keep_alive(response)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -168,6 +168,8 @@
         self.copy_delay_s = 0.0
         self.stale_rest = "Content-Length: 5\r\n\r\nstray"
         self.runs = []
+        self.refused = []
+        self.copies_refused_probe = False
         self.arrivals = []
         self.probes = 0
         self.headers = []
@@ -180,6 +182,7 @@
 
             do_POST = do_GET
             has_served = False
+            owes_copy = False
 
             def handle_one_request(self):
                 if self.has_served and stand_in.has_forgotten(self.connection):
@@ -250,6 +253,10 @@
 
     def serve_probe(self, handler):
         self.probes += 1
+        if self.copies_refused_probe:
+            handler.owes_copy = True
+            self.refuse(handler, 503)
+            return
         if self.mode == "probe_hang":
             time.sleep(30)
         handler.send_response(200 if self.healthy else 503)
@@ -270,7 +277,13 @@
             self.refuse(handler, 421)
         elif mode == "shed":
             self.refuse(handler, 503)
+        elif mode == "shed_copied" and not self.refused:
+            self.refused.append(request_id)
+            handler.owes_copy = True
+            self.refuse(handler, 503)
         else:
+            if mode == "shed_copied" and handler.owes_copy:
+                self.refuse(handler, 503)
             self.runs.append((request_id, handler.command, handler.path, body))
             time.sleep(self.work_s)
             getattr(self, f"answer_{mode}")(handler, request_id)
@@ -297,6 +310,8 @@
         handler.wfile.write(self.body)
 
     answer_probe_hang = answer_normal
+    # Refuses one request and sends a copy of the refusal before the next response.
+    answer_shed_copied = answer_normal
 
     def answer_error(self, handler, request_id):
         self.send_head(handler, request_id, 3, status=500)
--- a/tests/test_operatorreports.py
+++ b/tests/test_operatorreports.py
@@ -15,6 +15,7 @@
     POSTS,
     READS,
     HostFixture,
+    InstanceStandIn,
     describe_configuration,
     describe_route,
     wait_until,
@@ -70,6 +71,48 @@
             self.assertEqual(502, status)
 
 
+class CopiedRefusalTest(RedwingspringTestCase):
+    """A target sends an earlier refusal again where a response is expected."""
+
+    def start(self):
+        self.host = HostFixture(self, instances=1)
+        self.target = self.host.instances[0]
+        self.target.mode = "shed_copied"
+
+    def test_a_post_is_not_reported_as_not_run_because_of_it(self):
+        self.start()
+        for number in range(3):
+            name = {"Request-Id": f"copied-{number}"}
+            status, _, _ = self.host.ask("POST", POSTS, body=b"x", **name)
+            expected = 200 if name["Request-Id"] in self.run_ids() else 503
+            self.assertEqual(expected, status)
+        self.assertEqual(1, len(self.target.refused))
+
+    def test_a_post_does_not_run_twice_because_of_it(self):
+        self.start()
+        other = InstanceStandIn("i-other")
+        self.addCleanup(other.close)
+        self.host.ask("POST", POSTS, body=b"x")
+        self.host.list_instance(other)
+        wait_until(lambda: len(self.host.entry.directory.list_ids()) == 2)
+        for _ in range(3):
+            # The target that owes the copy looks better and gets the request.
+            other.load = "2,0,3,100"
+            self.assertEqual(200, self.host.ask("POST", POSTS, body=b"x")[0])
+        ids = self.run_ids() + [run[0] for run in other.runs]
+        self.assertEqual(len(set(ids)), len(ids))
+
+    def test_a_refused_probe_is_not_taken_for_the_refusal_of_a_post(self):
+        self.start()
+        self.target.refused.append("none")
+        self.target.copies_refused_probe = True
+        status, _, _ = self.host.ask("POST", POSTS, body=b"x")
+        self.assertTrue(status == 200 or not self.target.runs, status)
+
+    def run_ids(self):
+        return [run[0] for run in self.target.runs]
+
+
 class PlannedStopTest(RedwingspringTestCase):
     """A planned stop cuts requests that have just been accepted."""
 
