--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -11,7 +11,8 @@
 from .routes import RoutingTable
 
 # Entries that expire while the store is unreachable are written again by their targets
-# within about two seconds of its return. Missing instances stay in use until then.
+# within about two seconds of its return. Missing instances stay in use until then. Other
+# removals take effect at once.
 MISSING_GRACE_S = 2.2
 # Deleted keys whose revisions are kept, so that a change that arrives late does not
 # restore them.
@@ -155,7 +156,9 @@
         self._tombstones = {}
         self._evacuated = set()
         self._missing_until = {}
+        # A host that starts has no data yet, but it has not seen the store away.
         self._lost_at = clock()
+        self._was_away = False
         self._regained_at = -MISSING_GRACE_S
 
     @property
@@ -184,6 +187,7 @@
             Failure of the last source.
         """
         with self._lock:
+            self._was_away = True
             if self._lost_at is not None:
                 return
             self._lost_at = self._clock()
@@ -209,7 +213,9 @@
                 return
             away_s = self._clock() - self._lost_at
             self._lost_at = None
-            self._regained_at = self._clock()
+            if self._was_away:
+                self._was_away = False
+                self._regained_at = self._clock()
         self._metrics.increment("store.regained")
         self._decisions.record(
             "store regained",
@@ -350,8 +356,10 @@
 
     def _apply_removal(self, change, revision):
         now = self._clock()
-        if self._lost_at is not None or now < self._regained_at + MISSING_GRACE_S:
-            self._missing_until.setdefault(change.instance_id, now + MISSING_GRACE_S)
+        returned_at = now if self._was_away else self._regained_at
+        if now < returned_at + MISSING_GRACE_S:
+            until = returned_at + MISSING_GRACE_S
+            self._missing_until.setdefault(change.instance_id, until)
             self._decisions.record(
                 "instance missing", instance=change.instance_id, revision=revision
             )
--- a/tests/test_storestate.py
+++ b/tests/test_storestate.py
@@ -31,13 +31,15 @@
         self.now = 100.0
         self.metrics = Metrics()
         self.directory = InstanceDirectory(clock=self.clock)
-        decisions = DecisionLog(self.metrics, self.clock)
-        self.store_state = StoreState(
-            self.directory, decode, self.metrics, decisions, self.clock
-        )
+        self.store_state = self.build_store_state()
         self.store_state.mark_connected("store")
         self.now += 60
 
+    def build_store_state(self):
+        """Return the state of a host that has just started."""
+        decisions = DecisionLog(self.metrics, self.clock)
+        return StoreState(self.directory, decode, self.metrics, decisions, self.clock)
+
     def clock(self):
         return self.now
 
@@ -100,6 +102,38 @@
         self.store_state.drop_missing()
         self.assertEqual({"a"}, self.ids)
 
+    def test_a_removal_after_a_start_is_no_entry_that_expired(self):
+        """A host that has just started has not seen the store away."""
+        self.store_state = self.build_store_state()
+        self.now += 0.3
+        self.list_instance("a", 1)
+        self.store_state.mark_connected("store")
+        self.now += 1.5
+        self.remove("a", 2)
+        self.assertEqual(set(), self.ids)
+
+    def test_a_start_while_the_store_is_away_keeps_entries_that_expire(self):
+        self.store_state = self.build_store_state()
+        self.store_state.mark_lost(StoreError("down"))
+        self.now += 5
+        self.list_instance("a", 1)
+        self.store_state.mark_connected("store")
+        self.remove("a", 2)
+        self.assertEqual({"a"}, self.ids)
+
+    def test_a_removal_after_an_outage_waits_no_longer_than_entries_take(self):
+        """The time counts from the return of the store, not from the removal."""
+        self.list_instance("a", 1)
+        self.store_state.mark_lost(StoreError("down"))
+        self.now += 5
+        self.store_state.mark_connected("store")
+        self.now += MISSING_GRACE_S - 0.5
+        self.remove("a", 2)
+        self.assertEqual({"a"}, self.ids)
+        self.now += 0.6
+        self.store_state.drop_missing()
+        self.assertEqual(set(), self.ids)
+
     def test_a_restart_under_the_same_id_starts_with_a_new_state(self):
         self.list_instance("a", 1, started_unix_ms=1000)
         [state] = self.directory.view.services["desk"]
