--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -265,6 +265,7 @@
             guard=lambda: self._check_send(exchange, now),
             caller_socket=call.caller_socket,
             idempotent=call.route.idempotent,
+            begin_stream=call.begin_stream,
         )
 
     def _check_send(self, exchange, decided_at):
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -30,6 +30,9 @@
 # Bodies up to this size are read completely before the head goes to the caller, so
 # that a truncated response can still be replaced by another attempt.
 BUFFERED_BODY_BYTES = 256 << 10
+# Bodies up to this size are read completely if a response that breaks off would take
+# those to other requests with it.
+MAX_BUFFERED_BODY_BYTES = 1 << 20
 # A target in trouble may send bytes without end; one that declares its length can only
 # send that many.
 MAX_UNDECLARED_BYTES = 1 << 30
@@ -398,7 +401,7 @@
                     break
                 chunks.append(chunk)
                 size += len(chunk)
-                if size >= BUFFERED_BODY_BYTES:
+                if _may_stream(attempt, size):
                     stream = self._begin_stream(response, size)
                     break
             if stream is None and not bodiless and response.length not in (None, size):
@@ -461,6 +464,13 @@
         self.connection.keep_alive_s = timeout
 
 
+def _may_stream(attempt, size):
+    """Tell whether a body of which this much was read may be relayed already."""
+    if size < BUFFERED_BODY_BYTES:
+        return False
+    return size >= MAX_BUFFERED_BODY_BYTES or attempt.begin_stream()
+
+
 def _discard_body(response):
     """Read a short body to its end."""
     response.limit_body(MAX_SKIPPED_BODY_BYTES)
--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -9,6 +9,7 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
+from .clock import read_clock
 from .parsing import EntryRequest
 from .server import EntryConnection, EntryServer
 
@@ -17,6 +18,9 @@
 # Requests of one connection that are processed concurrently.
 MAX_CONCURRENT_REQUESTS = 16
 MAX_WORKERS = 400
+# Long responses of the process that are buffered because others follow them. Each holds
+# up to exchanges.MAX_BUFFERED_BODY_BYTES.
+MAX_LONG_BUFFERS = 32
 _BODYLESS_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 
 
@@ -61,10 +65,13 @@
         super().__init__(server, conn, **kwargs)
         self.turn = conn.add_turn()
         self.is_concurrent = False
+        self.received_at = None
+        self._has_long_buffer = False
         conn.request = self
 
     def respond(self):
         """Run the application, in a worker thread if the request has no body."""
+        self.received_at = read_clock()
         if not self.conn.accept_request(self.turn):
             # Its caller takes a request behind the last response for not run.
             self.close_connection = True
@@ -85,7 +92,7 @@
                 return
             super().respond()
         finally:
-            self.conn.finish_request()
+            self._finish()
 
     def _respond_concurrently(self):
         try:
@@ -104,7 +111,33 @@
             if self.close_connection:
                 self.conn.shut_down_writing()
             self.turn.finish()
-            self.conn.finish_concurrent()
+            self.conn.release_concurrent()
+            self._finish()
+
+    def _finish(self):
+        """Release what the request holds."""
+        if self._has_long_buffer:
+            self.server.long_buffers.release()
+        self.conn.finish_request(self.turn)
+
+    def begin_stream(self):
+        """Tell whether a long response may be relayed before it is complete.
+
+        It may break off, and the connection then ends. So no request may have been
+        passed on behind it, and none is until it is complete. With others behind it,
+        it is buffered, so that another attempt can replace it.
+
+        Returns
+        -------
+        bool
+            False if the response must be buffered.
+        """
+        if self._has_long_buffer:
+            return False
+        if self.conn.begin_stream(self.turn):
+            return True
+        self._has_long_buffer = self.server.long_buffers.acquire(blocking=False)
+        return not self._has_long_buffer
 
     def send_headers(self):
         """Send the status line and headers after all earlier responses."""
@@ -153,10 +186,11 @@
         self.request = None
         self._last_turn = None
         self._concurrency_limit = threading.Semaphore(MAX_CONCURRENT_REQUESTS)
-        # The condition guards the three attributes below.
+        # The condition guards the attributes below.
         self._changed = threading.Condition()
         self._accepting = True
         self._last_accepted_turn = None
+        self._streaming_turn = None
         self._active_requests = 0
 
     @property
@@ -179,7 +213,7 @@
         """Accept a request that was read, unless the connection is closing.
 
         An accepted request is passed on and gets a response, so the connection stays
-        open until then.
+        open until then. While a response is streamed, this method waits.
 
         Parameters
         ----------
@@ -192,7 +226,8 @@
             False if the request must be dropped.
         """
         with self._changed:
-            if not self._accepting:
+            self._changed.wait_for(lambda: self._streaming_turn is None)
+            if self.ended or not self._accepting:
                 return False
             self._last_accepted_turn = turn
             self._active_requests += 1
@@ -226,6 +261,25 @@
         with self._changed:
             return not self._accepting and self._last_accepted_turn is turn
 
+    def begin_stream(self, turn):
+        """Accept no request until a response is complete, if none follows it yet.
+
+        Parameters
+        ----------
+        turn : ResponseTurn
+            Turn of the response.
+
+        Returns
+        -------
+        bool
+            False if a request that follows it was accepted.
+        """
+        with self._changed:
+            if self._last_accepted_turn is not turn:
+                return False
+            self._streaming_turn = turn
+            return True
+
     def run_concurrently(self, process):
         """Run a request in a worker thread, waiting while too many are in progress.
 
@@ -237,17 +291,24 @@
         self._concurrency_limit.acquire()
         self.server.workers.submit(process)
 
-    def finish_request(self):
-        """Record that an accepted request has ended."""
+    def release_concurrent(self):
+        """Let another request run in a worker thread."""
+        self._concurrency_limit.release()
+
+    def finish_request(self, turn):
+        """Record that an accepted request has ended.
+
+        Parameters
+        ----------
+        turn : ResponseTurn
+            Turn of its response.
+        """
         with self._changed:
             self._active_requests -= 1
+            if self._streaming_turn is turn:
+                self._streaming_turn = None
             self._changed.notify_all()
 
-    def finish_concurrent(self):
-        """Record that a request in a worker thread has ended."""
-        self._concurrency_limit.release()
-        self.finish_request()
-
     def drain(self):
         """Accept no further request; shut down if none is in progress."""
         if self.stop_accepting():
@@ -312,6 +373,7 @@
     def __init__(self, address, application, settings, metrics, listener=None):
         super().__init__(address, application, settings, metrics, listener)
         self.workers = ThreadPoolExecutor(MAX_WORKERS, "request")
+        self.long_buffers = threading.Semaphore(MAX_LONG_BUFFERS)
 
     @property
     def can_add_keepalive_connection(self):
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -10,6 +10,7 @@
 from .policy.placement import ResponseStatistics
 from .policy.waitpolicy import RequestTiming, choose_retry_after
 from .policy.waitqueues import WaitQueues
+from .upstream import allow_stream
 from .verdict import Reason
 
 # Failures that count less than 1 towards the ejection of an instance: a refusal may
@@ -51,6 +52,8 @@
         The caller's connection.
     prior_wait_s : float, default=0.0
         Seconds that the caller had waited before this request arrived.
+    begin_stream : callable, optional
+        Called before a long response is relayed in parts; returns whether it may be.
     """
 
     request_id: str
@@ -64,6 +67,7 @@
     deadline: float
     caller_socket: object
     prior_wait_s: float = 0.0
+    begin_stream: object = allow_stream
 
 
 @dataclass(frozen=True)
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -8,7 +8,7 @@
 from .routedispatch import Rejection, RoutedCall
 from .routes import WeightedRoundRobin
 from .targetconnection import ResponseBroken
-from .upstream import CallerGone
+from .upstream import CallerGone, allow_stream
 from .verdict import Reason, refuse
 
 PHRASES = {
@@ -83,7 +83,9 @@
         iterable of bytes
             The response body.
         """
-        received_at = self._clock()
+        request = environ.get("redwingspring.request")
+        # A pipelined request may have waited for those before it.
+        received_at = getattr(request, "received_at", None) or self._clock()
         call_result = self._read_call(environ, received_at)
         if call_result.is_error():
             return self._reject(environ, start_response, call_result.error, received_at)
@@ -122,6 +124,7 @@
             remaining_s = min(remaining_s, metadata.time_left_s)
         deadline = received_at + remaining_s
         connection = environ.get("redwingspring.connection")
+        request = environ.get("redwingspring.request")
         body = RequestBody(
             environ["wsgi.input"],
             length,
@@ -153,6 +156,7 @@
                 prior_wait_s=self.dispatcher.caller_timeouts.record_time_left(
                     route, metadata.time_left_s
                 ),
+                begin_stream=getattr(request, "begin_stream", allow_stream),
             )
         )
 
@@ -182,14 +186,25 @@
             return []
         if answer.stream is None:
             return [answer.body]
-        return _StreamedBody(answer, lambda: self._abort_response(environ, call))
+        return _StreamedBody(
+            answer, lambda: self._abort_response(environ, call, answer)
+        )
+
+    def _abort_response(self, environ, call, answer):
+        """Let the caller detect that the response is incomplete.
 
-    def _abort_response(self, environ, call):
-        """Reset the connection so that the caller detects the incomplete response."""
+        The end of the connection shows it, as the response states its length or is
+        chunked. A reset is needed without either, and only then: it could discard
+        complete responses that the caller has not read yet.
+        """
         self.metrics.increment("responses.broken")
         self.decisions.record("response broke off", request_id=call.request_id)
         connection = environ.get("redwingspring.connection")
-        if connection is not None:
+        request = environ.get("redwingspring.request")
+        shows_end = answer.length is not None or getattr(
+            request, "chunked_write", False
+        )
+        if connection is not None and not shows_end:
             connection.abort()
 
     def _reject(self, environ, start_response, rejection, received_at, call=None):
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -11,8 +11,8 @@
 from .routes import RoutingTable
 
 # Entries that expire while the store is unreachable are written again by their targets
-# within about two seconds of its return. Missing instances stay in use until then. Other
-# removals take effect at once.
+# within about two seconds of its return. Missing instances stay in use until then.
+# Other removals take effect at once.
 MISSING_GRACE_S = 2.2
 # Deleted keys whose revisions are kept, so that a change that arrives late does not
 # restore them.
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -35,6 +35,17 @@
 MAX_HOSTS = 20
 
 
+def allow_stream():
+    """Allow a long response to be relayed in parts.
+
+    Returns
+    -------
+    bool
+        Always True.
+    """
+    return True
+
+
 @dataclass(frozen=True)
 class Attempt:
     """A request to be sent once to one target.
@@ -61,6 +72,8 @@
         response.
     idempotent : bool
         Whether the request may be sent again when it is unknown whether it ran.
+    begin_stream : callable, optional
+        Called before a long response is relayed in parts; returns whether it may be.
     """
 
     method: str
@@ -72,6 +85,7 @@
     guard: object
     caller_socket: object
     idempotent: bool
+    begin_stream: object = allow_stream
 
 
 class TargetPool:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -8,7 +8,16 @@
 from redwingspring import routedentry
 
 from .base import RedwingspringTestCase
-from .standins import POSTS, READS, HostFixture, render_request, wait_until
+from .standins import (
+    POSTS,
+    READS,
+    HostFixture,
+    InstanceStandIn,
+    describe_configuration,
+    describe_route,
+    render_request,
+    wait_until,
+)
 
 # More than the kernel buffers between the host and a caller that does not read.
 LONG_BODY = b"x" * (16 << 20)
@@ -154,6 +163,126 @@
         self.assertEqual({"first"}, set(self.run_ids))
 
 
+class LongTarget(InstanceStandIn):
+    """Target whose long responses pause, and then end or break off."""
+
+    def __init__(self, instance_id):
+        super().__init__(instance_id)
+        self.mode = "long"
+        self.body = b"y" * 600_000
+        self.breaks = False
+        self.resumed = threading.Event()
+
+    def answer_long(self, handler, request_id):
+        self.send_head(handler, request_id, len(self.body))
+        middle = len(self.body) * 3 // 4
+        handler.wfile.write(self.body[:middle])
+        self.resumed.wait(5)
+        if self.breaks:
+            self.end(handler)
+        else:
+            handler.wfile.write(self.body[middle:])
+
+
+class LongResponseTest(RedwingspringTestCase):
+    """A long response is relayed before it is complete, and may break off."""
+
+    def start(self, others=0):
+        # With such a target latency, reads are not hedged within a test.
+        route = describe_route("reads", READS, "idempotent", target_latency_s=9.0)
+        configuration = describe_configuration(routes=[{**route, "timeout_s": 9.0}])
+        self.host = HostFixture(self, others, configuration)
+        self.target = LongTarget("i-long")
+        self.addCleanup(self.target.close)
+        self.host.list_instance(self.target)
+        wait_until(lambda: len(self.host.entry.directory.list_ids()) == others + 1)
+        for instance in self.host.instances:
+            instance.body = self.target.body
+            # The long target looks better, so it gets the first request.
+            instance.load = "2,0,3,100"
+        self.caller = self.host.connect()
+        self.addCleanup(self.caller.close)
+
+    def send(self, request_id, deadline_ms=4000):
+        self.caller.send(render_request("GET", READS, request_id, deadline_ms))
+        self.stream = self.caller.connection.sock.makefile("rb")
+
+    def begin_stream(self):
+        self.start()
+        self.send("first")
+        self.assertEqual(200, read_head(self.stream)[0])
+
+    def test_nothing_is_passed_on_behind_a_response_that_may_break_off(self):
+        """Its connection would end without the responses that follow."""
+        self.begin_stream()
+        self.target.breaks = True
+        self.caller.send(render_request("GET", READS, "second"))
+        time.sleep(ARRIVAL_S)
+        self.target.resumed.set()
+        body = self.stream.read()
+        self.assertTrue(len(body) < len(self.target.body))
+        self.assertEqual(["first"], self.target.arrivals)
+
+    def test_a_request_behind_a_complete_response_is_answered(self):
+        self.begin_stream()
+        self.caller.send(render_request("GET", READS, "second"))
+        time.sleep(ARRIVAL_S)
+        self.target.resumed.set()
+        self.assertTrue(self.stream.read(600_000) == self.target.body)
+        headers, body = read_response(self.stream)
+        self.assertEqual("second", headers["request-id"])
+        self.assertTrue(body == self.target.body)
+
+    def test_the_time_behind_a_long_response_counts_for_the_deadline(self):
+        self.begin_stream()
+        self.caller.send(render_request("GET", READS, "second", 1500))
+        time.sleep(1.0)
+        self.target.resumed.set()
+        wait_until(lambda: len(self.target.headers) == 2)
+        self.assertTrue(int(self.target.headers[1]["Deadline-Ms"]) < 600)
+
+    def test_a_broken_response_with_others_behind_it_is_replaced(self):
+        self.start(others=1)
+        self.target.breaks = True
+        self.target.work_s = 2 * ARRIVAL_S
+        self.send("first")
+        wait_until(lambda: self.target.arrivals)
+        self.target.load = "2,0,3,100"
+        self.host.instances[0].load = "0,0,3,100"
+        # The load of the last probe counts for a moment.
+        time.sleep(ARRIVAL_S / 2)
+        self.caller.send(render_request("GET", READS, "second"))
+        wait_until(lambda: self.host.runs)
+        self.target.resumed.set()
+        for request_id in ("first", "second"):
+            headers, body = read_response(self.stream)
+            self.assertEqual(request_id, headers["request-id"])
+            self.assertTrue(body == self.target.body)
+
+    def test_a_broken_response_does_not_destroy_the_one_before_it(self):
+        """The caller has not read the first one when the second breaks off."""
+        self.start(others=1)
+        [other] = self.host.instances
+        other.body = b"z" * 200_000
+        other.load = "0,0,3,100"
+        self.target.load = "2,0,3,100"
+        self.send("first")
+        wait_until(lambda: other.runs)
+        time.sleep(ARRIVAL_S)
+        other.load = "2,0,3,100"
+        self.target.load = "0,0,3,100"
+        self.target.breaks = True
+        self.target.resumed.set()
+        self.send("second")
+        wait_until(lambda: self.target.arrivals)
+        time.sleep(ARRIVAL_S)
+        headers, body = read_response(self.stream)
+        self.assertEqual(("first", 200_000), (headers["request-id"], len(body)))
+        status, headers = read_head(self.stream)
+        self.assertEqual((200, "second"), (status, headers["request-id"]))
+        self.assertTrue(len(self.stream.read()) < len(self.target.body))
+
+
 class CallerCloseTest(RedwingspringTestCase):
     def test_the_socket_stays_open_while_a_request_uses_it(self):
         """Otherwise its descriptor could already belong to another caller."""
