--- a/redwingspring/relay.py
+++ b/redwingspring/relay.py
@@ -13,6 +13,9 @@
     (Reason.NO_CAPACITY, Reason.NO_LEASE, Reason.STALE_DECISION, Reason.TARGET_REFUSED)
 )
 RESUME_RETRY_INTERVAL_S = 0.05
+# A resume that brings less counts as without progress. Otherwise targets that stall
+# after a few bytes could keep a download, a slot and its caller for hours.
+MIN_PROGRESS_BYTES = 16 << 10
 
 
 class RelayBody:
@@ -144,10 +147,8 @@
         attempt_limit = configuration.service_value(
             "retry.attempts", self._call.service
         )
-        if (
-            self._received_bytes > self._resume_offset
-            or not self._resumes_without_progress
-        ):
+        progress = self._received_bytes - self._resume_offset
+        if progress >= MIN_PROGRESS_BYTES or not self._resumes_without_progress:
             # After progress, targets that failed earlier may be tried again, as
             # they may have recovered. Without progress, each is tried only once.
             self._tried = {self._relay.state}
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,6 +7,8 @@
 from .datapath import DataPathFixture, RawFixture, read_all, wait_until
 
 SIZE = 400_000
+# Most attempts for one request by default, setting retry.attempts.
+MAX_ATTEMPTS = 3
 CONTENT = b"".join(slice_content(SIZE, 0, SIZE))
 
 
@@ -40,6 +42,16 @@
         self.assert_complete()
         self.assertEqual(6, metrics.snapshot()["downloads.resumed"])
 
+    def test_a_download_that_hardly_progresses_is_not_resumed_without_end(self):
+        """Each resume takes a request, and up to the stall timeout in addition."""
+        metrics = self.start()
+        for target in self.fixture.targets:
+            self.inject_fault(target, 400, name="truncated")
+        _, _, body, whole = self.fixture.send("GET", f"/download/{SIZE}")
+        self.assertFalse(whole)
+        self.assertTrue(CONTENT.startswith(body))
+        self.assertTrue(metrics.snapshot()["downloads.resumed"] <= MAX_ATTEMPTS)
+
     def test_a_normal_close_within_the_body_is_an_interruption(self):
         self.start()
         for target in self.fixture.targets:
