--- a/harness/costs.py
+++ b/harness/costs.py
@@ -78,7 +78,7 @@
     lines = [
         f"- {{name: entry-{number}, address: '{make_address(number, 7000)}', "
         f"peer_address: '{make_address(number, 7001)}', "
-        f"data_centre: {DATA_CENTRES[number % len(DATA_CENTRES)]}}}"
+        f"data_centre: {DATA_CENTRES[number % len(DATA_CENTRES)]}, state: live}}"
         for number in range(hosts)
     ]
     return "\n".join(["hosts:", *lines]) + "\n"
@@ -249,7 +249,7 @@
     dispatcher = Dispatcher(
         directory=parts.directory, pools=parts.pools, admissions=parts.admissions,
         leases=None, membership=None, metrics=Metrics(), policies=policies,
-        on_temperature=None, data_centre="dc-a",
+        outcomes=None, data_centre="dc-a",
     )  # fmt: skip
     call = SimpleNamespace(service="service-0")
     return {"choice_us": 1e6 * measure_time(lambda: dispatcher._choose(call, ()), 2000)}
--- a/harness/mutant.py
+++ b/harness/mutant.py
@@ -21,13 +21,22 @@
     app(arguments, prog_name="redwingspring")
 
 
+def replace(owner, name, value):
+    """Replace an attribute, which must exist: a new one would disable nothing."""
+    getattr(owner, name)
+    setattr(owner, name, value)
+
+
 @mutations.register("proof")
 def report_all_failures_not_run():
     """Report every failed attempt as not-run."""
     from redwingspring import upstream
     from redwingspring.verdict import refuse
 
-    upstream._build_failure = lambda connection, reason, detail: refuse(reason, detail)
+    def build_failure(connection, reason, detail, status=503):
+        return refuse(reason, detail, status)
+
+    replace(upstream, "_build_failure", build_failure)
 
 
 @mutations.register("once")
@@ -42,7 +51,7 @@
             return True
         return may_repeat(self, call, admission, failure)
 
-    Dispatcher._may_repeat = may_repeat_doubtful
+    replace(Dispatcher, "_may_repeat", may_repeat_doubtful)
 
 
 @mutations.register("whole")
@@ -50,7 +59,7 @@
     """Relay responses without checking their attempt id and completeness."""
     from redwingspring import relay, upstream
 
-    upstream._check_head = lambda response, limits, attempt: None
+    replace(upstream, "check_head", lambda *arguments: None)
     read = relay.RelayBody._read
 
     def end_body_early(self):
@@ -59,7 +68,7 @@
         except upstream.ResponseBroken:
             return b""
 
-    relay.RelayBody._read = end_body_early
+    replace(relay.RelayBody, "_read", end_body_early)
 
 
 @mutations.register("guard")
@@ -67,7 +76,7 @@
     """Send requests without the check before the first byte."""
     from redwingspring.dispatch import Dispatcher
 
-    Dispatcher._check_send = lambda self, decision, deadline: None
+    replace(Dispatcher, "_check_send", lambda self, decision, deadline: None)
 
 
 @mutations.register("leases")
@@ -75,7 +84,7 @@
     """Grant every lease request."""
     from redwingspring.grants import GrantAnswer, GrantTable
 
-    GrantTable.request = lambda self, *args: GrantAnswer(True, 99)
+    replace(GrantTable, "request", lambda self, *args: GrantAnswer(True, 99))
 
 
 @mutations.register("probe-leases")
@@ -93,7 +102,7 @@
         pending.record(True, 1)
         return pending
 
-    QuorumClient.request_grants = grant_probe_requests
+    replace(QuorumClient, "request_grants", grant_probe_requests)
 
 
 @mutations.register("probe-reports")
@@ -103,9 +112,9 @@
     from redwingspring.targets import NEVER, TargetState
 
     never_reported = property(lambda self: NEVER)
-    Watch.own_report_time = Watch.peer_report_time = TargetState.latest_report_time = (
-        never_reported
-    )
+    replace(Watch, "own_report_time", never_reported)
+    replace(Watch, "peer_report_time", never_reported)
+    replace(TargetState, "latest_report_time", never_reported)
 
 
 @mutations.register("probe-lists")
@@ -113,7 +122,7 @@
     """Accept leases of the grantors of a new host list immediately."""
     from redwingspring import hosthistory
 
-    hosthistory.quorums_intersect = lambda first, second: True
+    replace(hosthistory, "quorums_intersect", lambda first, second: True)
 
 
 @mutations.register("drain")
@@ -121,7 +130,7 @@
     """Stop the process on SIGTERM without draining."""
     from redwingspring.control import Entry
 
-    Entry.drain = Entry.stop
+    replace(Entry, "drain", Entry.stop)
 
 
 @mutations.register("leaving")
@@ -129,10 +138,12 @@
     """Send requests to targets that are leaving or out of service."""
     from redwingspring.targets import TargetState
 
-    TargetState.accepts_work = lambda self, now: self.ejected_until <= now
-    TargetState.is_ready = lambda self, now: (
-        not self.is_cold and self.in_flight < self.limits.slots
-    )
+    replace(TargetState, "accepts_work", lambda self, now: self.ejected_until <= now)
+
+    def is_ready(self, now):
+        return not self.is_cold and self.in_flight < self.limits.slots
+
+    replace(TargetState, "is_ready", is_ready)
 
 
 @mutations.register("distribution")
@@ -141,10 +152,10 @@
     from redwingspring import publication
     from redwingspring.publication import Publication
 
-    publication.POLLS_PER_S = 0.1
+    replace(publication, "POLLS_PER_S", 0.1)
 
-    Publication._push = lambda self, value: None
-    Publication._handle_stamp = lambda self, sender, key, stamp: None
+    replace(Publication, "_push", lambda self, value: None)
+    replace(Publication, "_handle_stamp", lambda self, sender, key, stamp: None)
 
 
 @mutations.register("order")
@@ -153,15 +164,15 @@
     from redwingspring.servicereader import ServiceReader
     from redwingspring.values import ValueStore
 
-    ValueStore.is_settled = lambda self, key, stamp: stamp == self.stamp(key)
-    ValueStore.highest_revision = lambda self, key: 0
+    replace(ValueStore, "is_settled", lambda self, key, stamp: stamp == self.stamp(key))
+    replace(ValueStore, "highest_revision", lambda self, key: 0)
     read = ServiceReader.read
 
     def read_without_waiting(self, key, after=0, wait=0):
         time.sleep(0.2)
         return read(self, key, 0, 0)
 
-    ServiceReader.read = read_without_waiting
+    replace(ServiceReader, "read", read_without_waiting)
 
 
 @mutations.register("isolation")
@@ -174,7 +185,7 @@
     def check_configuration_only(self):
         return None if self._ready else check(self)
 
-    Membership.check_serving = check_configuration_only
+    replace(Membership, "check_serving", check_configuration_only)
 
 
 @mutations.register("news")
@@ -182,14 +193,14 @@
     """Ignore news from other hosts that a target turned cold or is leaving."""
     from redwingspring.temperatures import TemperatureExchange
 
-    TemperatureExchange.apply_message = lambda self, sender, news: None
+    replace(TemperatureExchange, "apply_message", lambda self, sender, news: None)
 
 
 @mutations.register("clock-steps")
 def step_clock():
     """Step the wall clock forwards and backwards by two seconds."""
     read_time = time.time
-    time.time = lambda: read_time() + 2.0 * (int(time.monotonic() / 3) % 2)
+    replace(time, "time", lambda: read_time() + 2.0 * (int(time.monotonic() / 3) % 2))
 
 
 if __name__ == "__main__":
--- a/harness/timedentry.py
+++ b/harness/timedentry.py
@@ -9,7 +9,15 @@
 import time
 from pathlib import Path
 
-from redwingspring import dispatch, forwarder, relay, requestlog, server, upstream
+from redwingspring import (
+    dispatch,
+    forwarder,
+    outcomes,
+    relay,
+    requestlog,
+    server,
+    upstream,
+)
 from redwingspring.control import Entry
 from redwingspring.load import make_histogram
 from redwingspring.settings import parse_settings
@@ -28,7 +36,7 @@
     "guard": (dispatch.Dispatcher, "_check_send"),
     "wait": (upstream, "_wait_for_response"),
     "head": (upstream.TargetConnection, "getresponse"),
-    "record": (dispatch.Dispatcher, "_record_head"),
+    "record": (outcomes.OutcomeRecorder, "record_response_head"),
     "start-response": (forwarder.Forwarder, "_send_head"),
     "relay": (relay.RelayBody, "__next__"),
     "gateway": (server.EntryGateway, "respond"),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,9 +1,12 @@
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 from harness.capacitymodel import count_hosts, count_leaf_attempts
 from harness.fits import Series, fit_series
-from scripts.capacity import GROUPS
+from harness.timedentry import PARTS
+from scripts.capacity import GROUPS, PROBES
 
 from .base import RedwingspringTestCase
 
@@ -38,6 +41,35 @@
     return rows
 
 
+# Arguments of each measurement for a small size.
+SMALL = {
+    "configuration": (20, 5, 2),
+    "memory": ("requests", 20),
+    "status": (20, 4),
+}
+
+
+class MeasurementTest(RedwingspringTestCase):
+    """The tools are run by hand, so a change of the product can break them unseen."""
+
+    def test_every_cost_can_be_measured(self):
+        for name, measure in PROBES.items():
+            result = measure(*SMALL.get(name, (20,)))
+            self.assertTrue(result, name)
+
+    def test_every_timed_part_exists(self):
+        for name, (owner, attribute) in PARTS.items():
+            self.assertTrue(hasattr(owner, attribute), name)
+
+    def test_every_mutation_replaces_something_that_exists(self):
+        code = (
+            "from harness.mutant import mutations\n"
+            "for name in mutations.list_names():\n"
+            "    mutations.find(name)()\n"
+        )
+        subprocess.run([sys.executable, "-c", code], check=True)
+
+
 class FitTest(RedwingspringTestCase):
     def test_a_line_is_found_again(self):
         points = {x: (3 * x + 7, 3 * x + 7) for x in (1, 2, 5, 9)}
