Let the soak find cut heads, copied refusals, endless bodies and cut pipelines

New: two callers that always have a further request on their connection; targets that stop within their head, copy refusals and send bodies without end; every fourth seed plays planned work only, and then a stop must not cut a request that was passed on. The callers are a module of their own.

--- a/harness/soak.py
+++ b/harness/soak.py
@@ -7,23 +7,21 @@
 """
 
 import argparse
-import http.client
 import random
 import shutil
 import sys
 import threading
 import time
-from dataclasses import dataclass
 from pathlib import Path
 
-from tests.standins import HOST, POSTS, READS
-
-from .soakfleet import HOSTS, SoakFleet, make_body
-from .soaktroubles import troubles
+from .soakcallers import CALL_TIMEOUT_S, PipeliningCaller, SoakCaller
+from .soakfleet import SoakFleet, make_body
+from .soaktroubles import PLANNED, troubles
 
 CALLERS = 8
-CALL_PAUSE_S = 0.02
-CALL_TIMEOUT_S = 2.0
+PIPELINES = 2
+# One of so many seeds plays planned work only, which must not lose a request.
+PLANNED_PERIOD = 4
 # A caller learns within this time of its deadline what became of a request.
 ANSWER_SLACK_S = 0.6
 # Troubles begin this close to each other, so that they overlap.
@@ -40,96 +38,6 @@
 TRUE_NOT_RUN = (408, 421, 429, 503)
 
 
-@dataclass(frozen=True)
-class Call:
-    """What a caller saw of one request.
-
-    Attributes
-    ----------
-    request_id : str
-        Its id.
-    host : int
-        Number of the entry host.
-    method : str
-        ``GET`` is idempotent, ``POST`` is not.
-    started, ended : float
-        Monotonic seconds.
-    status : int or None
-        None when the connection broke.
-    body : bytes
-        Body of the answer.
-    told : str
-        What the host told of the run.
-    """
-
-    request_id: str
-    host: int
-    method: str
-    started: float
-    ended: float
-    status: int | None
-    body: bytes = b""
-    told: str = ""
-
-
-class SoakCaller:
-    """A caller that keeps its connection until the host or the way is gone."""
-
-    def __init__(self, fleet, number, seed):
-        self._fleet = fleet
-        self._number = number
-        self._rng = random.Random(f"{seed}-caller-{number}")
-        self._connection = None
-        self._host = number % HOSTS
-        self.calls = []
-
-    def run(self, stopping):
-        """Send requests one after the other until told to stop."""
-        while not stopping.is_set():
-            self.calls.append(self._call(len(self.calls)))
-            if self.calls[-1].status is None:
-                # Another host is tried, as the directory's answer names several.
-                self._host = self._rng.randrange(HOSTS)
-            stopping.wait(CALL_PAUSE_S * self._rng.uniform(0.2, 2))
-
-    def _call(self, index):
-        request_id = f"c{self._number}-{index}"
-        method = self._rng.choice(("GET", "POST"))
-        started, host = time.monotonic(), self._host
-        try:
-            status, headers, body = self._exchange(method, request_id)
-        except (OSError, http.client.HTTPException):
-            self._close()
-            return Call(request_id, host, method, started, time.monotonic(), None)
-        told = headers.get("Request-Run", "")
-        ended = time.monotonic()
-        return Call(request_id, host, method, started, ended, status, body, told)
-
-    def _exchange(self, method, request_id):
-        if self._connection is None:
-            ip, port = self._fleet.addresses[self._host].rsplit(":", 1)
-            wait = CALL_TIMEOUT_S + 2
-            self._connection = http.client.HTTPConnection(ip, int(port), timeout=wait)
-        fields = {
-            "Host": HOST,
-            "Request-Id": request_id,
-            "Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000)),
-        }
-        path = (READS if method == "GET" else POSTS) + "1"
-        body = None if method == "GET" else b"x" * self._rng.choice((1, 9, 70_000))
-        self._connection.request(method, path, body=body, headers=fields)
-        response = self._connection.getresponse()
-        whole = response.read()
-        if response.will_close:
-            self._close()
-        return response.status, response.headers, whole
-
-    def _close(self):
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
-
-
 class Soak:
     """One run: callers, troubles and the checks of what they saw.
 
@@ -148,6 +56,13 @@
         self._seconds = seconds
         self.fleet = SoakFleet(folder)
         self.callers = [SoakCaller(self.fleet, n, seed) for n in range(CALLERS)]
+        self.callers += [
+            PipeliningCaller(self.fleet, n, seed) for n in range(PIPELINES)
+        ]
+        self.names = sorted(troubles.list_names())
+        self.only_planned = seed % PLANNED_PERIOD == 1
+        if self.only_planned:
+            self.names = sorted(PLANNED)
         self.played = []
 
     def run(self):
@@ -179,7 +94,7 @@
         end = time.monotonic() + self._seconds
         running = []
         while time.monotonic() < end:
-            name = rng.choice(sorted(troubles.list_names()))
+            name = rng.choice(self.names)
             seconds = rng.uniform(0.1, MOST_TROUBLE_S)
             part = random.Random(f"{self._seed}-{len(self.played)}")
             self.played.append((name, round(seconds, 2)))
@@ -228,15 +143,28 @@
             yield "a non-idempotent request ran twice"
         if arrived > MAX_ATTEMPTS:
             yield "more attempts than allowed"
+        if call.pipelined:
+            yield from self._check_pipelined(call, arrived)
+            return
         if self._was_out(call):
             return
         if call.ended - call.started > CALL_TIMEOUT_S + ANSWER_SLACK_S:
             yield "no answer within the deadline"
-        if call.status is None:
+        if call.status is None and call.request_id not in self._list_broken():
             yield "the connection broke though the host was there"
         elif call.started >= self._calm_since and call.status != 200:
             yield "not served again after the troubles"
 
+    def _check_pipelined(self, call, arrived):
+        """Check what a planned stop promises to requests that were passed on."""
+        if not (self.only_planned and arrived and call.status is None):
+            return
+        if any(a <= call.ended <= b for a, b in self.fleet.stops[call.host]):
+            yield "a planned stop cut a request that was passed on"
+
+    def _list_broken(self):
+        return set().union(*(target.broken for target in self.fleet.targets))
+
     def _was_out(self, call):
         return any(
             since <= call.ended and call.started <= until + NOTICE_S
--- a/harness/soakfleet.py
+++ b/harness/soakfleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import random
 import threading
 import time
 
@@ -20,17 +21,69 @@
 
 HOSTS = 3
 TARGETS = 4
+# Ids of pipelined requests begin with it. They take some time, so that several are in
+# progress on a connection.
+PIPELINED_PREFIX = "p"
+PIPELINED_WORK_S = 0.08
 
 
 class SoakTarget(InstanceStandIn):
     """A target whose answers name the request that they belong to."""
 
+    def __init__(self, instance_id, host):
+        super().__init__(instance_id, host)
+        # Requests whose response this target broke off after its head.
+        self.broken = set()
+
+    def serve_request(self, handler, body):
+        """Refuse some requests and copy refusals in the mode for it."""
+        request_id = handler.headers["Request-Id"]
+        if self.mode == "copied_refusal" and handler.owes_copy:
+            self.refuse(handler, 503)
+        elif self.mode == "copied_refusal" and choose(request_id, 3) == 0:
+            handler.owes_copy = True
+            self.arrivals.append(request_id)
+            self.refuse(handler, 503)
+            return
+        super().serve_request(handler, body)
+
     def answer_normal(self, handler, request_id):
         """Answer with a body of this request only."""
+        if request_id.startswith(PIPELINED_PREFIX):
+            time.sleep(PIPELINED_WORK_S)
         body = make_body(request_id)
         self.send_head(handler, request_id, len(body))
         handler.wfile.write(body)
 
+    answer_copied_refusal = answer_normal
+
+    def answer_cut_head(self, handler, request_id):
+        """Send the beginning of a head and close the connection."""
+        head = (
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
+            f"Response-Signature: signed.{self.id}\r\n"
+            f"Content-Length: {len(make_body(request_id))}\r\n\r\n"
+        ).encode()
+        ends = [n for n in range(1, len(head)) if head[:n].endswith(b"\r\n")]
+        ends.append(1 + choose(request_id, len(head) - 1))
+        handler.wfile.write(head[: ends[choose(request_id, len(ends))]])
+        self.end(handler)
+
+    def answer_endless(self, handler, request_id):
+        """Send a body without end until the host closes the connection."""
+        self.broken.add(request_id)
+        self.send_head(handler, request_id, None)
+        handler.close_connection = True
+        with contextlib.suppress(OSError):
+            while True:
+                handler.wfile.write(b"z" * 4096)
+                time.sleep(0.005)
+
+
+def choose(request_id, count):
+    """Return a number below a count that depends on the request alone."""
+    return random.Random(request_id).randrange(count)
+
 
 def make_body(request_id):
     """Return the body that belongs to a request."""
@@ -68,6 +121,8 @@
         self.processes = [None] * HOSTS
         # Times in which a host could not answer: from, until.
         self.outages = [[] for _ in range(HOSTS)]
+        # Times of planned stops: from, until.
+        self.stops = [[] for _ in range(HOSTS)]
         self._lock = threading.Lock()
 
     def start(self):
--- a/harness/soaktroubles.py
+++ b/harness/soaktroubles.py
@@ -12,6 +12,8 @@
 from .fleet import Process
 from .soakfleet import HOSTS
 
+# Kinds of planned work, around which no accepted request may be lost.
+PLANNED = ("drain", "publish", "reload")
 # Longer than the grace of a host.
 DRAIN_S = 5.0
 
@@ -54,7 +56,10 @@
 @troubles.register("drain")
 def drain_host(fleet, rng, seconds):
     """Shut a host down gracefully, then start it again."""
-    stop_and_start(fleet, rng.randrange(HOSTS), DRAIN_S, Process.terminate)
+    number = rng.randrange(HOSTS)
+    since = time.monotonic()
+    stop_and_start(fleet, number, DRAIN_S, Process.terminate)
+    fleet.stops[number].append((since, time.monotonic()))
 
 
 @troubles.register("pause")
@@ -121,6 +126,9 @@
         "hang",
         "stale_response",
         "unsigned",
+        "cut_head",
+        "copied_refusal",
+        "endless",
     )
     target.mode = rng.choice(modes)
     time.sleep(seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,8 @@
 import tempfile
 from pathlib import Path
 
-from harness.soak import Call, Soak
+from harness.soak import Soak
+from harness.soakcallers import Call
 from harness.soakfleet import make_body
 
 from .base import RedwingspringTestCase
@@ -11,6 +12,8 @@
 # Seeds of runs that once failed, with their cause.
 REGRESSIONS = ()
 SEED = 20261204
+# A seed that plays planned work only.
+PLANNED_SEED = 20261205
 SECONDS = 5.0
 
 
@@ -76,6 +79,19 @@
         lasting = "not served again after the troubles"
         self.assertEqual([lasting], self.check(status=502, started=101.0, ended=101.1))
 
+    def test_a_pipelined_request_that_a_planned_stop_cuts_is_found(self):
+        self.soak.only_planned = True
+        self.soak.fleet.stops[0] = [(49.0, 55.0)]
+        cut = {"status": None, "method": "GET", "pipelined": True}
+        problem = ["a planned stop cut a request that was passed on"]
+        self.assertEqual(problem, self.check(**cut))
+        self.assertEqual([], self.check(ran=0, **cut))
+        self.assertEqual([], self.check(ended=56.0, **cut))
+
+    def test_a_response_that_its_target_breaks_off_is_not_due_whole(self):
+        self.soak.fleet.targets[0].broken = {"r1"}
+        self.assertEqual([], self.check(status=None))
+
     def test_a_host_that_was_out_owes_no_answer(self):
         self.soak.fleet.outages[0] = [(49.0, 51.0)]
         self.assertEqual([], self.check(status=None, ended=53.0))
@@ -87,3 +103,9 @@
             soak = Soak(seed, SECONDS, make_folder(self))
             self.assertEqual([], soak.run(), (seed, soak.played))
             self.assertGreater(len(soak.list_calls()), 100)
+
+    def test_planned_work_loses_no_request(self):
+        soak = Soak(PLANNED_SEED, SECONDS, make_folder(self))
+        self.assertTrue(soak.only_planned)
+        self.assertEqual([], soak.run(), soak.played)
+        self.assertTrue(any(call.pipelined for call in soak.list_calls()))
