--- a/tests/test_hostileentries.py
+++ b/tests/test_hostileentries.py
@@ -163,6 +163,8 @@
             {"key": "servers/b", "value": "", "revision": -1},
             {"key": "servers/c", "value": "", "revision": True},
             {"key": "servers/d", "value": "", "revision": "2"},
+            {"key": "servers/e", "value": "", "revision": 2e19},
+            {"key": "servers/f", "value": "", "revision": 1e30},
             {"key": 5, "value": "", "revision": 2},
             None,
         ]
@@ -181,8 +183,9 @@
         self.assertRaises(StoreError, self.client.read_all)
 
     def test_a_revision_of_the_store_beyond_the_feed_is_a_failure_of_the_store(self):
-        self.stand_in.revision = 2**64
-        self.assertRaises(StoreError, self.client.read_all)
+        for revision in (2**64, 2e19, 1e30, -1):
+            self.stand_in.revision = revision
+            self.assertRaises(StoreError, self.client.read_all)
 
 
 class _Raw(dict):
