--- a/tests/standins.py
+++ b/tests/standins.py
@@ -150,6 +150,34 @@
                 self.changed.wait(remaining_s)
 
 
+class SocketStandIn:
+    """Server that runs ``serve`` in a thread for each connection."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def serve(self, connection):
+        """Serve one connection, which is closed afterwards."""
+        raise NotImplementedError
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._run, args=(connection,), daemon=True).start()
+
+    def _run(self, connection):
+        with connection, contextlib.suppress(OSError):
+            self.serve(connection)
+
+
 class InstanceStandIn:
     """Target of the platform with injected faults, selected by ``mode``."""
 
--- a/tests/test_endlessbytes.py
+++ b/tests/test_endlessbytes.py
@@ -9,7 +9,14 @@
 from redwingspring.instancestate import Instance
 
 from .base import RedwingspringTestCase
-from .standins import POSTS, READS, SERVICE, HostFixture, wait_until
+from .standins import (
+    POSTS,
+    READS,
+    SERVICE,
+    HostFixture,
+    SocketStandIn,
+    wait_until,
+)
 
 BLOCK = b"x" * 4096
 HEAD = (
@@ -49,7 +56,7 @@
 REFUSAL = b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class EndlessTarget:
+class EndlessTarget(SocketStandIn):
     """Target whose responses to requests never end; its probes are valid."""
 
     def __init__(self, start, repeated):
@@ -58,34 +65,18 @@
         self.requests = 0
         self.closed = threading.Event()
         self.sent_bytes = 0
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
-        with connection:
-            try:
-                while head := self._read_head(connection):
-                    if head.startswith(b"GET /health"):
-                        connection.sendall(PROBE)
-                    else:
-                        self.requests += 1
-                        self._send_endless(connection, head)
-            except OSError:
-                self.closed.set()
+        super().__init__()
+
+    def serve(self, connection):
+        try:
+            while head := self._read_head(connection):
+                if head.startswith(b"GET /health"):
+                    connection.sendall(PROBE)
+                else:
+                    self.requests += 1
+                    self._send_endless(connection, head)
+        except OSError:
+            self.closed.set()
 
     def _read_head(self, connection):
         data = b""
--- a/tests/test_responsehead.py
+++ b/tests/test_responsehead.py
@@ -1,8 +1,6 @@
 """Responses whose connection ends within the head."""
 
-import contextlib
 import socket
-import threading
 import time
 from http.client import HTTPException
 
@@ -16,7 +14,7 @@
 from redwingspring.targetconnection import StrictResponse
 
 from .base import RedwingspringTestCase
-from .standins import POSTS, READS, SERVICE, HostFixture
+from .standins import POSTS, READS, SERVICE, HostFixture, SocketStandIn
 
 PROBE = (
     b"HTTP/1.1 200 OK\r\nServer-Load: 0,0,3,100\r\nContent-Length: 0\r\n"
@@ -32,41 +30,25 @@
 REFUSAL = b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
-class CuttingServer:
+class CuttingServer(SocketStandIn):
     """Server that sends the first bytes of a response and closes the connection."""
 
     def __init__(self, response):
         self.response = response
         self.cut_at = len(response)
         self.requests = 0
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection):
-        with connection, contextlib.suppress(OSError):
-            while (head := connection.recv(65536)).startswith(b"GET /health"):
-                connection.sendall(PROBE)
-            if not head:
-                return
-            self.requests += 1
-            fields = head.lower().split(b"request-id: ")
-            request_id = fields[1].split(b"\r\n")[0] if len(fields) > 1 else b""
-            response = self.response.replace(b"%s", request_id)
-            connection.sendall(response[: self.cut_at])
+        super().__init__()
+
+    def serve(self, connection):
+        while (head := connection.recv(65536)).startswith(b"GET /health"):
+            connection.sendall(PROBE)
+        if not head:
+            return
+        self.requests += 1
+        fields = head.lower().split(b"request-id: ")
+        request_id = fields[1].split(b"\r\n")[0] if len(fields) > 1 else b""
+        response = self.response.replace(b"%s", request_id)
+        connection.sendall(response[: self.cut_at])
 
 
 class ParserTest(RedwingspringTestCase):
