Accept routes of type upload, and never repeat requests of an unknown type

One route of type upload made every host refuse the whole configuration, so a deployment with uploads served nothing. A route of an unknown type is kept: dropped, its requests would match a shorter prefix.

--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -1,5 +1,6 @@
 """Decoding of the documents in the platform's metadata store."""
 
+import logging
 import re
 from typing import Annotated, Literal
 
@@ -16,6 +17,8 @@
 )
 from ..units import check_address
 
+logger = logging.getLogger(__name__)
+
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 INSTANCE_PREFIX = "servers/"
@@ -27,6 +30,15 @@
 MAX_BYTES = 2**40
 MAX_COUNT = 1_000_000
 
+# Route types by whether a request may run more than once. A download is a long response
+# to an idempotent request, an upload a request with a large body.
+_IDEMPOTENT_BY_TYPE = {
+    "idempotent": True,
+    "download": True,
+    "non_idempotent": False,
+    "upload": False,
+}
+
 _Count = Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 _Positive = Annotated[float, Meta(gt=0, le=1e9)]
 _NonNegative = Annotated[float, Meta(ge=0, le=1e9)]
@@ -43,7 +55,7 @@
 class _Route(Struct, frozen=True):
     name: _Text
     prefix: _Text
-    type: Literal["idempotent", "non_idempotent", "download"]
+    type: _Text
     timeout_s: _Positive
     target_latency_s: _Positive
     max_attempts: _Count = 1
@@ -194,8 +206,7 @@
         prefix=route.prefix,
         # Without a weighted split, all requests go to the single service.
         weighted_services=weighted_services or (WeightedService(route.service, 1.0),),
-        # Downloads are long responses to idempotent requests.
-        idempotent=route.type != "non_idempotent",
+        idempotent=_is_idempotent(route),
         attempts=route.max_attempts,
         timeout_s=route.timeout_s,
         target_latency_s=route.target_latency_s,
@@ -204,6 +215,22 @@
     )
 
 
+def _is_idempotent(route):
+    """Tell whether requests of a route may run more than once.
+
+    Without a route its requests would match a shorter prefix, so a route of an unknown
+    type is kept, and its requests are never repeated.
+    """
+    if route.type not in _IDEMPOTENT_BY_TYPE:
+        logger.warning(
+            "route %s has the unknown type %r; its requests are never repeated",
+            route.name,
+            route.type,
+        )
+        return False
+    return _IDEMPOTENT_BY_TYPE[route.type]
+
+
 def decode_instance(key, value):
     """Decode the entry of an instance.
 
