Move the feed's messages to a module of their own

Nothing else changes: test_feed, test_hostileentries and test_structure pass. test_outernames fails before and after: the logger of platform.documents is not in tests/outernames.txt.

--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -1,7 +1,7 @@
 """Selection of the source from which a host reads the store's changes."""
 
 from .clock import read_clock
-from .feed import FROM_STORE
+from .feedmessages import FROM_STORE
 from .policy.rendezvous import rank_hosts
 from .storestate import StoreError
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,12 +4,11 @@
 from dataclasses import replace
 
 from redwingspring import feed
-from redwingspring.feed import (
+from redwingspring.feed import MAX_CONFIRMED_AGE_S, StoreMirror
+from redwingspring.feedmessages import (
     FROM_STORE,
-    MAX_CONFIRMED_AGE_S,
     Confirmation,
     FeedUpdate,
-    StoreMirror,
     decode_update,
     encode_update,
 )
--- a/tests/test_hostileentries.py
+++ b/tests/test_hostileentries.py
@@ -9,12 +9,11 @@
 
 from redwingspring.decisions import DecisionLog
 from redwingspring.errors import DocumentError
-from redwingspring.feed import (
+from redwingspring.feed import FeedPage, StoreMirror
+from redwingspring.feedmessages import (
     MAX_MESSAGE_BYTES,
     Confirmation,
-    FeedPage,
     FeedUpdate,
-    StoreMirror,
     decode_update,
     encode_update,
 )
