Follow the store through rollbacks by its epoch

After a rollback the store assigns its revisions again. Hosts compared only revisions, so changes were ignored until their revisions had passed the earlier ones: a configuration written after a rollback was not in force, and draining targets were used.

Positions are now ordered by epoch (header Store-Era) and revision in the follower, the state in force, the feed and the selection of sources. On a newer epoch a host reads everything again and applies it in one step; data of an older epoch is refused. Without the header the epoch is 0 and nothing changes.

--- a/redwingspring/feed.capnp
+++ b/redwingspring/feed.capnp
@@ -18,4 +18,6 @@
   changes @4 :List(Change);
   hops @5 :UInt8;
   # Hosts between the sender and the store; 0 when the sender reads the store itself.
+  epoch @6 :UInt64;
+  # Epoch of the store to which the revisions belong; 0 from hosts that know no epochs.
 }
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -22,7 +22,7 @@
 )
 from .responsehead import WholeHeadPool
 from .responses import PageApplication, PageResponse
-from .storestate import HistoryLost, StoreError, StoreSnapshot
+from .storestate import HistoryLost, StoreError, StorePosition, StoreSnapshot
 
 FEED_PATH = "/feed"
 CONTENT_TYPE = "application/octet-stream"
@@ -34,8 +34,8 @@
 FEED_WAIT_S = 0.4
 CONNECT_TIMEOUT_S = 0.15
 READ_MARGIN_S = 0.25
-# Digits of the longest revision.
-MAX_REVISION_DIGITS = 19
+# Digits of the longest revision and epoch.
+MAX_NUMBER_DIGITS = 19
 
 
 class StoreMirror:
@@ -52,11 +52,16 @@
         self._changed = threading.Condition()
         self._entries = {}
         self._history = deque()
-        self._revision = 0
-        self._history_start = 0
+        self._position = StorePosition()
+        self._history_start = StorePosition()
         self._confirmed_at = None
         self._hops = 0
 
+    @property
+    def epoch(self):
+        """Return the epoch of the store to which the entries belong."""
+        return self._position.epoch
+
     @property
     def confirmed_age_s(self):
         """Return the seconds since the store last confirmed the data."""
@@ -67,6 +72,8 @@
     def apply_snapshot(self, snapshot, confirmation=FROM_STORE):
         """Replace the entries by a snapshot unless newer ones are known.
 
+        A snapshot of an older epoch confirms nothing either.
+
         Parameters
         ----------
         snapshot : StoreSnapshot
@@ -75,29 +82,36 @@
             When the store confirmed it.
         """
         with self._changed:
-            if snapshot.revision >= self._revision:
+            if snapshot.position.epoch < self._position.epoch:
+                return
+            if snapshot.position.epoch > self._position.epoch:
+                # What confirmed the data of the older epoch does not confirm this.
+                self._confirmed_at = None
+            if snapshot.position >= self._position:
                 self._entries = {change.key: change for change in snapshot.changes}
                 self._history.clear()
-                self._history_start = self._revision = snapshot.revision
+                self._history_start = self._position = snapshot.position
             self._record_confirmation(confirmation)
 
-    def apply_changes(self, changes, revision, confirmation=FROM_STORE):
+    def apply_changes(self, changes, position, confirmation=FROM_STORE):
         """Apply changes in order.
 
         Parameters
         ----------
         changes : sequence of StoreChange
-            The changes.
-        revision : int
-            Revision of the store after the changes.
+            The changes; those of another epoch are ignored.
+        position : StorePosition
+            Position of the store after the changes.
         confirmation : Confirmation, default=FROM_STORE
             When the store confirmed them.
         """
         with self._changed:
+            if position.epoch != self._position.epoch:
+                return
             for change in changes:
-                if change.revision > self._revision:
+                if change.revision > self._position.revision:
                     self._apply(change)
-            self._revision = max(self._revision, revision)
+            self._position = max(self._position, position)
             self._record_confirmation(confirmation)
 
     def _apply(self, change):
@@ -107,7 +121,8 @@
             self._entries[change.key] = change
         self._history.append(change)
         while len(self._history) > MAX_HISTORY:
-            self._history_start = self._history.popleft().revision
+            oldest = self._history.popleft()
+            self._history_start = StorePosition(self._position.epoch, oldest.revision)
 
     def _record_confirmation(self, confirmation):
         confirmed_at = self._clock() - confirmation.age_s
@@ -116,30 +131,41 @@
             self._hops = confirmation.hops
         self._changed.notify_all()
 
-    def read(self, after, wait_s):
-        """Return the changes after a revision, waiting for the first one.
+    def read(self, after, wait_s, epoch=0):
+        """Return the changes after a position, waiting for the first one.
 
         Parameters
         ----------
-        after : int or None
-            Revision after which changes are wanted; None asks for a snapshot.
+        after : StorePosition or None
+            Position after which changes are wanted; None asks for a snapshot.
         wait_s : float
             Longest wait in seconds.
+        epoch : int, default=0
+            Lowest epoch of the data that is wanted.
 
         Returns
         -------
         FeedUpdate or None
-            A snapshot when the history does not reach back to the revision; None
-            when the data was last confirmed too long ago.
+            A snapshot when the history does not reach back to the position; None
+            when the data was last confirmed too long ago or belongs to an older epoch
+            than is wanted.
+
+        Raises
+        ------
+        HistoryLost
+            If the position belongs to an older epoch, also when the new one begins
+            during the wait.
         """
         end = self._clock() + wait_s
         with self._changed:
-            while self.confirmed_age_s <= MAX_CONFIRMED_AGE_S:
+            while self.confirmed_age_s <= MAX_CONFIRMED_AGE_S and self.epoch >= epoch:
                 if after is None:
                     return self._build_update(tuple(self._entries.values()), True)
+                if after.epoch < self.epoch:
+                    raise HistoryLost("the store has begun a new epoch", self.epoch)
                 if after < self._history_start:
                     return self._build_update(tuple(self._entries.values()), True)
-                changes = tuple(c for c in self._history if c.revision > after)
+                changes = tuple(c for c in self._history if c.revision > after.revision)
                 remaining = end - self._clock()
                 if changes or remaining <= 0:
                     return self._build_update(changes, False)
@@ -149,7 +175,7 @@
 
     def _build_update(self, changes, whole):
         confirmation = Confirmation(self.confirmed_age_s, self._hops)
-        return FeedUpdate(changes, self._revision, whole, confirmation)
+        return FeedUpdate(changes, self._position, whole, confirmation)
 
 
 class FeedPage(PageApplication):
@@ -178,16 +204,27 @@
             The response.
         """
         query = parse_qs(environ.get("QUERY_STRING", ""))
-        known = _parse_revision(query.get("after", [""])[0])
-        update = self._mirror.read(known, FEED_WAIT_S)
+        epoch = _parse_number(query.get("epoch", [""])[0])
+        revision = _parse_number(query.get("after", [""])[0])
+        after = None
+        if revision is not None:
+            # A host of a version that knows no epochs asks without one. Its revision
+            # is compared within the present epoch, because it could not follow another.
+            after = StorePosition(
+                self._mirror.epoch if epoch is None else epoch, revision
+            )
+        try:
+            update = self._mirror.read(after, FEED_WAIT_S, epoch or 0)
+        except HistoryLost:
+            return PageResponse("410 Gone")
         if update is None:
             return PageResponse("503 Service Unavailable")
         return PageResponse("200 OK", encode_update(update), CONTENT_TYPE)
 
 
-def _parse_revision(text):
-    """Return the revision in a query, or None if it is missing or malformed."""
-    if not text.isascii() or not text.isdigit() or len(text) > MAX_REVISION_DIGITS:
+def _parse_number(text):
+    """Return the number in a query, or None if it is missing or malformed."""
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_NUMBER_DIGITS:
         return None
     return int(text)
 
@@ -214,9 +251,14 @@
         """Close the connection."""
         self._pool.close()
 
-    def read_all(self):
+    def read_all(self, epoch):
         """Return a snapshot of the store as the host has it.
 
+        Parameters
+        ----------
+        epoch : int
+            Lowest epoch that is wanted; a host that has only an older one fails.
+
         Returns
         -------
         tuple of (StoreSnapshot, Confirmation)
@@ -227,37 +269,39 @@
         StoreError
             If the host gives no usable response.
         """
-        update = self._fetch_update({})
+        update = self._fetch_update({"epoch": epoch})
         if not update.whole:
             raise StoreError("a host sent changes instead of a snapshot")
-        snapshot = StoreSnapshot(update.changes, update.revision)
+        snapshot = StoreSnapshot(update.changes, update.position)
         return snapshot, _add_hop(update.confirmation)
 
     def watch(self, after):
-        """Wait for changes after a revision.
+        """Wait for changes after a position.
 
         Parameters
         ----------
-        after : int
-            Revision after which changes are wanted.
+        after : StorePosition
+            Position after which changes are wanted.
 
         Returns
         -------
-        tuple of (tuple of StoreChange, int, Confirmation)
-            The changes, the revision to continue from, and when the store
+        tuple of (tuple of StoreChange, StorePosition, Confirmation)
+            The changes, the position to continue from, and when the store
             confirmed them.
 
         Raises
         ------
         HistoryLost
-            If the host's history no longer reaches back to the revision.
+            If the host's history no longer reaches back to the position, or the host
+            has a newer epoch.
         StoreError
             If the host gives no usable response.
         """
-        update = self._fetch_update({"after": after})
+        fields = {"after": after.revision, "epoch": after.epoch}
+        update = self._fetch_update(fields)
         if update.whole:
             raise HistoryLost("a host no longer has the changes in its history")
-        return update.changes, update.revision, _add_hop(update.confirmation)
+        return update.changes, update.position, _add_hop(update.confirmation)
 
     def _fetch_update(self, fields):
         self._metrics.increment("feed.calls")
@@ -270,6 +314,8 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"a request to a host failed: {error}") from error
+        if response.status == 410:
+            raise HistoryLost("a host has a newer epoch of the store")
         if response.status != 200:
             raise StoreError(f"a host responded with status {response.status}")
         return decode_update(response.data)
--- a/redwingspring/feedmessages.py
+++ b/redwingspring/feedmessages.py
@@ -6,7 +6,7 @@
 
 import capnp
 
-from .storestate import StoreChange, StoreError
+from .storestate import MAX_EPOCH, StoreChange, StoreError, StorePosition
 
 PROTOCOL_VERSION = 3
 # A reader sends a change to all hosts of its data centre at once, possibly over a slow
@@ -48,8 +48,8 @@
     ----------
     changes : tuple of StoreChange
         Changes in the order of their revisions.
-    revision : int
-        Revision of the store after the changes.
+    position : StorePosition
+        Position of the store after the changes.
     whole : bool
         Whether the changes are a full snapshot of the store.
     confirmation : Confirmation
@@ -57,7 +57,7 @@
     """
 
     changes: tuple
-    revision: int
+    position: StorePosition
     whole: bool
     confirmation: Confirmation
 
@@ -77,7 +77,8 @@
     """
     message = _schema.Feed.new_message(
         version=PROTOCOL_VERSION,
-        revision=update.revision,
+        revision=update.position.revision,
+        epoch=update.position.epoch,
         whole=update.whole,
         confirmedAgeMs=min(_MAX_AGE_MS, int(update.confirmation.age_s * 1000)),
         hops=min(_MAX_HOPS, update.confirmation.hops),
@@ -122,6 +123,8 @@
         message = _schema.Feed.from_bytes_packed(_decompress(data))
         if message.version != PROTOCOL_VERSION:
             raise StoreError("a host uses another version of the feed protocol")
+        if message.epoch > MAX_EPOCH:
+            raise ValueError("the epoch is out of range")
         changes = tuple(
             StoreChange(
                 entry.key, None if entry.deleted else entry.value, entry.revision
@@ -129,6 +132,7 @@
             for entry in message.changes
         )
         confirmation = Confirmation(message.confirmedAgeMs / 1000, message.hops)
-        return FeedUpdate(changes, message.revision, message.whole, confirmation)
+        position = StorePosition(message.epoch, message.revision)
+        return FeedUpdate(changes, position, message.whole, confirmation)
     except (capnp.KjException, zlib.error, ValueError) as error:
         raise StoreError(f"cannot decode a host's response: {error}") from error
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -1,4 +1,8 @@
-"""Follows the store: reads a snapshot, then changes; starts over after a gap."""
+"""Follows the store: reads a snapshot, then changes; starts over after a gap.
+
+It also starts over when a source shows a newer epoch of the store, because the changes
+of one epoch do not apply to the state of another.
+"""
 
 from .storestate import HistoryLost, StoreError
 
@@ -44,7 +48,8 @@
                 continue
             try:
                 should_pause = self._read_source(source)
-            except HistoryLost:
+            except HistoryLost as error:
+                self._sources.record_epoch(error.epoch)
                 self._has_snapshot = False
             except StoreError as error:
                 self._handle_failure(source, error)
@@ -56,22 +61,33 @@
 
     def _read_source(self, source):
         """Apply one response of a source; tell whether to pause before the next."""
-        if not self._has_snapshot:
-            snapshot, confirmation = source.read_all()
-            self._sources.check_hops(source, confirmation)
-            self._mirror.apply_snapshot(snapshot, confirmation)
-            self._store_state.apply_snapshot(snapshot)
-            self._has_snapshot = True
+        after = self._store_state.position
+        if not self._has_snapshot or after.epoch < self._sources.newest_epoch:
+            self._read_snapshot(source)
             return False
-        after = self._store_state.revision
-        changes, revision, confirmation = source.watch(after)
-        self._sources.check_hops(source, confirmation)
-        self._mirror.apply_changes(changes, revision, confirmation)
-        self._store_state.apply_changes(changes, revision)
+        changes, position, confirmation = source.watch(after)
+        self._check(source, position, confirmation)
+        if position.epoch > after.epoch:
+            raise HistoryLost("the store has begun a new epoch", position.epoch)
+        self._mirror.apply_changes(changes, position, confirmation)
+        self._store_state.apply_changes(changes, position)
         return bool(changes) and source.is_store
 
+    def _read_snapshot(self, source):
+        snapshot, confirmation = source.read_all(self._sources.newest_epoch)
+        self._check(source, snapshot.position, confirmation)
+        self._mirror.apply_snapshot(snapshot, confirmation)
+        self._store_state.apply_snapshot(snapshot)
+        self._has_snapshot = True
+
+    def _check(self, source, position, confirmation):
+        """Raise StoreError if the data of a source must not be used."""
+        self._sources.check_epoch(source, position.epoch)
+        self._sources.check_hops(source, confirmation)
+
     def _handle_failure(self, source, error):
         """Back off from a source; the store is lost when no other one is left."""
+        self._sources.record_epoch(error.epoch)
         self._sources.record_failure(source)
         if self._sources.choose() is None:
             self._store_state.mark_lost(error)
--- a/redwingspring/instances.py
+++ b/redwingspring/instances.py
@@ -1,6 +1,7 @@
 """Directory of target instances with the state that this host keeps of each."""
 
 import threading
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from .clock import read_clock
@@ -43,15 +44,28 @@
         self._clock = clock
         self._drain_notices = drain_notices or DrainNotices(clock=clock)
         self._drain_notices.on_new = self._apply_drain_notices
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._states = {}
+        self._evacuated = frozenset()
         self._view = InstanceView()
+        self._is_view_held = False
 
     @property
     def view(self):
         """The current snapshot of the instances in use."""
         return self._view
 
+    @contextmanager
+    def replace_view(self):
+        """Let all updates within this context take effect on the view in one step."""
+        with self._lock:
+            self._is_view_held = True
+            try:
+                yield
+            finally:
+                self._is_view_held = False
+                self._rebuild_view()
+
     def put(self, instance):
         """Add or update an instance.
 
@@ -82,7 +96,7 @@
                 )
                 if known is not None:
                     known.pool.close()
-            self._rebuild_view(self._view.evacuated)
+            self._rebuild_view()
             return True
 
     def remove(self, instance_id):
@@ -103,7 +117,7 @@
             if known is None:
                 return False
             known.pool.close()
-            self._rebuild_view(self._view.evacuated)
+            self._rebuild_view()
             return True
 
     def set_evacuated(self, data_centres):
@@ -115,7 +129,8 @@
             Their names.
         """
         with self._lock:
-            self._rebuild_view(frozenset(data_centres))
+            self._evacuated = frozenset(data_centres)
+            self._rebuild_view()
 
     def list_ids(self):
         """Return the ids of all known instances.
@@ -128,6 +143,23 @@
         with self._lock:
             return set(self._states)
 
+    def contains(self, instance):
+        """Tell whether an entry is known with the same content.
+
+        Parameters
+        ----------
+        instance : Instance
+            The entry.
+
+        Returns
+        -------
+        bool
+            False if the instance is unknown or its known entry differs.
+        """
+        with self._lock:
+            known = self._states.get(instance.id)
+            return known is not None and known.instance == instance
+
     def accepts(self, state):
         """Tell whether a request may be sent to an instance now.
 
@@ -160,10 +192,13 @@
                     state.pool.close()
                     for exchange in state.take_pending_probes():
                         exchange.abort()
-            self._rebuild_view(self._view.evacuated)
+            self._rebuild_view()
 
-    def _rebuild_view(self, evacuated):
+    def _rebuild_view(self):
         """Rebuild the snapshot of the instances in use; the lock is held."""
+        if self._is_view_held:
+            return
+        evacuated = self._evacuated
         services = {}
         for state in self._states.values():
             instance = state.instance
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -6,15 +6,15 @@
 
 from msgspec import Meta, MsgspecError, Struct, json
 
-from ..errors import DocumentError
-from ..instancestate import Instance
-from ..routes import CallerLimits, Route, RoutedService, WeightedService, build_table
-from ..storestate import (
+from ..entrychanges import (
     EvacuationChange,
     InstanceChange,
     InstanceRemoval,
     TableChange,
 )
+from ..errors import DocumentError
+from ..instancestate import Instance
+from ..routes import CallerLimits, Route, RoutedService, WeightedService, build_table
 from ..units import check_address
 
 logger = logging.getLogger(__name__)
--- a/redwingspring/platform/headers.py
+++ b/redwingspring/platform/headers.py
@@ -17,6 +17,9 @@
 DRAINING_VALUE = "1"
 RETRY_AFTER = "Retry-After"
 DATE = "Date"
+# In all responses of the store: its epoch, which it increases each time it comes back
+# from a copy.
+STORE_EPOCH = "Store-Era"
 
 # Request headers that the entry host replaces on each attempt.
 REPLACED_REQUEST_HEADERS = frozenset(
--- a/redwingspring/platform/store.py
+++ b/redwingspring/platform/store.py
@@ -11,7 +11,16 @@
 
 from ..mappings import drop_oldest
 from ..responsehead import WholeHeadPool
-from ..storestate import HistoryLost, StoreBusy, StoreChange, StoreError, StoreSnapshot
+from ..storestate import (
+    MAX_EPOCH,
+    HistoryLost,
+    StoreBusy,
+    StoreChange,
+    StoreError,
+    StorePosition,
+    StoreSnapshot,
+)
+from .headers import STORE_EPOCH
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +32,7 @@
 MAX_PAGES = 200
 # Revisions that the feed between hosts can represent.
 MAX_REVISION = 2**63 - 1
+MAX_EPOCH_DIGITS = 19
 # Keys of invalid items that are remembered, so that each is logged once.
 MAX_LOGGED_KEYS = 200
 # TCP keep-alive detects a connection whose peer no longer responds.
@@ -51,6 +61,7 @@
         host, port = address.rsplit(":", 1)
         self._metrics = metrics
         self._logged_keys = {}
+        self._logged_epoch = None
         self._pool = WholeHeadPool(
             host,
             int(port),
@@ -59,13 +70,15 @@
             socket_options=_SOCKET_OPTIONS,
         )
 
-    def read_all(self, stale=False):
+    def read_all(self, stale=False, epoch=0):
         """Return everything that the store holds.
 
         Parameters
         ----------
         stale : bool, default=False
             Whether the store may return a state that is seconds old.
+        epoch : int, default=0
+            Lowest epoch that is wanted.
 
         Returns
         -------
@@ -75,11 +88,13 @@
 
         Raises
         ------
+        HistoryLost
+            If a page shows a newer epoch than the first one; read again.
         StoreError
             If the store gives no usable response.
         """
         changes = []
-        revision = None
+        position = None
         after = None
         for _ in range(MAX_PAGES):
             fields = {"prefix": ""}
@@ -87,15 +102,16 @@
                 fields["after"] = after
             if stale:
                 fields["stale_ok"] = "1"
-            document = self._call("kv-range", fields, READ_TIMEOUT_S)
-            if revision is None:
-                revision = _read_revision(document)
+            document, page_epoch = self._call("kv-range", fields, READ_TIMEOUT_S)
+            if position is None:
+                position = StorePosition(page_epoch, _read_revision(document))
+            _check_page(page_epoch, position.epoch, epoch)
             items = document.get("items")
             if not isinstance(items, list):
                 raise StoreError("the store's response has no items")
             changes.extend(self._read_changes(items))
             if not document.get("has_more") or not items:
-                return StoreSnapshot(tuple(changes), revision)
+                return StoreSnapshot(tuple(changes), position)
             after = _read_key(items[-1])
         raise StoreError("the store returned too many pages")
 
@@ -111,8 +127,9 @@
 
         Returns
         -------
-        tuple of (tuple of StoreChange, int)
-            The changes in order, and the revision after which to watch next.
+        tuple of (tuple of StoreChange, StorePosition)
+            The changes in order, and the position after which to watch next. Its epoch
+            may be newer than that of ``after``, which the changes then do not follow.
 
         Raises
         ------
@@ -122,11 +139,12 @@
             If the store gives no usable response.
         """
         fields = {"prefix": "", "after": after, "wait_ms": int(wait_s * 1000)}
-        document = self._call("kv-watch", fields, wait_s + WATCH_MARGIN_S)
+        document, epoch = self._call("kv-watch", fields, wait_s + WATCH_MARGIN_S)
         events = document.get("events")
         if not isinstance(events, list):
             raise StoreError("the store's response has no events")
-        return tuple(self._read_changes(events)), _read_revision(document)
+        position = StorePosition(epoch, _read_revision(document))
+        return tuple(self._read_changes(events)), position
 
     def _read_changes(self, items):
         """Yield the changes in items or events; skip those that are invalid."""
@@ -148,6 +166,7 @@
         logger.warning("ignoring an invalid item of the store, key %s: %s", key, error)
 
     def _call(self, name, fields, timeout_s):
+        """Return the document in the store's response, and the epoch of its header."""
         self._metrics.increment("store.calls")
         try:
             response = self._pool.request(
@@ -158,19 +177,60 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"a request to the store failed: {error}") from error
-        if response.status == 410:
-            raise HistoryLost("the changes are no longer in the store's history")
-        if response.status in (429, 503):
-            raise StoreBusy(f"the store responded with status {response.status}")
-        if response.status != 200:
-            raise StoreError(f"the store responded with status {response.status}")
+        epoch = self._read_epoch(response.headers.get(STORE_EPOCH))
+        _check_status(response.status, epoch)
         try:
             document = json.loads(response.data)
         except (ValueError, RecursionError) as error:
-            raise StoreError(f"cannot decode the store's response: {error}") from error
+            message = f"cannot decode the store's response: {error}"
+            raise StoreError(message, epoch) from error
         if not isinstance(document, dict):
-            raise StoreError("the store's response is not a JSON object")
-        return document
+            raise StoreError("the store's response is not a JSON object", epoch)
+        return document, epoch
+
+    def _read_epoch(self, text):
+        """Return the epoch in a header, 0 without one; log a malformed one once."""
+        epoch = _parse_epoch(text)
+        if epoch is not None:
+            return epoch
+        self._metrics.increment("store.invalid_epochs")
+        if text != self._logged_epoch:
+            self._logged_epoch = text
+            logger.warning("the store sent a malformed epoch: %.200r", text)
+        raise StoreError("the store's response has a malformed epoch")
+
+
+def _parse_epoch(text):
+    """Return the epoch in a header, 0 without one and None if it is malformed."""
+    if text is None:
+        return 0
+    digits = text.strip(" \t")
+    if not digits.isascii() or not digits.isdigit() or len(digits) > MAX_EPOCH_DIGITS:
+        return None
+    epoch = int(digits)
+    return epoch if epoch <= MAX_EPOCH else None
+
+
+def _check_status(status, epoch):
+    """Raise the error of a response that is no success; it states the epoch."""
+    if status == 410:
+        raise HistoryLost("the changes are no longer in the store's history", epoch)
+    if status in (429, 503):
+        raise StoreBusy(f"the store responded with status {status}", epoch)
+    if status != 200:
+        raise StoreError(f"the store responded with status {status}", epoch)
+
+
+def _check_page(epoch, first_epoch, wanted_epoch):
+    """Raise an error unless a page belongs to the epoch of the first page.
+
+    Only a newer epoch allows another read at once. The pages of a store that returns
+    to an older epoch would otherwise be read again and again.
+    """
+    if epoch < max(first_epoch, wanted_epoch):
+        raise StoreError(f"the store still has epoch {epoch}")
+    if epoch > first_epoch:
+        raise HistoryLost("the store has begun a new epoch", epoch)
 
 
 def _read_revision(document):
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -39,32 +39,37 @@
         self._store = store
         self._wait_s = wait_s
 
-    def read_all(self):
+    def read_all(self, epoch):
         """Return a snapshot of the store.
 
+        Parameters
+        ----------
+        epoch : int
+            Lowest epoch that is wanted.
+
         Returns
         -------
         tuple of (StoreSnapshot, Confirmation)
             The snapshot, confirmed by the store itself.
         """
-        return self._store.read_all(), FROM_STORE
+        return self._store.read_all(epoch=epoch), FROM_STORE
 
     def watch(self, after):
-        """Wait for changes after a revision.
+        """Wait for changes after a position.
 
         Parameters
         ----------
-        after : int
-            Revision after which changes are wanted.
+        after : StorePosition
+            Position after which changes are wanted.
 
         Returns
         -------
-        tuple of (tuple of StoreChange, int, Confirmation)
-            The changes, confirmed by the store itself, and the revision to
+        tuple of (tuple of StoreChange, StorePosition, Confirmation)
+            The changes, confirmed by the store itself, and the position to
             continue from.
         """
-        changes, revision = self._store.watch(after, self._wait_s)
-        return changes, revision, FROM_STORE
+        changes, position = self._store.watch(after.revision, self._wait_s)
+        return changes, position, FROM_STORE
 
 
 class SourceSelector:
@@ -95,6 +100,7 @@
     def __init__(
         self, members, store, open_feed, clock=read_clock, is_first_start=False
     ):
+        self.newest_epoch = 0
         self._members = members
         self._store = store
         self._open_feed = open_feed
@@ -185,6 +191,38 @@
         if confirmation.hops > limit:
             raise StoreError(f"{source.name} is too many hops away from the store")
 
+    def record_epoch(self, epoch):
+        """Record an epoch of the store that a source showed.
+
+        Parameters
+        ----------
+        epoch : int
+            The epoch.
+        """
+        self.newest_epoch = max(self.newest_epoch, epoch)
+
+    def check_epoch(self, source, epoch):
+        """Reject data of an older epoch than the newest that this host has seen.
+
+        Parameters
+        ----------
+        source : StoreSource or FeedClient
+            The source.
+        epoch : int
+            Epoch of its response.
+
+        Raises
+        ------
+        StoreError
+            If another source has shown a newer epoch.
+        """
+        self.record_epoch(epoch)
+        if epoch < self.newest_epoch:
+            raise StoreError(
+                f"{source.name} still has epoch {epoch} of the store, "
+                f"the newest is {self.newest_epoch}"
+            )
+
     def _list_sources(self):
         own = self._members.own
         readers = self._choose_readers()
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -5,18 +5,26 @@
 from dataclasses import dataclass
 
 from .clock import read_clock
+from .drainingentries import DrainingEntries
+from .entrychanges import (
+    EvacuationChange,
+    InstanceChange,
+    InstanceRemoval,
+    TableChange,
+)
 from .errors import DocumentError, RedwingspringError
-from .instancestate import Instance
 from .mappings import drop_oldest
-from .routes import RoutingTable
+from .missingentries import MissingEntries
 
-# Entries that expire while the store is unreachable are written again by their targets
-# within about two seconds of its return. Missing instances stay in use until then.
-# Other removals take effect at once.
+# Entries that expire while the store is unreachable, or that a copy from which it came
+# back does not contain, are written again within about two seconds of its return. They
+# stay in use until then. Other removals take effect at once.
 MISSING_GRACE_S = 2.2
 # Deleted keys whose revisions are kept, so that a change that arrives late does not
 # restore them.
 MAX_TOMBSTONES = 2000
+# Epochs that the feed between hosts can represent.
+MAX_EPOCH = 2**63 - 1
 # Characters of an error message in a log line.
 MAX_CAUSE_LENGTH = 500
 
@@ -24,7 +32,19 @@
 
 
 class StoreError(RedwingspringError):
-    """The store or a host's feed gave no usable response."""
+    """The store or a host's feed gave no usable response.
+
+    Parameters
+    ----------
+    message : str
+        What failed.
+    epoch : int, default=0
+        Epoch that the response showed nevertheless.
+    """
+
+    def __init__(self, message, epoch=0):
+        super().__init__(message)
+        self.epoch = epoch
 
 
 class StoreBusy(StoreError):
@@ -35,6 +55,23 @@
     """The requested changes are no longer in the history of the source."""
 
 
+@dataclass(frozen=True, order=True)
+class StorePosition:
+    """Position in the history of the store; positions are ordered by epoch first.
+
+    Attributes
+    ----------
+    epoch : int, default=0
+        Number that the store increases each time it comes back from a copy, after
+        which it assigns revisions again; 0 if its responses do not state it.
+    revision : int, default=0
+        Revision within the epoch.
+    """
+
+    epoch: int = 0
+    revision: int = 0
+
+
 @dataclass(frozen=True)
 class StoreChange:
     """One version of an entry of the store.
@@ -62,67 +99,12 @@
     ----------
     changes : tuple of StoreChange
         The entries.
-    revision : int
-        Highest revision whose changes the snapshot is certain to contain.
+    position : StorePosition
+        Highest position whose changes the snapshot is certain to contain.
     """
 
     changes: tuple
-    revision: int
-
-
-@dataclass(frozen=True)
-class TableChange:
-    """A routing table was published.
-
-    Attributes
-    ----------
-    table : RoutingTable
-        The table.
-    """
-
-    table: RoutingTable
-
-
-@dataclass(frozen=True)
-class EvacuationChange:
-    """A data centre was evacuated or put back into service.
-
-    Attributes
-    ----------
-    data_centre : str
-        Name of the data centre.
-    evacuated : bool
-        Whether its targets get no requests.
-    """
-
-    data_centre: str
-    evacuated: bool
-
-
-@dataclass(frozen=True)
-class InstanceChange:
-    """The entry of an instance was written.
-
-    Attributes
-    ----------
-    instance : Instance
-        The entry.
-    """
-
-    instance: Instance
-
-
-@dataclass(frozen=True)
-class InstanceRemoval:
-    """The entry of an instance was removed.
-
-    Attributes
-    ----------
-    instance_id : str
-        Id of the instance.
-    """
-
-    instance_id: str
+    position: StorePosition
 
 
 class StoreState:
@@ -144,7 +126,7 @@
 
     def __init__(self, directory, decode, metrics, decisions, clock=read_clock):
         self.table = None
-        self.revision = 0
+        self.position = StorePosition()
         self.on_table = None
         self._directory = directory
         self._decode = decode
@@ -155,7 +137,9 @@
         self._revisions = {}
         self._tombstones = {}
         self._evacuated = set()
-        self._missing_until = {}
+        self._missing = MissingEntries()
+        self._draining = DrainingEntries()
+        self._begins_epoch = False
         # A host that starts has no data yet, but it has not seen the store away.
         self._lost_at = clock()
         self._was_away = False
@@ -196,7 +180,7 @@
             "store lost",
             logging.WARNING,
             cause=str(cause),
-            revision=self.revision,
+            revision=self.position.revision,
             configuration_version=self.version,
         )
 
@@ -221,7 +205,7 @@
             "store regained",
             source=source,
             away_s=round(away_s, 2),
-            revision=self.revision,
+            revision=self.position.revision,
         )
 
     def apply_snapshot(self, snapshot):
@@ -230,40 +214,90 @@
         Parameters
         ----------
         snapshot : StoreSnapshot
-            Snapshot of the store.
+            Snapshot of the store; one of an older epoch is ignored.
         """
         with self._lock:
-            for change in snapshot.changes:
-                self._apply(change)
-            present = {change.key for change in snapshot.changes}
-            for key, revision in list(self._revisions.items()):
-                if key not in present and revision <= snapshot.revision:
-                    self._apply(StoreChange(key, None, snapshot.revision))
-            self.revision = max(self.revision, snapshot.revision)
+            if snapshot.position.epoch > self.position.epoch:
+                self._begin_epoch(snapshot)
+            elif snapshot.position.epoch == self.position.epoch:
+                self._apply_entries(snapshot)
+
+    def _apply_entries(self, snapshot):
+        """Apply a snapshot of the epoch in force; the lock is held."""
+        position = snapshot.position
+        for change in snapshot.changes:
+            self._apply(change)
+        present = {change.key for change in snapshot.changes}
+        for key, revision in list(self._revisions.items()):
+            if key not in present and revision <= position.revision:
+                self._apply(StoreChange(key, None, position.revision))
+        self.position = max(self.position, position)
+
+    def _begin_epoch(self, snapshot):
+        """Replace the state of an older epoch by a snapshot; the lock is held.
+
+        Revisions are assigned again in a new epoch, so those of the keys are not
+        compared with the earlier ones.
+        """
+        previous, known_keys = self.position, self._revisions.keys()
+        self._revisions, self._tombstones = {}, {}
+        self.position = StorePosition(snapshot.position.epoch)
+        if previous == StorePosition():
+            # A host that has just started has no state of an older epoch.
+            self._apply_entries(snapshot)
+            return
+        self._begins_epoch = True
+        try:
+            with self._directory.replace_view():
+                self._regained_at = self._clock()
+                self._missing.extend(self._regained_at + MISSING_GRACE_S)
+                self._apply_entries(snapshot)
+                self._keep_missing(known_keys - self._revisions.keys())
+        finally:
+            self._begins_epoch = False
+        self._metrics.increment("store.epochs")
+        self._decisions.record(
+            "store epoch changed",
+            logging.WARNING,
+            epoch=self.position.epoch,
+            revision=self.position.revision,
+            previous_epoch=previous.epoch,
+            previous_revision=previous.revision,
+        )
+
+    def _keep_missing(self, keys):
+        """Apply the removal of entries of an older epoch; it mostly takes effect later.
 
-    def apply_changes(self, changes, revision):
+        The removals have no revision, because the new epoch did not state them.
+        """
+        for key in sorted(keys):
+            removal = self._decode(StoreChange(key, None, 0))
+            if removal is not None:
+                _APPLIERS[type(removal)](self, removal, None)
+
+    def apply_changes(self, changes, position):
         """Apply changes in order.
 
         Parameters
         ----------
         changes : sequence of StoreChange
-            The changes.
-        revision : int
-            Revision of the store after the changes.
+            The changes; those of another epoch are ignored, because only a snapshot
+            begins an epoch.
+        position : StorePosition
+            Position of the store after the changes.
         """
         with self._lock:
+            if position.epoch != self.position.epoch:
+                return
             for change in changes:
                 self._apply(change)
-            self.revision = max(self.revision, revision)
+            self.position = max(self.position, position)
 
     def drop_missing(self):
-        """Remove instances whose entries were not written again in time."""
+        """Remove entries that were not written again in time."""
         with self._lock:
-            now = self._clock()
-            expired = [key for key, end in self._missing_until.items() if now >= end]
-            for instance_id in expired:
-                del self._missing_until[instance_id]
-                self._remove_instance(instance_id)
+            for removal in self._missing.take_due(self._clock()):
+                _REMOVERS[type(removal)](self, removal)
 
     def _apply(self, change):
         """Apply one change unless a later one is known; the lock is held."""
@@ -326,8 +360,17 @@
         )
 
     def _apply_evacuation(self, change, revision):
+        removal = EvacuationChange(change.data_centre, False)
+        self._missing.restore(removal)
         if change.evacuated == (change.data_centre in self._evacuated):
             return
+        if change == removal and self._begins_epoch:
+            self._missing.keep(removal, self._regained_at + MISSING_GRACE_S)
+            self._decisions.record("evacuation missing", data_centre=change.data_centre)
+            return
+        self._set_evacuated(change, revision)
+
+    def _set_evacuated(self, change, revision=None):
         if change.evacuated:
             self._evacuated.add(change.data_centre)
         else:
@@ -341,7 +384,14 @@
 
     def _apply_instance(self, change, revision):
         instance = change.instance
-        self._missing_until.pop(instance.id, None)
+        self._missing.restore(InstanceRemoval(instance.id))
+        if self._begins_epoch:
+            instance = self._draining.correct(instance, revision)
+        if instance == change.instance:
+            self._draining.record(instance, revision)
+        if self._begins_epoch and self._directory.contains(instance):
+            # Applying the same entry again would make a warm instance cold again.
+            return
         if not self._directory.put(instance):
             return
         self._decisions.record(
@@ -358,18 +408,17 @@
         now = self._clock()
         returned_at = now if self._was_away else self._regained_at
         if now < returned_at + MISSING_GRACE_S:
-            until = returned_at + MISSING_GRACE_S
-            self._missing_until.setdefault(change.instance_id, until)
+            self._missing.keep(change, returned_at + MISSING_GRACE_S)
             self._decisions.record(
                 "instance missing", instance=change.instance_id, revision=revision
             )
             return
-        self._remove_instance(change.instance_id, revision)
+        self._remove_instance(change, revision)
 
-    def _remove_instance(self, instance_id, revision=None):
-        if self._directory.remove(instance_id):
+    def _remove_instance(self, removal, revision=None):
+        if self._directory.remove(removal.instance_id):
             self._decisions.record(
-                "instance gone", instance=instance_id, revision=revision
+                "instance gone", instance=removal.instance_id, revision=revision
             )
 
 
@@ -379,3 +428,8 @@
     InstanceChange: StoreState._apply_instance,
     InstanceRemoval: StoreState._apply_removal,
 }
+# How missing entries are removed.
+_REMOVERS = {
+    EvacuationChange: StoreState._set_evacuated,
+    InstanceRemoval: StoreState._remove_instance,
+}
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -56,6 +56,7 @@
         self.events = []
         self.revision = 1
         self.oldest_revision = 1
+        self.epoch = None
         self.status = 200
         self.hangs = False
         self.delay_s = 0.0
@@ -66,9 +67,16 @@
         stand_in = self
 
         class Handler(_Handler):
+            epoch = None
+
             def do_GET(self):
                 stand_in.serve(self)
 
+            def end_headers(self):
+                if self.epoch is not None:
+                    self.send_header("Store-Era", str(self.epoch))
+                super().end_headers()
+
         self._server = _Server((host, 0), Handler)
         self.address = f"{host}:{self._server.server_port}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
@@ -103,6 +111,20 @@
             self.events.clear()
             self.changed.notify_all()
 
+    def copy(self):
+        """Return a copy of the present state, to which the store can be rolled back."""
+        with self.changed:
+            return dict(self.items), self.revision
+
+    def roll_back(self, copy):
+        """Come back from a copy; everything written since then is lost."""
+        with self.changed:
+            self.items, self.revision = dict(copy[0]), copy[1]
+            self.events = [e for e in self.events if e["revision"] <= self.revision]
+            if self.epoch is not None:
+                self.epoch += 1
+            self.changed.notify_all()
+
     def _record_event(self, event):
         self.events.append(event)
         self.changed.notify_all()
@@ -112,18 +134,23 @@
         time.sleep(self.delay_s)
         if self.hangs:
             time.sleep(30)
+        with self.changed:
+            answer = self.respond(handler)
+            handler.epoch = self.epoch
+        handler.answer(*answer)
+
+    def respond(self, handler):
+        """Return status and document; their epoch is the present one."""
         if self.status != 200:
-            handler.answer(self.status, {"error": "no"})
-            return
+            return self.status, {"error": "no"}
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         endpoint = url.path.rsplit("/", 1)[1]
         if endpoint == "kv-range":
-            handler.answer(200, self.read_range(query))
-        elif endpoint == "kv-watch":
-            handler.answer(*self.read_watch(query))
-        else:
-            handler.answer(404, {"error": "no such endpoint"})
+            return 200, self.read_range(query)
+        if endpoint == "kv-watch":
+            return self.read_watch(query)
+        return 404, {"error": "no such endpoint"}
 
     def read_range(self, query):
         self.range_reads += 1
@@ -141,7 +168,7 @@
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.changed:
             while True:
-                if after + 1 < self.oldest_revision:
+                if after + 1 < self.oldest_revision or after > self.revision:
                     return 410, {"error": "history lost"}
                 events = [e for e in self.events if e["revision"] > after]
                 remaining_s = end - time.monotonic()
@@ -493,8 +520,9 @@
 class HostFixture:
     """Host, store and targets, all in the test process."""
 
-    def __init__(self, test, instances=2, configuration=None, **settings):
+    def __init__(self, test, instances=2, configuration=None, epoch=None, **settings):
         self.store = StoreStandIn()
+        self.store.epoch = epoch
         test.addCleanup(self.store.close)
         self.instances = [InstanceStandIn(f"i-{n}") for n in range(instances)]
         for instance in self.instances:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from redwingspring import feed
-from redwingspring.feed import MAX_CONFIRMED_AGE_S, StoreMirror
+from redwingspring.feed import MAX_CONFIRMED_AGE_S, FeedPage, StoreMirror
 from redwingspring.feedmessages import (
     FROM_STORE,
     Confirmation,
@@ -19,6 +19,7 @@
     HistoryLost,
     StoreChange,
     StoreError,
+    StorePosition,
     StoreSnapshot,
 )
 
@@ -49,17 +50,18 @@
 
     def fill(self):
         entries = (StoreChange("a", b"1", 3), StoreChange("b", b"2", 5))
-        self.mirror.apply_snapshot(StoreSnapshot(entries, 5))
+        self.mirror.apply_snapshot(StoreSnapshot(entries, StorePosition(0, 5)))
 
     def test_a_mirror_without_data_from_the_store_serves_no_feed(self):
         self.assertEqual(None, self.mirror.read(None, 0))
 
     def test_changes_follow_the_snapshot(self):
         self.fill()
-        self.mirror.apply_changes([StoreChange("a", None, 6)], 7)
-        update = self.mirror.read(5, 0)
+        self.mirror.apply_changes([StoreChange("a", None, 6)], StorePosition(0, 7))
+        update = self.mirror.read(StorePosition(0, 5), 0)
         self.assertEqual(
-            ([None], 7), ([change.value for change in update.changes], update.revision)
+            ([None], StorePosition(0, 7)),
+            ([change.value for change in update.changes], update.position),
         )
         whole = self.mirror.read(None, 0)
         self.assertEqual(["b"], [change.key for change in whole.changes])
@@ -67,7 +69,7 @@
     def test_a_mirror_that_lost_the_store_stops_serving_the_feed(self):
         self.fill()
         self.clock.now += MAX_CONFIRMED_AGE_S + 0.1
-        self.assertEqual(None, self.mirror.read(5, 0))
+        self.assertEqual(None, self.mirror.read(StorePosition(0, 5), 0))
 
     def test_two_mirrors_do_not_renew_each_others_confirmation(self):
         other = StoreMirror(self.clock)
@@ -77,7 +79,7 @@
             for source, target in ((self.mirror, other), (other, self.mirror)):
                 update = source.read(None, 0)
                 if update is not None:
-                    snapshot = StoreSnapshot(update.changes, update.revision)
+                    snapshot = StoreSnapshot(update.changes, update.position)
                     target.apply_snapshot(snapshot, update.confirmation)
         self.assertEqual(None, self.mirror.read(None, 0))
         self.assertEqual(None, other.read(None, 0))
@@ -86,13 +88,75 @@
         self.patch(feed, "MAX_HISTORY", 3)
         self.fill()
         for number in range(6, 12):
-            self.mirror.apply_changes([StoreChange("c", b"x", number)], number)
-        self.assertTrue(self.mirror.read(6, 0).whole)
-        self.assertFalse(self.mirror.read(9, 0).whole)
+            self.mirror.apply_changes(
+                [StoreChange("c", b"x", number)], StorePosition(0, number)
+            )
+        self.assertTrue(self.mirror.read(StorePosition(0, 6), 0).whole)
+        self.assertFalse(self.mirror.read(StorePosition(0, 9), 0).whole)
+
+    def test_a_host_that_is_an_epoch_behind_learns_it_during_its_wait(self):
+        """It would wait for revisions that the new epoch may never reach."""
+        mirror = StoreMirror()
+        mirror.apply_snapshot(StoreSnapshot((), StorePosition(1, 180)))
+        errors = []
+
+        def poll():
+            after = StorePosition(1, 180)
+            errors.append(self.assertRaises(HistoryLost, mirror.read, after, 5, 1))
+
+        thread = threading.Thread(target=poll)
+        thread.start()
+        mirror.apply_snapshot(StoreSnapshot((), StorePosition(2, 23)))
+        thread.join(5)
+        self.assertEqual([2], [error.epoch for error in errors])
+
+    def test_a_mirror_of_an_older_epoch_than_is_wanted_serves_nothing(self):
+        self.mirror.apply_snapshot(StoreSnapshot((), StorePosition(1, 180)))
+        self.assertEqual(None, self.mirror.read(StorePosition(2, 23), 0, 2))
+        self.assertEqual(None, self.mirror.read(None, 0, 2))
+
+    def test_data_of_an_older_epoch_neither_replaces_nor_confirms(self):
+        entries = (StoreChange("a", b"1", 22),)
+        self.mirror.apply_snapshot(StoreSnapshot(entries, StorePosition(2, 23)))
+        self.clock.now += MAX_CONFIRMED_AGE_S + 0.1
+        self.mirror.apply_snapshot(StoreSnapshot((), StorePosition(1, 180)))
+        self.mirror.apply_changes([StoreChange("a", None, 181)], StorePosition(1, 181))
+        self.assertEqual(None, self.mirror.read(None, 0))
+        self.mirror.apply_changes((), StorePosition(2, 23))
+        update = self.mirror.read(None, 0)
+        self.assertEqual(
+            (entries, StorePosition(2, 23)), (update.changes, update.position)
+        )
+
+    def test_a_new_epoch_is_as_old_as_its_own_confirmation(self):
+        self.mirror.apply_snapshot(StoreSnapshot((), StorePosition(1, 180)))
+        snapshot = StoreSnapshot((), StorePosition(2, 23))
+        self.mirror.apply_snapshot(snapshot, Confirmation(0.7, 1))
+        self.assertEqual(0.7, round(self.mirror.confirmed_age_s, 3))
+
+    def test_the_page_tells_hosts_of_other_epochs_apart(self):
+        self.mirror.apply_snapshot(StoreSnapshot((), StorePosition(2, 23)))
+        self.patch(feed, "FEED_WAIT_S", 0)
+        page = FeedPage(self.mirror)
+        statuses = {
+            "after=180&epoch=1": "410 Gone",
+            "after=180&epoch=0": "410 Gone",
+            "after=23&epoch=2": "200 OK",
+            "after=5&epoch=3": "503 Service Unavailable",
+            "epoch=3": "503 Service Unavailable",
+            "epoch=1": "200 OK",
+            # A host of the previous version, which would otherwise read the whole
+            # store again without a pause.
+            "after=180": "200 OK",
+            "after=23&epoch=x": "200 OK",
+        }
+        for query, status in statuses.items():
+            response = page.respond({"QUERY_STRING": query})
+            self.assertEqual(status, response.status, query)
 
     def test_an_update_survives_encoding_and_malformed_bytes_are_rejected(self):
         changes = (StoreChange("a", b"\x00\xff", 3), StoreChange("b", None, 4))
-        update = FeedUpdate(changes, 9, True, Confirmation(0.25, 1))
+        update = FeedUpdate(changes, StorePosition(2, 9), True, Confirmation(0.25, 1))
         self.assertEqual(update, decode_update(encode_update(update)))
         for data in (b"", b"\xff" * 60, encode_update(update)[:20]):
             self.assertRaises(StoreError, decode_update, data)
@@ -110,7 +174,9 @@
             )
             for n in range(250)
         )
-        data = encode_update(FeedUpdate(entries, 250, True, Confirmation()))
+        data = encode_update(
+            FeedUpdate(entries, StorePosition(0, 250), True, Confirmation())
+        )
         self.assertLess(len(data), 12_000)
 
 
@@ -123,8 +189,8 @@
         self.error = None
         self.watch_calls = 0
 
-    def read_all(self):
-        return StoreSnapshot((), 1), FROM_STORE
+    def read_all(self, epoch):
+        return StoreSnapshot((), StorePosition(0, 1)), FROM_STORE
 
     def watch(self, after):
         self.watch_calls += 1
@@ -247,13 +313,13 @@
 class FollowerTest(RedwingspringTestCase):
     def test_a_new_snapshot_is_read_when_the_history_is_lost(self):
         class StoreStateStub:
-            revision = 7
+            position = StorePosition(0, 7)
             snapshots = 0
 
             def apply_snapshot(self, snapshot):
                 self.snapshots += 1
 
-            def apply_changes(self, changes, revision):
+            def apply_changes(self, changes, position):
                 pass
 
             def mark_connected(self, source):
@@ -271,6 +337,8 @@
         store_state = StoreStateStub()
 
         class SourceSelectorStub:
+            newest_epoch = 0
+
             def choose(self):
                 source.error = HistoryLost("x") if source.watch_calls == 1 else None
                 return source
@@ -281,6 +349,12 @@
             def check_hops(self, source, confirmation):
                 pass
 
+            def check_epoch(self, source, epoch):
+                pass
+
+            def record_epoch(self, epoch):
+                pass
+
         StoreFollower(SourceSelectorStub(), store_state, StoreMirror()).run(
             StoppingStub()
         )
--- a/tests/test_hostileentries.py
+++ b/tests/test_hostileentries.py
@@ -26,6 +26,7 @@
 from redwingspring.storestate import (
     StoreChange,
     StoreError,
+    StorePosition,
     StoreSnapshot,
     StoreState,
 )
@@ -140,7 +141,7 @@
         state = StoreState(directory, decode, metrics, DecisionLog(metrics))
         value = json.dumps(ENTRY).encode()
         changes = [StoreChange(f"servers/{name}", value, 2) for name in ("bad", "good")]
-        state.apply_changes(changes, 2)
+        state.apply_changes(changes, StorePosition(0, 2))
         self.assertEqual({"good"}, directory.list_ids())
         self.assertEqual(1, metrics.snapshot()["store.invalid_entries"])
 
@@ -172,7 +173,8 @@
         self.stand_in.put("servers/z", b"x")
         snapshot = self.client.read_all()
         self.assertEqual(["servers/z"], [c.key for c in snapshot.changes])
-        encode_update(FeedUpdate(snapshot.changes, 3, True, Confirmation()))
+        position = StorePosition(0, 3)
+        encode_update(FeedUpdate(snapshot.changes, position, True, Confirmation()))
         self.client.read_all()
         counts = self.metrics.snapshot()
         self.assertEqual(2 * len(odd_items), counts["store.invalid_items"])
@@ -201,12 +203,12 @@
         self.assertRaises(StoreError, decode_update, data)
 
     def test_an_incomplete_message_is_rejected(self):
-        data = encode_update(FeedUpdate((), 1, False, Confirmation()))
+        data = encode_update(FeedUpdate((), StorePosition(0, 1), False, Confirmation()))
         self.assertRaises(StoreError, decode_update, data[:-1])
 
     def test_a_revision_of_thousands_of_digits_gets_a_snapshot(self):
         mirror = StoreMirror()
-        mirror.apply_snapshot(StoreSnapshot((), 3))
+        mirror.apply_snapshot(StoreSnapshot((), StorePosition(0, 3)))
         environ = {"QUERY_STRING": "after=" + "9" * 5000}
         response = FeedPage(mirror).respond(environ)
         self.assertTrue(decode_update(response.body).whole)
@@ -239,7 +241,7 @@
         metrics = Metrics()
         directory = InstanceDirectory()
         state = StoreState(directory, decode_change, metrics, DecisionLog(metrics))
-        state.apply_changes([StoreChange("servers/i-1", value, 1)], 1)
+        state.apply_changes([StoreChange("servers/i-1", value, 1)], StorePosition(0, 1))
         for states in directory.view.services.values():
             instance = states[0].instance
             self.assertTrue(1 <= instance.slots <= 10**6)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,6 +14,7 @@
     StoreBusy,
     StoreChange,
     StoreError,
+    StorePosition,
     TableChange,
 )
 
@@ -190,15 +191,15 @@
             self.stand_in.put(f"servers/{number}", b"x")
         snapshot = self.client.read_all()
         self.assertEqual(8, len(snapshot.changes))
-        self.assertEqual(self.stand_in.revision, snapshot.revision)
+        self.assertEqual(StorePosition(0, self.stand_in.revision), snapshot.position)
 
     def test_a_watch_returns_changes_and_the_next_revision(self):
         after = self.stand_in.revision
         self.stand_in.put("servers/1", b"x")
         self.stand_in.delete("servers/1")
-        changes, revision = self.client.watch(after, 1.0)
+        changes, position = self.client.watch(after, 1.0)
         self.assertEqual([b"x", None], [change.value for change in changes])
-        self.assertEqual(((), revision), self.client.watch(revision, 0.05))
+        self.assertEqual(((), position), self.client.watch(position.revision, 0.05))
 
     def test_each_failure_of_the_store_raises_its_own_error(self):
         self.stand_in.put("servers/1", b"x")
@@ -213,6 +214,56 @@
         self.patch(store, "WATCH_MARGIN_S", 0.1)
         self.assertRaises(StoreError, self.client.watch, 1, 0.1)
 
+    def test_each_response_of_the_store_states_its_epoch(self):
+        self.stand_in.epoch = 3
+        self.assertEqual(3, self.client.read_all().position.epoch)
+        self.assertEqual(3, self.client.watch(1, 0.0)[1].epoch)
+        self.stand_in.put("servers/1", b"x")
+        self.stand_in.compact_history()
+        error = self.assertRaises(HistoryLost, self.client.watch, 1, 0.1)
+        self.assertEqual(3, error.epoch)
+        for status in (429, 503, 500):
+            self.stand_in.status = status
+            error = self.assertRaises(StoreError, self.client.read_all)
+            self.assertEqual(3, error.epoch)
+
+    def test_a_malformed_epoch_is_a_failed_call_that_is_logged_once(self):
+        malformed = ("", "x", "-1", "+2", "1.0", "1, 2", "0x1", str(2**63), "9" * 5000)
+        for text in malformed:
+            self.stand_in.epoch = text
+            with self.assertLogs("redwingspring.platform.store", "WARNING") as logs:
+                self.assertRaises(StoreError, self.client.read_all)
+                self.assertRaises(StoreError, self.client.watch, 1, 0.0)
+            self.assertEqual(1, len(logs.output), text)
+        counts = self.client._metrics.snapshot()
+        self.assertEqual(2 * len(malformed), counts["store.invalid_epochs"])
+
+    def test_pages_of_different_epochs_are_not_mixed(self):
+        """The first page would hold entries that the store no longer has."""
+        self.stand_in.epoch = 1
+        self.stand_in.page_size = 3
+        for number in range(8):
+            self.stand_in.put(f"servers/{number}", b"x")
+        copy = self.stand_in.copy()
+        read_range = self.stand_in.read_range
+
+        def read_page(query):
+            if "after" in query and self.stand_in.epoch == 1:
+                self.stand_in.roll_back(copy)
+            return read_range(query)
+
+        self.stand_in.read_range = read_page
+        error = self.assertRaises(HistoryLost, self.client.read_all)
+        self.assertEqual(2, error.epoch)
+        snapshot = self.client.read_all(epoch=2)
+        self.assertEqual((2, 8), (snapshot.position.epoch, len(snapshot.changes)))
+
+    def test_a_store_that_returns_to_an_older_epoch_is_not_read_again_at_once(self):
+        self.stand_in.epoch = 1
+        self.assertNotIsInstance(
+            self.assertRaises(StoreError, self.client.read_all, epoch=2), HistoryLost
+        )
+
     def test_an_unreachable_store_raises_an_error(self):
         self.stand_in.close()
         self.assertRaises(StoreError, self.client.read_all)
