--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,9 +1,10 @@
 """Tests of how hosts read store changes from the store and from each other."""
 
 import threading
+import zlib
 from dataclasses import replace
 
-from redwingspring import feed
+from redwingspring import feed, feedmessages
 from redwingspring.feed import MAX_CONFIRMED_AGE_S, FeedPage, StoreMirror
 from redwingspring.feedmessages import (
     FROM_STORE,
@@ -161,6 +162,14 @@
         for data in (b"", b"\xff" * 60, encode_update(update)[:20]):
             self.assertRaises(StoreError, decode_update, data)
 
+    def test_a_message_of_the_previous_version_has_no_epoch(self):
+        """During an upgrade, hosts of both versions read each other's feeds."""
+        message = feedmessages._schema.Feed.new_message(
+            version=feedmessages.PROTOCOL_VERSION, revision=9
+        )
+        data = zlib.compress(message.to_bytes_packed())
+        self.assertEqual(StorePosition(0, 9), decode_update(data).position)
+
     def test_a_compressed_list_of_targets_is_small_enough_for_a_slow_link(self):
         """A snapshot goes to 44 hosts at once when their reader changes."""
         entries = tuple(
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -22,7 +22,12 @@
 )
 
 from .base import RedwingspringTestCase
-from .standins import HostFixture, describe_configuration, wait_until
+from .standins import (
+    HostFixture,
+    describe_configuration,
+    find_port,
+    wait_until,
+)
 from .test_gossip import build_member
 
 OLD = StorePosition(1, 180)
@@ -174,7 +179,9 @@
         self.follow_store()
         position = StorePosition(2, 200)
         self.store.offer(position, "a", "lost", update=[write("late", 190)])
+        now = self.now
         self.follow(2)
+        self.assertEqual(now, self.now)
         self.assertEqual(({"a", "lost"}, position), (self.ids, self.state.position))
 
     def test_a_watch_without_history_reads_the_new_epoch(self):
@@ -184,6 +191,20 @@
         self.follow(2)
         self.assertEqual(({"a", "b"}, NEW), (self.ids, self.state.position))
 
+    def test_a_peer_of_the_old_epoch_is_refused_after_a_watch_without_history(self):
+        self.follow_store()
+        self.store.update = HistoryLost("gone", 2)
+        self.store.snapshot = DOWN
+        self.advance(1.2)
+        for peer in self.peers:
+            peer.offer(StorePosition(1, 300), "old")
+            peer.update = DOWN
+        self.follow(len(self.peers) + 2)
+        self.advance(1.2)
+        self.follow(len(self.peers))
+        self.assertEqual({2}, {peer.requests[-1] for peer in self.peers})
+        self.assertEqual(({"a"}, OLD), (self.ids, self.state.position))
+
     def test_two_rollbacks_in_a_row_are_followed(self):
         self.follow_store()
         for epoch in (2, 3):
@@ -271,22 +292,20 @@
     def start(self, **options):
         return HostFixture(self, epoch=1, **options)
 
-    def start_second(self, first):
+    def start_second(self, first, **changes):
         """Start a host that reads the store through the first one, or the reverse."""
         settings = first.entry.settings
         ports = [
             address.rsplit(":", 1)[1]
             for address in (settings.peer_address, settings.address)
         ]
-        return HostFixture(
-            self,
-            instances=0,
-            name="edge-akl-a-2",
-            store=first.store.address,
-            seeds=(settings.peer_address,),
-            peer_address=f"127.0.0.2:{ports[0]}",
-            address=f"127.0.0.2:{ports[1]}",
-        )
+        values = {
+            "store": first.store.address,
+            "seeds": (settings.peer_address,),
+            "peer_address": f"127.0.0.2:{ports[0]}",
+            "address": f"127.0.0.2:{ports[1]}",
+        }
+        return HostFixture(self, instances=0, name="edge-akl-a-2", **values | changes)
 
     def use(self, host):
         """Return the ids of the targets in use."""
@@ -326,6 +345,21 @@
             self.assertEqual(2, host.entry.store_state.position.epoch)
             self.assertEqual(1, host.entry.metrics.snapshot()["store.epochs"])
 
+    def test_a_host_without_the_store_learns_of_a_rollback_from_another(self):
+        first = self.start()
+        # Hosts of other data centres read the store, or the host that does.
+        second = self.start_second(
+            first, store=f"127.0.0.1:{find_port()}", data_centre="ham-b"
+        )
+        copy = first.store.copy()
+        self.write_much(first.store)
+        revision = first.store.revision
+        wait_until(lambda: second.entry.store_state.position.revision == revision)
+        first.store.roll_back(copy)
+        first.store.put("op/config", describe_configuration(7))
+        wait_until(lambda: second.entry.store_state.version == 7, 2.5)
+        self.wait_for_epoch(second, 2)
+
     def test_two_rollbacks_while_the_store_is_away_are_followed(self):
         """The new revisions pass the old ones before the host reads again."""
         host = self.start()
