--- a/redwingspring/policy/waitpolicy.py
+++ b/redwingspring/policy/waitpolicy.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from .placement import count_full_speed_slots, is_nearly_full, predict_slowdown
+from .precedence import NO_PRESSURE
 
 # Highest predicted slowdowns that are accepted until a share of the target latency
 # has passed. After that every target that answers in time is accepted.
@@ -36,7 +37,7 @@
 # Share of the target latency after which a request may use all data centres.
 CROSS_DATA_CENTRE_SHARE = 0.1
 LONG_CROSS_DATA_CENTRE_SHARE = 0.6
-LONG_RESPONSE_BYTES = 20_000
+LONG_TRANSFER_BYTES = 20_000
 # Share of the target latency after which ejected targets may be used too.
 EJECTED_WAIT_SHARE = 0.12
 # Share of the target latency for which the targets that this host prefers come first.
@@ -68,6 +69,8 @@
         Expected processing time in seconds at an idle target.
     prior_wait_s : float, default=0.0
         Seconds that the caller had waited before this request arrived.
+    precedence : Precedence, default=NO_PRESSURE
+        Precedence over others that want the same slots.
     """
 
     waited_s: float
@@ -75,6 +78,7 @@
     target_latency_s: float
     work_s: float = 0.0
     prior_wait_s: float = 0.0
+    precedence: object = NO_PRESSURE
 
     @property
     def target_latency_left_s(self):
@@ -91,6 +95,11 @@
         """Return the wait as a share of the target latency."""
         return self.waited_s / self.target_latency_s
 
+    @property
+    def acceptance_share(self):
+        """Return the wait as a share of the target latency, less what gives way."""
+        return self.waited_share * self.precedence.wait_factor
+
 
 def accepts_target(sample, timing, nearly_full_slowdown):
     """Tell whether a request is sent to a target now.
@@ -113,13 +122,15 @@
         return False
     slowdown = predict_slowdown(sample, nearly_full_slowdown)
     if timing.is_late:
+        if timing.precedence.has_pressure and sample.running:
+            return False
         return slowdown <= MAX_LATE_SLOWDOWN
     if slowdown * timing.work_s > timing.target_latency_left_s * WORK_MARGIN:
         return False
     if is_nearly_full(sample) and not adds_throughput(sample, nearly_full_slowdown):
-        return timing.waited_share >= LAST_SLOTS_WAIT_SHARE
+        return timing.acceptance_share >= LAST_SLOTS_WAIT_SHARE
     return all(
-        timing.waited_share >= until_share or slowdown <= accepted
+        timing.acceptance_share >= until_share or slowdown <= accepted
         for until_share, accepted in MAX_SLOWDOWNS
     )
 
@@ -146,26 +157,26 @@
     return sample.slots / nearly_full_slowdown > MIN_THROUGHPUT_GAIN * full_speed_slots
 
 
-def may_cross_data_centres(timing, response_bytes):
+def may_cross_data_centres(timing, transfer_bytes):
     """Tell whether a request may be sent to targets in other data centres.
 
     Load pattern: no good target is free in the local data centre for a moment.
     Traffic between data centres costs more than a short wait, that of a long
-    response much more.
+    response or a large upload much more.
 
     Parameters
     ----------
     timing : RequestTiming
         Times of the request.
-    response_bytes : float
-        Expected size of the response.
+    transfer_bytes : float
+        Expected size of the bodies of request and response together.
 
     Returns
     -------
     bool
         False while targets in the local data centre are preferred.
     """
-    long = response_bytes >= LONG_RESPONSE_BYTES
+    long = transfer_bytes >= LONG_TRANSFER_BYTES
     share = LONG_CROSS_DATA_CENTRE_SHARE if long else CROSS_DATA_CENTRE_SHARE
     return timing.waited_share > share
 
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -8,7 +8,14 @@
 from .deliveries import Delivery
 from .policy.callertimeouts import CallerTimeouts
 from .policy.placement import ResponseStatistics
-from .policy.waitpolicy import RequestTiming, choose_retry_after
+from .policy.precedence import (
+    NO_PRESSURE,
+    Precedence,
+    compute_wait_factor,
+    has_pressure,
+)
+from .policy.pressure import Pressures, has_room
+from .policy.waitpolicy import PROBE_INTERVAL_S, RequestTiming, choose_retry_after
 from .policy.waitqueues import WaitQueues
 from .upstream import allow_stream
 from .verdict import Reason
@@ -54,6 +61,8 @@
         Seconds that the caller had waited before this request arrived.
     begin_stream : callable, optional
         Called before a long response is relayed in parts; returns whether it may be.
+    profile : ServiceProfile or None, default=None
+        What the routes of the service have in common.
     """
 
     request_id: str
@@ -68,6 +77,7 @@
     caller_socket: object
     prior_wait_s: float = 0.0
     begin_stream: object = allow_stream
+    profile: object = None
 
 
 @dataclass(frozen=True)
@@ -139,6 +149,7 @@
         self.probes = probes
         self.wait_queues = WaitQueues()
         self.statistics = ResponseStatistics()
+        self.pressures = Pressures(clock)
         self.caller_timeouts = CallerTimeouts()
         self.cold = cold
         self.hosts = hosts
@@ -200,8 +211,74 @@
             call.route.target_latency_s,
             self.statistics.estimate_work_s(call.route),
             call.prior_wait_s,
+            self.choose_precedence(call),
         )
 
+    def choose_precedence(self, call):
+        """Return the precedence of a call over others that want the same slots.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            The call.
+
+        Returns
+        -------
+        Precedence
+            ``NO_PRESSURE`` while the service has enough room.
+        """
+        service = call.service.name
+        profile = call.profile
+        if profile is None:
+            return NO_PRESSURE
+        pressure = self.pressures.find(service)
+        full_share = pressure.full_share
+        if not has_pressure(full_share, profile, PROBE_INTERVAL_S):
+            return NO_PRESSURE
+        if pressure.begin_period():
+            self.metrics.increment("overload.periods")
+            self.decisions.record(
+                "service lacks room",
+                service=service,
+                full_share=round(full_share, 2),
+                waiting=len(self.wait_queues.find(service)),
+            )
+        factor = compute_wait_factor(
+            call.route.priority,
+            profile,
+            self.statistics.estimate_work_s(call.route),
+            self.statistics.estimate_least_work_s(service),
+        )
+        return Precedence(True, factor)
+
+    def record_wait(self, call):
+        """Count a call that begins to wait, and whether it gives way to others.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            The call.
+        """
+        timing = self.build_timing(call)
+        if not timing.precedence.has_pressure:
+            return
+        self.metrics.increment("overload.waits")
+        if timing.is_late or timing.precedence.wait_factor < 1.0:
+            self.metrics.increment("overload.yields")
+
+    def record_sample(self, service, sample):
+        """Record a fresh load sample of a target as a measure of the pressure.
+
+        Parameters
+        ----------
+        service : str
+            Name of its service.
+        sample : LoadSample
+            The load.
+        """
+        slowdown = self.statistics.estimate_nearly_full_slowdown(service)
+        self.pressures.find(service).record(has_room(sample, slowdown))
+
     def find_instances(self, call):
         """Return the instances that may run a call.
 
@@ -266,23 +343,30 @@
             s for s in states if self.regions.get(s.instance.data_centre) in allowed
         )
 
-    def may_send_without_probe(self, states):
+    def may_send_without_probe(self, service, states):
         """Tell whether a request may be sent to a target without its fresh load.
 
         Load pattern: in a long burst the share of probes is used up. Hosts that
         then sent to every target where they had no request in progress filled the
-        queues of the targets, and requests waited there until they were late.
+        queues of the targets, and requests waited there until they were late. Targets
+        that do not answer a request which they cannot queue lost it altogether. So a
+        request that waits does so until a target is known to have room.
 
         Parameters
         ----------
+        service : str
+            Name of the service.
         states : sequence of InstanceState
             Instances of the service.
 
         Returns
         -------
         bool
-            True while this host uses less than an equal share of the slots.
+            True while no request waits at this host and it uses less than an equal
+            share of the slots.
         """
+        if self.wait_queues.find(service):
+            return False
         slots = sum(state.instance.slots for state in states)
         in_progress = sum(state.in_flight for state in states)
         return in_progress < max(1.0, slots / self.hosts.value)
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -83,6 +83,7 @@
 
     def _wait_in_queue(self, queue, entry):
         """Search for a target whenever this request is at the head of the queue."""
+        self._dispatcher.record_wait(self._call)
         while True:
             ahead = queue.count_ahead(entry)
             timing = self._dispatcher.build_timing(self._call)
@@ -171,7 +172,9 @@
         if probes:
             candidates = candidate_policies.find("fresh-load")(usable, query)
             return self._select(self._probe(candidates, accepts), accepts)
-        if reports_load and not self._dispatcher.may_send_without_probe(states):
+        if reports_load and not self._dispatcher.may_send_without_probe(
+            service, states
+        ):
             return None
         return self._open_by_own_requests(
             candidate_policies.find("least-requests")(usable, query)
@@ -188,15 +191,18 @@
         return CandidateQuery(
             self._dispatcher.data_centre,
             count,
-            may_cross_data_centres(
-                timing, self._dispatcher.statistics.estimate_size(self._call.route)
-            ),
+            may_cross_data_centres(timing, self._estimate_bytes()),
             frozenset(self.tried_ids),
             self._clock(),
             may_use_ejected(timing),
             preferred_ids,
         )
 
+    def _estimate_bytes(self):
+        """Return the bytes that the call is expected to transfer in both directions."""
+        response_bytes = self._dispatcher.statistics.estimate_size(self._call.route)
+        return response_bytes + (self._call.body.length or 0)
+
     def _open_by_recent_load(self, usable, timing, accepts):
         """Return an exchange with an instance that has just reported its load."""
         query = self._build_query(timing, len(usable))
@@ -265,6 +271,7 @@
     def _add_by_stage(self, exchange, pending, answered):
         """Add an exchange to the pending or answered ones, or record its failure."""
         if exchange.stage is Stage.READY:
+            self._dispatcher.record_sample(self._call.service.name, exchange.sample)
             answered.append(exchange)
         elif exchange.stage is Stage.CLOSED:
             self._record_probe_failure(exchange)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -149,12 +149,26 @@
         for _ in range(18):
             dispatcher = build_dispatcher(hosts)
             states = [build_state(number) for number in range(14)]
-            while dispatcher.may_send_without_probe(states):
+            while dispatcher.may_send_without_probe("desk", states):
                 min(states, key=lambda state: state.in_flight).begin()
                 sent += 1
         slots = 14 * 3
         self.assertTrue(slots <= sent <= slots + 18, sent)
 
+    def test_a_waiting_request_is_not_sent_to_a_target_of_unknown_load(self):
+        # Once the probes of a burst were used up, requests that waited were sent to
+        # full targets, where they became late or got no answer at all.
+        hosts = HostCount()
+        hosts.record_count(18)
+        dispatcher = build_dispatcher(hosts)
+        states = [build_state(number) for number in range(14)]
+        self.assertTrue(dispatcher.may_send_without_probe("desk", states))
+        queue = dispatcher.wait_queues.find("desk")
+        entry = queue.enter(0, 0.0)
+        self.assertFalse(dispatcher.may_send_without_probe("desk", states))
+        queue.leave(entry)
+        self.assertTrue(dispatcher.may_send_without_probe("desk", states))
+
 
 def build_dispatcher(hosts):
     names = ("directory", "dialect", "retries", "probes", "cold", "subsets", "metrics")
