--- a/redwingspring/policy/usagecaps.py
+++ b/redwingspring/policy/usagecaps.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, replace
 
 from ..mappings import drop_oldest
+from .usagemessages import CARRY_SLOTS, MAX_CARRY_AGE_S, Carry, OwnerStamp, UsageReply
 
 # A share is ceded for this long. The owner counts from the moment at which it sent the
 # clock reading that the host returns, which is before the host counts from.
@@ -30,97 +31,6 @@
 STARTING_S = 1.5
 
 
-@dataclass(frozen=True)
-class OwnerStamp:
-    """Clock reading of an owner, which hosts return to it.
-
-    Attributes
-    ----------
-    run : int
-        Random number of the owner's process.
-    clock_ms : int
-        Clock of the owner in milliseconds.
-    """
-
-    run: int
-    clock_ms: int
-
-
-@dataclass(frozen=True)
-class UsageAsk:
-    """Message of a host to an owner.
-
-    Attributes
-    ----------
-    group : int
-        Group of teams.
-    host : str
-        Name of the sender.
-    sequence : int
-        Increases with each message of the sender.
-    hosts : int, default=0
-        The sender cedes its share, one divided by this number; 0 cedes nothing.
-    credit : bool, default=False
-        Whether the cession includes the share's credit.
-    release : bool, default=False
-        Whether the owner no longer holds the sender's share.
-    stamp : OwnerStamp, default=OwnerStamp(0, 0)
-        The newest clock reading of the owner that the sender knows.
-    team : int, default=0
-        Hash of the team's name; 0 for a message without a request.
-    limit : RateLimit or None, default=None
-        Rate limit of the team as the sender knows it.
-    returned : bool, default=False
-        Whether a token is returned instead of requested.
-    """
-
-    group: int
-    host: str
-    sequence: int
-    hosts: int = 0
-    credit: bool = False
-    release: bool = False
-    stamp: OwnerStamp = OwnerStamp(0, 0)
-    team: int = 0
-    limit: object = None
-    returned: bool = False
-
-
-@dataclass(frozen=True)
-class UsageReply:
-    """Answer of an owner.
-
-    Attributes
-    ----------
-    group : int
-        Group of teams.
-    host : str
-        Name of the owner.
-    sequence : int
-        The number of the message that is answered.
-    stamp : OwnerStamp
-        Clock of the owner.
-    granted : bool, default=False
-        Whether the request may be admitted.
-    empty_s : float, default=0.0
-        Seconds for which no token becomes available.
-    retry_after_s : float, default=0.0
-        Seconds after which the request should be sent again.
-    is_starting : bool, default=False
-        Whether the owner has no tokens because it does not hold its shares for long,
-        so that the host should ask again.
-    """
-
-    group: int
-    host: str
-    sequence: int
-    stamp: OwnerStamp
-    granted: bool = False
-    empty_s: float = 0.0
-    retry_after_s: float = 0.0
-    is_starting: bool = False
-
-
 @dataclass
 class Cession:
     """Share of one host that the owner holds.
@@ -135,6 +45,8 @@
         The share, as a fraction of all.
     has_credit : bool
         Whether it includes a credit.
+    carry : Carry or None
+        Tokens from its previous owner.
     sequence : int
         Newest message of the host.
     """
@@ -143,6 +55,7 @@
     until: float
     weight: float
     has_credit: bool
+    carry: object
     sequence: int
 
 
@@ -174,6 +87,8 @@
 
     Attributes
     ----------
+    team : int
+        Hash of the team's name.
     limit : RateLimit
         The newest limit that is known.
     updated_at : float
@@ -184,6 +99,7 @@
         The latest time that was given to a rejected request, in seconds.
     """
 
+    team: int
     limit: object
     updated_at: float
     level: float = 0.0
@@ -232,8 +148,9 @@
         """
         stamp = OwnerStamp(self._run, math.floor(now * 1000))
         with self._lock:
+            carry = self._release(ask, now) if ask.release else None
             is_new = self._record_cession(ask, now)
-            reply = UsageReply(ask.group, self._name, ask.sequence, stamp)
+            reply = UsageReply(ask.group, self._name, ask.sequence, stamp, carry=carry)
             if ask.team and ask.returned:
                 if is_new:
                     self._return_token(ask, now)
@@ -272,6 +189,28 @@
             )
         return self._holdings
 
+    def _release(self, ask, now):
+        """Take the tokens of a share out of the buckets; return them."""
+        known = self._cessions.get(ask.host)
+        if known is None or known.until < now or ask.sequence <= known.sequence:
+            return None
+        levels = [1.0] * CARRY_SLOTS
+        slots = []
+        for bucket in self._buckets.values():
+            depth, _ = self._fill(bucket, now)
+            slot = Carry.find_slot(bucket.team)
+            levels[slot] = min(levels[slot], bucket.level / depth if depth else 0.0)
+            slots.append((bucket, slot))
+        carry = Carry(
+            min(MAX_CARRY_AGE_S, math.floor(now - known.since)),
+            bytes(math.floor(level * 255) for level in levels),
+        )
+        for bucket, slot in slots:
+            depth = self._bound.allot(bucket.limit).depth
+            taken = depth * known.weight * carry.levels[slot] / 255
+            bucket.level = max(0.0, bucket.level - taken)
+        return carry
+
     def _record_cession(self, ask, now):
         """Update the share of a host; tell whether the message is its newest."""
         known = self._cessions.get(ask.host)
@@ -293,10 +232,18 @@
                 known.weight = weight
                 self._holdings = None
             return True
-        has_credit = ask.credit and (known is None or known.until < now)
+        # What comes with a cession is counted at its start only.
+        is_start = known is None or known.until < now
         self._holdings = None
         self._cessions.pop(ask.host, None)
-        self._cessions[ask.host] = Cession(now, until, weight, has_credit, ask.sequence)
+        self._cessions[ask.host] = Cession(
+            now,
+            until,
+            weight,
+            ask.credit and is_start,
+            ask.carry if is_start else None,
+            ask.sequence,
+        )
         self._drop_old(now)
         return True
 
@@ -315,7 +262,7 @@
         """Return the bucket of a team, filled up to now, and its allotment."""
         bucket = self._buckets.get(ask.team)
         if bucket is None:
-            bucket = Bucket(ask.limit, self._earliest)
+            bucket = Bucket(ask.team, ask.limit, self._earliest)
             self._buckets[ask.team] = bucket
             if len(self._buckets) > MAX_TEAMS:
                 # A forgotten bucket that starts again must not be filled twice.
@@ -332,28 +279,34 @@
         allotment = self._bound.allot(bucket.limit)
         holdings = self._find_holdings(now)
         fraction = min(1.0, holdings.fraction)
-        credit = 0.0
+        tokens = 0.0
         if holdings.since <= bucket.updated_at and self._lapsed_at <= bucket.updated_at:
             share_seconds = fraction * (now - bucket.updated_at)
         else:
-            share_seconds, credit = self._sum_shares(bucket.updated_at, now)
+            share_seconds, tokens = self._sum_shares(bucket, allotment, now)
         seconds = min(now - bucket.updated_at, allotment.rate_factor * share_seconds)
         refill = allotment.rate_per_s * seconds
-        level = bucket.level + refill + allotment.credit * min(1.0, credit)
+        level = bucket.level + refill + tokens
         bucket.level = min(allotment.depth * fraction, level)
         bucket.updated_at = now
         rate = allotment.rate_per_s * min(1.0, allotment.rate_factor * fraction)
         return allotment.depth * fraction, rate
 
-    def _sum_shares(self, start, now):
-        """Return the share seconds and credits that were obtained since a time."""
-        share_seconds, credit = 0.0, 0.0
+    def _sum_shares(self, bucket, allotment, now):
+        """Return the share seconds and tokens since the last time."""
+        share_seconds, tokens = 0.0, 0.0
         for cession in self._cessions.values():
-            held_s = min(cession.until, now) - max(cession.since, start)
+            start = max(cession.since, bucket.updated_at)
+            held_s = min(cession.until, now) - start
             share_seconds += cession.weight * max(0.0, held_s)
-            if cession.has_credit and cession.since > start:
-                credit += cession.weight
-        return share_seconds, credit
+            if cession.since <= bucket.updated_at:
+                continue
+            if cession.has_credit:
+                tokens += cession.weight * allotment.credit
+            if cession.carry is not None:
+                carried = cession.carry.compute_tokens(bucket.team, allotment)
+                tokens += cession.weight * carried
+        return share_seconds, tokens
 
     def _take(self, ask, now):
         """Return fields of the answer: whether a token is issued, and times."""
--- a/redwingspring/policy/usagehosts.py
+++ b/redwingspring/policy/usagehosts.py
@@ -12,6 +12,9 @@
 SETTLE_S = 2.0
 # The share of a host that knows no other one is not used for this long.
 ALONE_S = 10.0
+# Both times count only while this process runs: after a suspension it has yet to read
+# what the others sent. A longer step between two updates is a suspension.
+MAX_STEP_S = 0.5
 MAX_HOSTS = 4096
 # While the live hosts stay the same, the times at which they were seen are updated at
 # this interval.
@@ -57,7 +60,8 @@
         self._data_centres = data_centres
         self._seeds = seeds
         self._started_at = now
-        self._first_other_at = None
+        self._running_s = 0.0
+        self._updated_at = now
         self._lock = threading.Lock()
         self._hosts = {}
         self._changed_at = now
@@ -79,6 +83,8 @@
         """
         latest = (present, frozenset(leaving))
         with self._lock:
+            self._running_s += min(MAX_STEP_S, now - self._updated_at)
+            self._updated_at = now
             if latest == self._latest and now - self._refreshed_at < REFRESH_S:
                 if self._place is None:
                     self._place = self._compute_place(now)
@@ -96,8 +102,6 @@
             for name in (*leaving, *gone):
                 self._hosts.pop(name, None)
             self._hosts[self._name] = (self._data_centre, now)
-            if self._first_other_at is None and len(self._hosts) > 1:
-                self._first_other_at = now
             if set(self._hosts) != previous:
                 self._changed_at = now
             self._place = self._compute_place(now)
@@ -130,17 +134,17 @@
         return None if now - self._changed_at < duration_s else self._place
 
     def _compute_place(self, now):
-        if not self._is_settled(now):
+        if not self._is_settled():
             return None
         names = sorted(self._hosts)
         count = max(len(names), self._estimate_count(now))
         return HostPlace(names.index(self._name), count)
 
-    def _is_settled(self, now):
+    def _is_settled(self):
         expects_others = self._seeds or self._data_centres > 1
-        if expects_others and self._first_other_at is None:
-            return now - self._started_at >= ALONE_S
-        return now - self._started_at >= SETTLE_S
+        if expects_others and len(self._hosts) == 1:
+            return self._running_s >= ALONE_S
+        return self._running_s >= SETTLE_S
 
     def _estimate_count(self, now):
         """Return how many hosts there are at least, known or not.
--- a/redwingspring/policy/usagerights.py
+++ b/redwingspring/policy/usagerights.py
@@ -3,10 +3,12 @@
 import math
 import threading
 from collections import deque
+from dataclasses import dataclass
 
 from ..mappings import drop_oldest
 from .usageallotments import LATENESS_S
-from .usagecaps import CESSION_S, MAX_TEAMS, OwnerStamp, UsageAsk
+from .usagecaps import CESSION_S, MAX_TEAMS
+from .usagemessages import OwnerStamp, UsageAsk
 
 # A share is ceded again this long after the last answer of the owner.
 RENEWAL_S = 0.5
@@ -21,6 +23,31 @@
 MAX_CONTACTS = 3
 
 
+@dataclass(frozen=True)
+class CessionGrant:
+    """What comes with a new cession, until the owner confirms it.
+
+    The owner must not count it twice. So the messages that contain it expire together:
+    they all contain the same clock reading.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of the first message.
+    stamp : OwnerStamp
+        Clock reading of the owner.
+    has_credit : bool
+        Whether the credit of the share is included.
+    carry : Carry or None
+        Tokens from the previous owner.
+    """
+
+    sequence: int
+    stamp: OwnerStamp
+    has_credit: bool
+    carry: object
+
+
 class UsageRights:
     """Share of this host in the rate limits of one group of teams.
 
@@ -49,8 +76,10 @@
         self._ceded_until = -math.inf
         self._release_sequence = None
         self._credited_at = -math.inf
-        # Sequence and stamp of the message that carried a credit, until its answer.
-        self._credit = None
+        # Tokens of the released share, until it is ceded again.
+        self._carry = None
+        # What comes with the cession, until the owner confirms it.
+        self._grant = None
 
     def advance(self, now, ranked, hosts):
         """Take over the current hosts; return whom to send a message.
@@ -138,28 +167,35 @@
 
     def _build_cession(self, now, owner, holder, sequence, request):
         """Return a message that cedes the share; the lock is held."""
-        if holder is None and now - self._credited_at >= self._credit_interval_s:
-            self._credited_at = now
-            self._credit = (sequence, self._answers[owner][0])
+        if holder is None:
+            self._begin_cession(now, owner, sequence)
         self._ceded_to = owner
         self._ceded_until = now + CESSION_S
         self._release_sequence = None
+        grant = self._grant
         stamp = self._answers[owner][0]
-        if self._credit is not None:
-            # The owner must not count the credit twice, so messages that carry it
-            # expire together: they all have the same stamp.
-            stamp = self._credit[1]
         return UsageAsk(
             self._group,
             self._name,
             sequence,
             self._hosts,
-            self._credit is not None,
+            grant is not None and grant.has_credit,
             False,
-            stamp,
+            stamp if grant is None else grant.stamp,
+            carry=None if grant is None else grant.carry,
             **request,
         )
 
+    def _begin_cession(self, now, owner, sequence):
+        """Choose what comes with a new cession; the lock is held."""
+        has_credit = now - self._credited_at >= self._credit_interval_s
+        if has_credit:
+            self._credited_at = now
+        self._grant = CessionGrant(
+            sequence, self._answers[owner][0], has_credit, self._carry
+        )
+        self._carry = None
+
     def record_reply(self, reply, now):
         """Record the answer of an owner.
 
@@ -186,19 +222,20 @@
             self._unanswered.pop(owner, None)
             if owner != self._ceded_to:
                 return is_first
-            if self._credit is not None and reply.sequence >= self._credit[0]:
-                self._credit = None
+            if self._grant is not None and reply.sequence >= self._grant.sequence:
+                self._grant = None
             released = self._release_sequence
             if released is None or reply.sequence < released:
                 return False
             self._end_cession()
+            self._carry = reply.carry
             return True
 
     def _end_cession(self):
         self._ceded_to = None
         self._ceded_until = -math.inf
         self._release_sequence = None
-        self._credit = None
+        self._grant = None
 
     def _find_holder(self, now):
         """Return the host that holds the share, or None."""
--- a/redwingspring/ratelimiter.py
+++ b/redwingspring/ratelimiter.py
@@ -13,8 +13,9 @@
 from .members import MemberState
 from .policy.rendezvous import rank_hosts
 from .policy.usageallotments import LATENESS_S, RateLimit
-from .policy.usagecaps import UsageAsk, UsageOwner
+from .policy.usagecaps import UsageOwner
 from .policy.usagehosts import UsageHosts
+from .policy.usagemessages import UsageAsk
 from .policy.usagerights import MAX_CONTACTS, StaticShare, UsageRights
 from .usagereports import PREFIX, decode_usage, encode_usage
 
--- a/redwingspring/usagereports.capnp
+++ b/redwingspring/usagereports.capnp
@@ -16,6 +16,9 @@
   configVersion @8 :Int64;
   returned @9 :Bool;
   # A token is returned instead of requested.
+  carryAgeS @10 :UInt16;
+  carryLevels @11 :Data;
+  # Tokens of the share, by slots of teams; empty without any.
 }
 
 struct Reply {
@@ -25,6 +28,9 @@
   emptyMs @3 :UInt32;
   retryAfterMs @4 :UInt32;
   starting @5 :Bool;
+  carryAgeS @6 :UInt16;
+  carryLevels @7 :Data;
+  # Tokens of the share that the receiver gets back.
 }
 
 struct UsageReport {
--- a/redwingspring/usagereports.py
+++ b/redwingspring/usagereports.py
@@ -10,7 +10,13 @@
 import capnp
 
 from .policy.usageallotments import RateLimit
-from .policy.usagecaps import OwnerStamp, UsageAsk, UsageReply
+from .policy.usagemessages import (
+    CARRY_SLOTS,
+    Carry,
+    OwnerStamp,
+    UsageAsk,
+    UsageReply,
+)
 
 PROTOCOL_VERSION = 1
 # Precedes each message. A gossip datagram never begins with this byte: the first four
@@ -59,6 +65,7 @@
     entry.stampMs = ask.stamp.clock_ms
     entry.team = ask.team
     entry.returned = ask.returned
+    _encode_carry(entry, ask.carry)
     if ask.limit is not None:
         entry.ratePerS = ask.limit.rate_per_s
         entry.burst = ask.limit.burst
@@ -72,6 +79,22 @@
     entry.emptyMs = min(MAX_DELAY_MS, int(reply.empty_s * 1000))
     entry.retryAfterMs = min(MAX_DELAY_MS, math.ceil(reply.retry_after_s * 1000))
     entry.starting = reply.is_starting
+    _encode_carry(entry, reply.carry)
+
+
+def _encode_carry(entry, carry):
+    if carry is not None:
+        entry.carryAgeS = carry.age_s
+        entry.carryLevels = carry.levels
+
+
+def _decode_carry(entry):
+    levels = bytes(entry.carryLevels)
+    if not levels:
+        return None
+    if len(levels) != CARRY_SLOTS:
+        raise ValueError("the number of slots is wrong")
+    return Carry(entry.carryAgeS, levels)
 
 
 def decode_usage(data):
@@ -120,6 +143,7 @@
         entry.team,
         limit if entry.team else None,
         entry.returned,
+        _decode_carry(entry),
     )
 
 
@@ -134,4 +158,5 @@
         entry.emptyMs / 1000,
         entry.retryAfterMs / 1000,
         entry.starting,
+        _decode_carry(entry),
     )
--- a/tests/test_usagecaps.py
+++ b/tests/test_usagecaps.py
@@ -1,9 +1,13 @@
 """Rate limits over all hosts, in simulated time."""
 
+import operator
+import random
 from dataclasses import replace
+from functools import partial
 
 from redwingspring.policy.usageallotments import LATENESS_S, RateLimit, UsageBound
-from redwingspring.policy.usagecaps import OwnerStamp, UsageAsk, UsageOwner
+from redwingspring.policy.usagecaps import UsageOwner
+from redwingspring.policy.usagemessages import OwnerStamp, UsageAsk
 
 from .base import RedwingspringTestCase
 from .usagesimulation import DATA_CENTRES, TEAM, Simulation
@@ -140,6 +144,31 @@
         simulation.run(11)
         self.check(simulation, 11)
 
+    def test_faults_in_random_order_keep_the_bound(self):
+        for seed in range(10):
+            rng = random.Random(seed)
+            simulation = Simulation(7, rng.choice((LARGE, SMALL)), seed, loss=0.1)
+            simulation.run(START_S)
+            for _ in range(8):
+                number, factor = rng.randrange(7), rng.randrange(1, 7)
+                fault = rng.choice(("flood", "restart", "leave", "suspend", "cut"))
+                if fault == "flood":
+                    simulation.flood(4.0, 10 * simulation.limit.rate_per_s)
+                elif fault == "restart":
+                    simulation.heal()
+                    simulation.run(1.5)
+                    simulation.kill([number, factor])
+                    simulation.start(number)
+                    simulation.start(factor)
+                elif fault == "leave":
+                    simulation.leave(number)
+                elif fault == "suspend":
+                    simulation.suspend([number, factor], rng.uniform(0.3, 6))
+                else:
+                    simulation.partition(partial(operator.gt, factor))
+                simulation.run(rng.uniform(0.3, 4))
+            self.check(simulation)
+
     def test_owners_never_hold_a_share_twice(self):
         simulation = self.start(5, MEDIUM, 30.0, loss=0.2)
         held = []
@@ -234,9 +263,12 @@
         simulation.run(11)
         return simulation, sent
 
-    def test_most_requests_while_the_owner_leaves(self):
-        simulation, sent = self.change_owner(Simulation.leave)
-        self.check(simulation, sent, 0.05 * sent)
+    def test_requests_while_the_owner_leaves_and_starts_again(self):
+        def leave(simulation, owner):
+            simulation.leave(owner)
+            simulation.call(6.5, None, simulation.start, owner)
+
+        self.check(*self.change_owner(leave))
 
     def test_most_requests_while_the_owner_is_killed(self):
         simulation, sent = self.change_owner(lambda s, owner: s.kill([owner]))
@@ -295,6 +327,27 @@
         self.assertEqual(credit, self.count_tokens(10.0, hosts=1, credit=True))
         self.assertEqual(0, self.count_tokens(10.0, hosts=1, credit=True))
 
+    def test_a_released_share_takes_its_tokens_along(self):
+        step_s = 0.5
+        for step in range(40):
+            self.ask(10.0 + step * step_s, hosts=1, returned=True)
+        carry = self.ask(30.0, release=True, returned=True).carry
+        next_owner = UsageOwner("host-3", 7, UsageBound())
+        depth = int(UsageBound().allot(self.limit).depth)
+        left, self.owner = self.owner, next_owner
+        tokens = self.count_tokens(30.0, hosts=1, carry=carry)
+        self.assertTrue(depth - 1 <= tokens <= depth, tokens)
+        self.owner = left
+        self.assertEqual(0, self.count_tokens(30.0, hosts=1))
+
+    def test_a_team_that_used_its_tokens_has_none_at_the_next_owner(self):
+        for step in range(10):
+            self.ask(10.0 + step, hosts=1, returned=True)
+        self.count_tokens(20.0, hosts=1)
+        carry = self.ask(20.0, release=True, returned=True).carry
+        self.owner = UsageOwner("host-3", 7, UsageBound())
+        self.assertEqual(0, self.count_tokens(20.0, hosts=1, carry=carry))
+
     def test_a_returned_token_can_be_used_again_and_is_counted_once(self):
         while not self.ask(now := 10.0 + self.sequence / 20, hosts=1).granted:
             pass
--- a/tests/test_usagereports.py
+++ b/tests/test_usagereports.py
@@ -1,8 +1,15 @@
 import random
+from dataclasses import replace
 
 from redwingspring.gossip import GossipMessage, decode_gossip, encode_gossip
 from redwingspring.policy.usageallotments import RateLimit
-from redwingspring.policy.usagecaps import OwnerStamp, UsageAsk, UsageReply
+from redwingspring.policy.usagemessages import (
+    CARRY_SLOTS,
+    Carry,
+    OwnerStamp,
+    UsageAsk,
+    UsageReply,
+)
 from redwingspring.usagereports import (
     MAX_DATAGRAM_BYTES,
     MAX_NAME_LENGTH,
@@ -19,7 +26,9 @@
 ASK = UsageAsk(
     3, NAME, (1 << 64) - 1, 65535, True, True, STAMP, (1 << 64) - 1, LIMIT, True
 )
-REPLY = UsageReply(3, NAME, (1 << 64) - 1, STAMP, True, 4.999, 4.999, True)
+CARRY = Carry(0xFFFF, bytes(range(1, CARRY_SLOTS + 1)))
+ASK = replace(ASK, carry=CARRY)
+REPLY = UsageReply(3, NAME, (1 << 64) - 1, STAMP, True, 4.999, 4.999, True, CARRY)
 
 
 class UsageReportsTest(RedwingspringTestCase):
@@ -52,6 +61,10 @@
         ask = UsageAsk(0, "h", 1, team=5, limit=RateLimit(0.0, 1.0))
         self.assertEqual(None, decode_usage(encode_usage(ask)))
 
+    def test_tokens_for_a_wrong_number_of_slots_are_rejected(self):
+        ask = UsageAsk(0, "h", 1, carry=Carry(1, bytes(CARRY_SLOTS + 1)))
+        self.assertEqual(None, decode_usage(encode_usage(ask)))
+
     def test_a_host_without_a_name_or_with_a_long_one_is_rejected(self):
         for name in ("", "h" * (MAX_NAME_LENGTH + 1)):
             self.assertEqual(None, decode_usage(encode_usage(UsageAsk(0, name, 1))))
--- a/tests/usagesimulation.py
+++ b/tests/usagesimulation.py
@@ -6,8 +6,9 @@
 
 from redwingspring.policy.rendezvous import rank_hosts
 from redwingspring.policy.usageallotments import RateLimit, UsageBound
-from redwingspring.policy.usagecaps import UsageAsk, UsageOwner
+from redwingspring.policy.usagecaps import UsageOwner
 from redwingspring.policy.usagehosts import UsageHosts
+from redwingspring.policy.usagemessages import UsageAsk
 from redwingspring.policy.usagerights import StaticShare, UsageRights
 
 DATA_CENTRES = ("akl-a", "ham-b", "wlg-c")
