Parse all responses with one strict parser and never trust an end after a failed write

Cause: a socket reports its error once. After a write had consumed a reset, the read ended cleanly, and a body that ends with its connection counted as whole. Heads were parsed by the mail parser of the standard library, which repairs what it can; interim responses and trailers were skipped unchecked; framing was checked for targets only, and not for HEAD, 204 and 304.

Change: responselines holds the grammar; responsehead parses each head once with it, for targets, probes, store, feed, configuration service, control pages, caller library and load generator. Connections record a failed write (also a failed peek), and the raw reader then reports the end of the stream as a reset. An interim response during an upload is checked and measured as a whole; the search for its end could take the final head for a part of it. The caller library reads chunked bodies with the common parser; the one it used took a chunk size cut after a zero for the end. A 204 that declares a body costs its connection. Refusals with a malformed body are no proof; those that are cut or slow stay one. New counter responses.invalid.

Existing test replaced: test_a_folded_header_reaches_callers_in_one_line required what the page forbids; test_a_folded_header_is_not_relayed asserts that the same response is rejected.

Failed attempt: a line that was too long or cut counted as malformed first, which would have cost slow refusals their proof.

--- a/redwingspring/caller.py
+++ b/redwingspring/caller.py
@@ -12,9 +12,9 @@
 
 from .calleraddresses import AddressCache
 from .callerconnections import (
-    READ_SIZE,
     TRANSPORT_ERRORS,
     HostConnections,
+    iter_parts,
     read_host,
 )
 from .calls import is_request_id
@@ -328,7 +328,7 @@
     to_sink = message.sink is not None and 200 <= response.status < 300
     target = message.sink if to_sink else io.BytesIO()
     size = 0
-    for part in response.stream(READ_SIZE, decode_content=False):
+    for part in iter_parts(response):
         size += len(part)
         if not to_sink and size > message.max_body:
             raise _ResponseTooLarge(f"the body has over {message.max_body} bytes")
--- a/redwingspring/callerconnections.py
+++ b/redwingspring/callerconnections.py
@@ -188,7 +188,7 @@
         http.request("GET", path, preload_content=False, enforce_content_length=True)
         response = http.getresponse()
         data = bytearray()
-        for part in response.stream(READ_SIZE, decode_content=False):
+        for part in iter_parts(response):
             data += part
             if len(data) > MAX_PAGE_BYTES:
                 return Error("the page is too large")
@@ -199,6 +199,30 @@
         http.close()
 
 
+def iter_parts(response):
+    """Yield the parts of a response body as they arrive.
+
+    Parameters
+    ----------
+    response : urllib3.HTTPResponse
+        The response.
+
+    Yields
+    ------
+    bytes
+        At most ``READ_SIZE`` bytes.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If the body is malformed or not complete.
+    """
+    # The method ``stream`` has its own parser of chunks, which takes a size that was
+    # cut after a zero for the end of the body.
+    while part := response.read1(READ_SIZE, decode_content=False):
+        yield part
+
+
 def read_host(text):
     """Return the address in a text that names an entry host.
 
--- a/redwingspring/dispatch.py
+++ b/redwingspring/dispatch.py
@@ -435,6 +435,8 @@
     def _record_failure(self, decision, failure):
         """Record a failed attempt and release its lease if nothing ran."""
         self.metrics.increment(f"attempts.failed.{failure.reason}")
+        if failure.invalid_response:
+            self.metrics.increment("responses.invalid")
         if decision.lease is not None:
             self.leases.release_if_finished(
                 decision.lease, finished=failure.proves_not_run
--- a/redwingspring/exchanges.py
+++ b/redwingspring/exchanges.py
@@ -15,12 +15,18 @@
 from .instancepool import DEFAULT_KEEP_ALIVE_S
 from .policy.loadsamples import LoadSample
 from .responsechecks import BUSY_STATUSES, MISDIRECTED_STATUS, check_response
-from .targetconnection import ResponseBroken, SendRefused, StrictResponse
+from .targetconnection import (
+    ResponseBroken,
+    ResponseMalformed,
+    SendRefused,
+    StrictResponse,
+)
 from .targetresponse import TargetResponse
 from .upstream import (
     MAX_IDLE_NON_IDEMPOTENT_S,
     Attempt,
     classify_error,
+    flag_invalid,
     send_request,
 )
 from .verdict import Reason, fail_uncertain, refuse
@@ -248,7 +254,7 @@
         if failure is None:
             return self._read_body(response, attempt)
         if failure.proves_not_run:
-            self._discard(response, metadata)
+            failure = self._discard_refusal(response, metadata, failure)
         else:
             response.abort()
         self.stage = Stage.CLOSED
@@ -322,7 +328,8 @@
             failed = self._discard(response, metadata)
         except _TRANSPORT_ERRORS as error:
             if not self._probe_again(error):
-                self._fail(refuse(Reason.CONNECT, f"no answer to a probe: {error}"))
+                failure = refuse(Reason.CONNECT, f"no answer to a probe: {error}")
+                self._fail(flag_invalid(failure, error))
             return
         now = self._clock()
         expected = self.state.instance.id
@@ -409,7 +416,8 @@
         except ResponseBroken as broken:
             response.abort()
             self.stage = Stage.CLOSED
-            self.failure = fail_uncertain(Reason.TRUNCATED, str(broken))
+            failure = fail_uncertain(Reason.TRUNCATED, str(broken))
+            self.failure = flag_invalid(failure, broken)
             return Error(self.failure)
         if stream is None:
             response.finish()
@@ -439,13 +447,23 @@
 
         A target in trouble may send a copy of a refusal where the next response is
         expected. Without an id, the copy could not be told from the refusal of the
-        next request, so the connection is closed.
+        next request, so the connection is closed. A ResponseMalformed is raised if
+        the body violates the grammar of HTTP.
         """
         if metadata.not_run and metadata.request_id is None:
             response.abort()
             return True
         return self._skip_body(response)
 
+    def _discard_refusal(self, response, metadata, refusal):
+        """Discard a refusal; return it, or the failure if it is not valid HTTP."""
+        try:
+            self._discard(response, metadata)
+        except ResponseMalformed as malformed:
+            failure = fail_uncertain(Reason.TRUNCATED, str(malformed))
+            return flag_invalid(failure, malformed)
+        return refusal
+
     def _skip_body(self, response):
         """Discard a short body; return True if the connection cannot be reused."""
         self._record_keep_alive(response)
@@ -453,6 +471,8 @@
         response.set_deadline(deadline)
         try:
             _discard_body(response)
+        except ResponseMalformed:
+            raise
         except ResponseBroken:
             response.abort()
             return True
--- a/redwingspring/load.py
+++ b/redwingspring/load.py
@@ -12,6 +12,7 @@
 from hdrh.histogram import HdrHistogram
 
 from .errors import RedwingspringError
+from .responsehead import WholeHeadPool
 
 # Histogram values are microseconds; 1 hour bounds a latency.
 LOWEST_US = 1
@@ -274,9 +275,7 @@
         return total
 
     def _run_sender(self, schedule, start, result):
-        pool = urllib3.HTTPConnectionPool(
-            self._host, self._port, maxsize=1, retries=False
-        )
+        pool = WholeHeadPool(self._host, self._port, maxsize=1, retries=False)
         counted = start + self.plan.warm_up
         latest = start + self.plan.duration + self.plan.timeout
         while (due := schedule.take()) is not None:
--- a/redwingspring/responsechecks.py
+++ b/redwingspring/responsechecks.py
@@ -1,6 +1,6 @@
 """Checks of a target's response before it is relayed to the caller."""
 
-from .targetresponse import has_unambiguous_framing
+from .targetresponse import check_reset_content
 from .verdict import Reason, fail_uncertain, refuse
 
 REFUSAL_STATUSES = (400, 421, 429, 503)
@@ -47,6 +47,8 @@
         return fail_uncertain(Reason.CROSSED, "a success without a signature")
     if response.headers.get("content-encoding") is not None:
         return fail_uncertain(Reason.CROSSED, "the body is not as the target made it")
-    if not has_unambiguous_framing(response, attempt.method):
-        return fail_uncertain(Reason.TRUNCATED, "the response has no single framing")
-    return None
+    if response.has_unproved_end:
+        return fail_uncertain(
+            Reason.TRUNCATED, "the end of the response is unknown after a failed write"
+        )
+    return check_reset_content(response, attempt.method)
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -300,6 +300,8 @@
         if failure.reason in _NEUTRAL_REASONS:
             return
         self.metrics.increment(f"attempts.failed.{failure.reason}")
+        if failure.invalid_response:
+            self.metrics.increment("responses.invalid")
         backoff_s = state.backoff_until - self.clock()
         if failure.reason is Reason.TARGET_REFUSED and backoff_s > 0:
             self.decisions.record(
--- a/redwingspring/targetconnection.py
+++ b/redwingspring/targetconnection.py
@@ -1,35 +1,28 @@
 """Connections to targets, which track what was sent and parse responses strictly."""
 
 import errno
-import io
-import re
 import select
 import socket
 import time
 from dataclasses import replace
-from http.client import HTTPException, IncompleteRead
+from http.client import HTTPException
 
 from urllib3.connection import HTTPConnection
 
-from .responsehead import LineReader, WholeHeadResponse
+from .responsehead import (
+    MAX_INTERIM_RESPONSES,
+    ResponseReader,
+    WholeHeadResponse,
+)
+from .responselines import InvalidResponse, measure_interim
 from .verdict import Reason
 
 READ_SIZE = 64 << 10
-# Responses with a smaller status are interim: the final response follows.
-FIRST_FINAL_STATUS = 200
-SWITCHING_PROTOCOLS = 101
-MAX_INTERIM_RESPONSES = 16
 MAX_INTERIM_BYTES = 8192
 # Interval of the checks of a partly received interim response.
 INTERIM_POLL_S = 0.005
-MAX_LINE_BYTES = 8192
-MAX_TRAILER_LINES = 64
 # Bytes of a head, with all interim responses before it.
 MAX_HEAD_BYTES = 64 << 10
-# Bytes of all chunk extensions of a body, which are read but not relayed.
-MAX_EXTENSION_BYTES = 64 << 10
-_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:[ \t]*(?:;[^\r\n]*)?)\r\n")
-_INTERIM_START = re.compile(rb"HTTP/1\.[01] 1(?!01)")
 
 
 class SendRefused(Exception):
@@ -61,30 +54,31 @@
     """A response body ended or stalled before it was complete."""
 
 
-class _DeadlineReader(io.RawIOBase):
+class ResponseMalformed(ResponseBroken, InvalidResponse):
+    """A response body violates the grammar of HTTP."""
+
+
+class _DeadlineReader(ResponseReader):
     """Raw reader of a socket with a deadline or, once set, a stall timeout.
 
     A byte limit, where set, bounds what is read until it is lifted.
     """
 
     def __init__(self, raw, sock, deadline, clock):
-        self._raw = raw
+        super().__init__(raw)
         self._sock = sock
         self._clock = clock
         self.deadline = deadline
         self.stall_timeout = None
         self.bytes_left = None
 
-    def readable(self):
-        return True
-
     def readinto(self, buffer):
         self._sock.settimeout(self._compute_timeout())
         if self.bytes_left is None:
-            return self._raw.readinto(buffer)
+            return super().readinto(buffer)
         if self.bytes_left <= 0:
             raise HTTPException("the head of the response is too long")
-        count = self._raw.readinto(buffer)
+        count = super().readinto(buffer)
         self.bytes_left -= count or 0
         return count
 
@@ -104,18 +98,9 @@
             raise TimeoutError("timed out")
         return remaining_s
 
-    def close(self):
-        if not self.closed:
-            self._raw.close()
-        super().close()
-
 
 class StrictResponse(WholeHeadResponse):
-    """Response parser that rejects malformed and ambiguous responses.
-
-    The base class accepts a truncated chunk size line, skips any two bytes after
-    a chunk, accepts a sign in a chunk size and the end of the connection within
-    the trailers, and ignores malformed header lines.
+    """Response parser whose reads end at a deadline and whose head is bounded.
 
     Parameters
     ----------
@@ -130,21 +115,32 @@
     previous : StrictResponse or None, default=None
         Response on the same connection whose body was read with ``keep_reader``
         set. Its reader may already hold the beginning of this response.
+    write_failed : bool, default=False
+        Whether a write on the connection failed.
     """
 
-    def __init__(self, sock, deadline, method, clock=time.time, previous=None):
-        super().__init__(sock, method=method)
+    def __init__(
+        self,
+        sock,
+        deadline,
+        method,
+        clock=time.time,
+        previous=None,
+        write_failed=False,
+    ):
+        super().__init__(
+            sock,
+            method,
+            write_failed,
+            lambda raw: _DeadlineReader(raw, sock, deadline, clock),
+        )
         self.request_method = method
-        if previous is None:
-            self.reader = _DeadlineReader(self.fp.detach(), sock, deadline, clock)
-            self.fp = LineReader(self.reader)
-        else:
+        if previous is not None:
             self.fp.close()
             self.reader, self.fp = previous.reader, previous.fp or previous.kept_fp
         self.keep_reader = False
         self.kept_fp = None
         self.has_excess_data = False
-        self._extension_bytes = 0
 
     def begin(self):
         """Read the head of the final response.
@@ -152,52 +148,13 @@
         Raises
         ------
         http.client.HTTPException
-            If the head is malformed or not complete.
+            If a head is malformed, too long or not complete.
         """
         self.reader.bytes_left = MAX_HEAD_BYTES
         try:
             super().begin()
         finally:
             self.reader.bytes_left = None
-        if self.msg.defects or self.msg.get_payload():
-            raise HTTPException("a header line of the response is malformed")
-
-    def _read_status(self):
-        for _ in range(MAX_INTERIM_RESPONSES):
-            version, status, reason = super()._read_status()
-            if status >= FIRST_FINAL_STATUS or status == SWITCHING_PROTOCOLS:
-                return version, status, reason
-            self._skip_header_lines(MAX_TRAILER_LINES)
-        raise HTTPException("too many interim responses")
-
-    def _read_next_chunk_size(self):
-        match = _CHUNK_LINE.fullmatch(self.fp.readline(MAX_LINE_BYTES))
-        if match is None:
-            raise IncompleteRead(b"")
-        self._extension_bytes += len(match[0]) - len(match[1]) - len(b"\r\n")
-        if self._extension_bytes > MAX_EXTENSION_BYTES:
-            raise HTTPException("the chunk extensions are too long")
-        return int(match[1], 16)
-
-    def _safe_read(self, amt):
-        # For a chunked body, the base class calls this method only to read the
-        # CRLF after a chunk, since bodies are read with ``read1``.
-        data = super()._safe_read(amt)
-        if self.chunked and data != b"\r\n":
-            raise IncompleteRead(b"")
-        return data
-
-    def _read_and_discard_trailer(self):
-        self._skip_header_lines(MAX_TRAILER_LINES)
-
-    def _skip_header_lines(self, line_limit):
-        for _ in range(line_limit):
-            line = self.fp.readline(MAX_LINE_BYTES)
-            if not line.endswith(b"\n"):
-                break
-            if line in (b"\r\n", b"\n"):
-                return
-        raise IncompleteRead(b"")
 
     def _close_conn(self):
         if self.fp is not None and self.keep_reader:
@@ -249,6 +206,7 @@
         self.idle_since = 0.0
         self.started = False
         self.request_incomplete = False
+        self.write_failed = False
         self.reused = False
         self.response = None
         self._connect_timeout = connect_timeout
@@ -288,7 +246,13 @@
         StrictResponse
             The parser; the head has not been read yet.
         """
-        self.response = StrictResponse(sock, self._attempt.deadline, method, self.clock)
+        self.response = StrictResponse(
+            sock,
+            self._attempt.deadline,
+            method,
+            self.clock,
+            write_failed=self.write_failed,
+        )
         return self.response
 
     @property
@@ -347,7 +311,16 @@
         """
         if not self.started:
             self._ensure_ready_to_send()
-        elif self._has_response():
+        try:
+            self._send_all(data)
+        except ConnectionError:
+            # The read after it cannot report this error a second time.
+            self.write_failed = True
+            raise
+
+    def _send_all(self, data):
+        """Send data unless the target responds first."""
+        if self.started and self._has_response():
             self.request_incomplete = True
             raise EarlyResponse
         view = memoryview(data)
@@ -379,6 +352,7 @@
             self.sock = None
         if self.sock is None:
             self.reused = False
+            self.write_failed = False
             self.timeout = self._connect_timeout
             self.connect()
         caller = self._attempt.caller_socket
@@ -416,14 +390,15 @@
             if not _is_ready(self.sock, select.POLLIN):
                 return False
             data = self.sock.recv(MAX_INTERIM_BYTES, socket.MSG_PEEK)
-            if not _INTERIM_START.match(data):
+            size = measure_interim(data)
+            if size is None:
+                # The response parser also rejects an invalid interim response.
                 return True
-            end = data.find(b"\r\n\r\n")
-            if end < 0:
+            if size == 0:
                 # The interim response has not arrived completely. One that fills
                 # the buffer is left to the response parser.
                 return len(data) == MAX_INTERIM_BYTES
-            self.sock.recv(end + 4)
+            self.sock.recv(size)
         return True
 
 
--- a/redwingspring/targetresponse.py
+++ b/redwingspring/targetresponse.py
@@ -4,12 +4,12 @@
 
 from urllib3.exceptions import HTTPError
 
-from .targetconnection import FIRST_FINAL_STATUS, READ_SIZE, ResponseBroken
+from .responsehead import FIRST_FINAL_STATUS
+from .responselines import InvalidResponse
+from .targetconnection import READ_SIZE, ResponseBroken, ResponseMalformed
 from .verdict import Reason, fail_uncertain, refuse
 
 REFUSAL_STATUSES = (429, 503)
-# Python refuses to parse numbers with thousands of digits.
-MAX_LENGTH_DIGITS = 18
 
 
 class TargetResponse:
@@ -86,12 +86,15 @@
         Raises
         ------
         ResponseBroken
-            If the body ends or stalls before it is complete, or is too long.
+            If the body ends or stalls before it is complete, or is too long; a
+            ResponseMalformed if it violates the grammar of HTTP.
         """
         try:
             data = self._response.read1(READ_SIZE, decode_content=False)
         except (OSError, HTTPException, HTTPError) as error:
             self.abort()
+            if isinstance(error.__cause__, InvalidResponse):
+                raise ResponseMalformed(f"malformed body: {error.__cause__}") from error
             raise ResponseBroken(f"response body broke off: {error}") from error
         if self._bytes_left is not None:
             self._bytes_left -= len(data)
@@ -100,6 +103,11 @@
                 raise ResponseBroken("the response body is too long")
         return data
 
+    @property
+    def has_unproved_end(self):
+        """Tell whether the end of the body cannot be told from a lost connection."""
+        return self._strict_response.has_unproved_end
+
     @property
     def connection_is_reusable(self):
         """Tell whether the connection can be reused after the body was read."""
@@ -160,12 +168,9 @@
 
 
 def _parse_content_length(response):
+    """Return the declared length, which the parser of the response has checked."""
     value = response.headers.get("content-length")
-    if value is None or not value.isascii() or not value.isdigit():
-        return None
-    if len(value) > MAX_LENGTH_DIGITS:
-        return None
-    return int(value)
+    return None if value is None else int(value)
 
 
 def check_head(response, limits, attempt, reused):
@@ -209,11 +214,9 @@
 
 def _check_framing(response, attempt):
     """Return a failure if the end of the body cannot be verified, else None."""
-    if not has_unambiguous_framing(response, attempt.method):
-        # Another HTTP parser could find a different end of the body.
-        return fail_uncertain(
-            Reason.TRUNCATED, "the response has no single valid framing"
-        )
+    failure = check_reset_content(response, attempt.method)
+    if failure is not None:
+        return failure
     if attempt.method == "HEAD" or response.status in (204, 304):
         return None
     headers = response.headers
@@ -223,8 +226,11 @@
     return None
 
 
-def has_unambiguous_framing(response, method):
-    """Tell whether every HTTP parser finds the same end of a response body.
+def check_reset_content(response, method):
+    """Return the failure of a response with status 205 that may have a body.
+
+    This host's server writes responses with this status without framing, so callers
+    would parse a body as the start of the next response.
 
     Parameters
     ----------
@@ -235,19 +241,9 @@
 
     Returns
     -------
-    bool
-        True also for a body that is delimited by the close of the connection.
+    Failure or None
+        None for all other responses.
     """
-    headers = response.headers
-    if method == "HEAD" or response.status in (204, 304):
-        return True
-    if response.status == 205 and response.length != 0:
-        # This host's server writes responses with this status without framing,
-        # so callers would parse a body as the start of the next response.
-        return False
-    lengths = set(headers.getlist("content-length"))
-    coding = headers.get("transfer-encoding")
-    chunked = coding is not None and coding.lower() == "chunked"
-    if coding is not None and (lengths or not chunked or response.version < 11):
-        return False
-    return not (len(lengths) > 1 or (lengths and response.length is None))
+    if response.status != 205 or method == "HEAD" or response.length == 0:
+        return None
+    return fail_uncertain(Reason.TRUNCATED, "a response of status 205 has a body")
--- a/redwingspring/upstream.py
+++ b/redwingspring/upstream.py
@@ -7,13 +7,14 @@
 import threading
 import time
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http.client import HTTPException
 
 from expression import Error, Ok
-from urllib3.exceptions import HTTPError, InvalidHeader
+from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
+from .responselines import InvalidFraming, InvalidResponse
 from .targetconnection import (
     READ_SIZE,
     CallerGone,
@@ -297,11 +298,30 @@
         if not failure.proves_not_run:
             failure = fail_uncertain(Reason.DEADLINE, failure.detail, 504)
         return failure
-    if isinstance(error, InvalidHeader):
-        return _build_failure(connection, Reason.TRUNCATED, str(error))
+    if isinstance(error, InvalidFraming):
+        failure = _build_failure(connection, Reason.TRUNCATED, str(error))
+        return flag_invalid(failure, error)
     detail = f"{type(error).__name__}: {error}"
     reason = Reason.RESET if connection.started else Reason.CONNECT
-    return _build_failure(connection, reason, detail)
+    return flag_invalid(_build_failure(connection, reason, detail), error)
+
+
+def flag_invalid(failure, error):
+    """Return a failure that tells whether the response was not valid HTTP.
+
+    Parameters
+    ----------
+    failure : Failure
+        The failure.
+    error : Exception
+        The error that it describes.
+
+    Returns
+    -------
+    Failure
+        The failure with ``invalid_response`` set.
+    """
+    return replace(failure, invalid_response=isinstance(error, InvalidResponse))
 
 
 def _build_failure(connection, reason, detail, status=503):
--- a/redwingspring/verdict.py
+++ b/redwingspring/verdict.py
@@ -59,12 +59,15 @@
         Human-readable sentence.
     status : int, default=503
         HTTP status of the response to the caller.
+    invalid_response : bool, default=False
+        Whether the target sent a response that is not valid HTTP.
     """
 
     verdict: Verdict
     reason: Reason
     detail: str
     status: int = 503
+    invalid_response: bool = False
 
     @property
     def proves_not_run(self):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -15,8 +15,11 @@
     read_response,
     wait_until,
 )
+from .invalidresponses import list_heads
 
 OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\n"
+# A body that starts like a response.
+SPLIT = OK + b"X: y\r\n"
 
 
 class StrictResponseTest(RedwingspringTestCase):
@@ -106,12 +109,26 @@
         for name in ("x-hop", "keep-alive", "attempt-id"):
             self.assertNotIn(name, headers)
 
-    def test_a_folded_header_reaches_callers_in_one_line(self):
-        _, headers, _, _ = self.send(
-            OK + b"X-Long: a\r\n Content-Length: 1\r\nContent-Length: 0\r\n\r\n"
+    def test_a_folded_header_is_not_relayed(self):
+        # Other parsers could take the second line for a header of its own.
+        self.assert_broken(
+            OK + b"X-Long: a\r\n Content-Length: 1\r\nContent-Length: 0\r\n\r\n",
+            "reset",
+        )
+
+    def test_a_malformed_head_is_not_relayed(self):
+        """The same parser reads the responses in the own mode."""
+        fixture = RawFixture(
+            self,
+            lambda sock, head, attempt: sock.sendall(
+                self.answer.replace(b"ID", attempt)
+            ),
         )
-        self.assertEqual("0", headers["content-length"])
-        self.assertNotIn("\n", headers["x-long"])
+        for method in ("POST", "HEAD"):
+            for self.answer in list_heads(b"Attempt-Id: ID\r\n"):
+                status, headers, _, _ = fixture.send(method, "/x")
+                seen = status, headers.get("request-run")
+                self.assertEqual((502, "may-have-run"), seen, self.answer)
 
     def test_verdict_headers_of_a_target_are_not_relayed(self):
         # Only a refusal with status 429 or 503 proves that a request did not run.
@@ -303,6 +320,30 @@
         (status, headers, _, _), _ = self.upload(answer)
         self.assertEqual((503, "not-run"), (status, headers["request-run"]))
 
+    def test_an_interim_response_takes_nothing_of_the_final_one_with_it(self):
+        """The end of its head must not be looked for in what follows it."""
+        whole = SPLIT + b"Content-Length: %d\r\n\r\n" % len(SPLIT)
+
+        def answer(sock, head, attempt):
+            hint = b"HTTP/1.1 103 Hints\nA: b\n\n"
+            sock.sendall(hint + (whole + SPLIT).replace(b"ID", attempt))
+            time.sleep(4.0)
+            return True
+
+        (status, _, body, _), _ = self.upload(answer)
+        self.assertEqual((200, len(SPLIT)), (status, len(body)))
+
+    def test_an_invalid_interim_response_ends_the_upload(self):
+        def answer(sock, head, attempt):
+            sock.sendall(b"HTTP/1.1 103 Hints\r\nA b: c\r\n\r\n")
+            sock.sendall(OK.replace(b"ID", attempt) + b"Content-Length: 0\r\n\r\n")
+            time.sleep(4.0)
+            return True
+
+        (status, headers, _, _), seconds = self.upload(answer)
+        self.assertEqual((502, "may-have-run"), (status, headers["request-run"]))
+        self.assertLess(seconds, 3.0)
+
     def test_an_interim_response_does_not_end_the_upload(self):
         def answer(sock, head, attempt):
             sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n")
