Decide by the clock what a stopping host reads, sends and closes

Cause: whether a request was forwarded after SIGTERM depended on what the thread of the shutdown had done so far. Once the listener was closed, cheroot's accept loop ran without a pause and took a whole core, so that this thread and all others hardly ran. The wait queue, retries and hedges were not limited, and the process waited for callers to close.

Change: the pure module shutdown decides which requests may be read, sent and retried and when connections close; forwarder, target search, deliveries and connections ask it. A request that was read gets a response, 503 not-run with the reason stopping if it came too late. The process exits once all responses are delivered. The accept loop ends with its listener.

--- a/redwingspring/body.py
+++ b/redwingspring/body.py
@@ -34,7 +34,7 @@
         Unix time in seconds by which the body must have arrived.
     set_read_timeout : callable or None, default=None
         Limits the total time of the following reads; takes seconds from now, or
-        None to remove the limit.
+        None to remove the limit, and a callable that tells whether they may wait.
     clock : callable, default=time.time
         Clock of the deadline; returns a time in seconds.
     """
@@ -46,7 +46,8 @@
         self._stream = stream
         self._limit = limit
         self._deadline = deadline
-        self._set_read_timeout = set_read_timeout or (lambda seconds: None)
+        self._set_read_timeout = set_read_timeout or (lambda *args: None)
+        self._may_wait = None
         self._buffered = []
         self._received_bytes = 0
         self._ended = length == 0
@@ -58,23 +59,27 @@
         """Tell whether the request has a body."""
         return self.length != 0
 
-    def buffer(self, limit):
+    def buffer(self, limit, may_wait=None):
         """Read and buffer the beginning of the body so that it can be replayed.
 
         Parameters
         ----------
         limit : int
             Number of bytes at which buffering stops; the last block may exceed it.
+        may_wait : callable or None, default=None
+            Tells whether to wait longer for the body; asked from time to time.
 
         Raises
         ------
         CallerGone
             If the body is malformed, too large or ends early.
         TimeoutError
-            If the body does not arrive before its deadline.
+            If the body does not arrive before its deadline or is not waited for.
         """
+        self._may_wait = may_wait
         while not self._ended and self._received_bytes < limit:
             self._buffered.append(self._read())
+        self._may_wait = None
         if self._ended:
             # The length of a fully buffered chunked body is now known.
             self.length = self._received_bytes
@@ -106,7 +111,11 @@
 
     def _read(self):
         """Read the next block and detect the end of the body."""
-        self._set_read_timeout(max(0.001, self._deadline - self._clock()))
+        timeout_s = max(0.001, self._deadline - self._clock())
+        if self._may_wait is None:
+            self._set_read_timeout(timeout_s)
+        else:
+            self._set_read_timeout(timeout_s, self._may_wait)
         try:
             data = self._stream.read(READ_SIZE)
         except TimeoutError:
--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -6,7 +6,7 @@
 from .polling import poll_exchanges
 from .targetsearch import TargetSearch
 from .upstream import Attempt
-from .verdict import Reason, fail_uncertain, refuse
+from .verdict import Reason, fail_uncertain, refuse, refuse_stopping
 
 # An idempotent request is hedged after this fraction of its target latency.
 HEDGE_DELAY_FRACTION = 0.5
@@ -87,6 +87,8 @@
             return False
         if self._sends >= call.route.attempts:
             return False
+        if not self._dispatcher.may_send(call):
+            return False
         if self._sends == 0:
             return True
         allowed = self._dispatcher.retries.take(call.service.name)
@@ -213,6 +215,7 @@
             call.route.idempotent
             and self._sends < call.route.attempts
             and left_s > MIN_REPLACEMENT_FRACTION * call.route.target_latency_s
+            and self._dispatcher.may_send(call)
         )
 
     def _may_hedge(self, pending):
@@ -222,6 +225,7 @@
             and call.body.replayable
             and len(pending) == 1
             and self._sends < call.route.attempts
+            and self._dispatcher.may_send(call)
             # A hedge would take a slot that queued requests wait for.
             and not self._dispatcher.wait_queues.find(call.service.name)
         )
@@ -280,6 +284,8 @@
             return refuse(Reason.STALE_DECISION, "the decision was too old to act on")
         if now >= self._call.deadline:
             return refuse(Reason.DEADLINE, "the deadline passed before the send")
+        if not self._dispatcher.may_send(self._call):
+            return refuse_stopping()
         return None
 
     def _log_attempt(self, exchange, failure):
--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -7,20 +7,17 @@
 import logging
 import socket
 import threading
-from concurrent.futures import ThreadPoolExecutor
 
+from .callerstreams import is_delivered, is_readable
 from .clock import read_clock
 from .parsing import EntryRequest
-from .server import EntryConnection, EntryServer
+from .server import EntryConnection
+from .shutdown import ConnectionAction, ConnectionState
 
 logger = logging.getLogger(__name__)
 
 # Requests of one connection that are processed concurrently.
 MAX_CONCURRENT_REQUESTS = 16
-MAX_WORKERS = 400
-# Long responses of the process that are buffered because others follow them. Each holds
-# up to exchanges.MAX_BUFFERED_BODY_BYTES.
-MAX_LONG_BUFFERS = 32
 _BODYLESS_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 
 
@@ -73,7 +70,8 @@
         """Run the application, in a worker thread if the request has no body."""
         self.received_at = read_clock()
         if not self.conn.accept_request(self.turn):
-            # Its caller takes a request behind the last response for not run.
+            # The connection has been closed, or a response announces that it closes;
+            # its caller takes a request behind that response for not run.
             self.close_connection = True
             return
         bodyless = self.method in _BODYLESS_METHODS and not self.chunked_read
@@ -146,7 +144,7 @@
             raise ConnectionError("an earlier response ended the connection")
         if not self.server.keep_alive_enabled:
             self.conn.stop_accepting()
-        if self.conn.is_last(self.turn):
+        if self.conn.begin_response(self.turn):
             self.close_connection = True
         super().send_headers()
 
@@ -189,7 +187,11 @@
         # The condition guards the attributes below.
         self._changed = threading.Condition()
         self._accepting = True
+        self._closed_at = None
         self._last_accepted_turn = None
+        # Turn of the last response whose head was sent.
+        self._last_begun_turn = None
+        self._announced_close = False
         self._streaming_turn = None
         self._active_requests = 0
 
@@ -198,6 +200,11 @@
         """Tell whether no request is in progress."""
         return self._active_requests == 0
 
+    @property
+    def active_requests(self):
+        """Number of requests that were accepted and are not answered yet."""
+        return self._active_requests
+
     def add_turn(self):
         """Append a turn for the response of a new request.
 
@@ -212,8 +219,8 @@
     def accept_request(self, turn):
         """Accept a request that was read, unless the connection is closing.
 
-        An accepted request is passed on and gets a response, so the connection stays
-        open until then. While a response is streamed, this method waits.
+        An accepted request gets a response, so the connection stays open until then.
+        While a response is streamed, this method waits.
 
         Parameters
         ----------
@@ -227,26 +234,32 @@
         """
         with self._changed:
             self._changed.wait_for(lambda: self._streaming_turn is None)
-            if self.ended or not self._accepting:
+            self.rfile.raw.has_received = False
+            if self.ended or self._announces_close:
                 return False
             self._last_accepted_turn = turn
             self._active_requests += 1
             return True
 
-    def stop_accepting(self):
-        """Drop all requests from now on that have not been accepted.
+    @property
+    def _announces_close(self):
+        """Tell whether a response states that the connection closes, now or later.
 
-        Returns
-        -------
-        bool
-            True if no accepted request is in progress.
+        Without one, a further request is accepted also while the connection is closing,
+        and its own response states it.
         """
+        if self._announced_close:
+            return True
+        is_begun = self._last_begun_turn is self._last_accepted_turn
+        return not self._accepting and self._active_requests > 0 and not is_begun
+
+    def stop_accepting(self):
+        """Accept no request behind one whose response can close the connection."""
         with self._changed:
             self._accepting = False
-            return self._active_requests == 0
 
-    def is_last(self, turn):
-        """Tell whether no response follows one, now or later.
+    def begin_response(self, turn):
+        """Record that the head of a response is sent now.
 
         Parameters
         ----------
@@ -259,7 +272,10 @@
             True if the connection closes after the response.
         """
         with self._changed:
-            return not self._accepting and self._last_accepted_turn is turn
+            self._last_begun_turn = turn
+            is_last = not self._accepting and self._last_accepted_turn is turn
+            self._announced_close |= is_last
+            return is_last
 
     def begin_stream(self, turn):
         """Accept no request until a response is complete, if none follows it yet.
@@ -310,13 +326,41 @@
             self._changed.notify_all()
 
     def drain(self):
-        """Accept no further request; shut down if none is in progress."""
-        if self.stop_accepting():
-            self.shut_down_writing()
+        """Close the connection if the shutdown of the host allows it now.
+
+        Returns
+        -------
+        bool
+            True if the process need not wait for the connection.
+        """
+        shutdown = self.server.shutdown
+        with self._changed:
+            # The lock makes a request either accepted before the connection is closed,
+            # and answered, or dropped.
+            if not shutdown.accepts_request(read_clock()):
+                self._accepting = False
+            action = shutdown.decide_connection(self._describe_state())
+            if action is ConnectionAction.CLOSE:
+                self.shut_down_writing()
+        return action is ConnectionAction.LEAVE
+
+    def _describe_state(self):
+        try:
+            has_unread = self.rfile.raw.has_received or is_readable(self.socket)
+        except (OSError, ValueError):
+            # The thread of the connection has closed it.
+            has_unread = False
+        return ConnectionState(
+            self._active_requests,
+            has_unread,
+            self._closed_at,
+            is_delivered(self.socket),
+        )
 
     def shut_down_writing(self):
         """Shut down writing: no further response follows."""
         self.ended = True
+        self._closed_at = self._closed_at or read_clock()
         # The caller then closes its side, which ends this connection's thread.
         how = socket.SHUT_RDWR if self.aborted else socket.SHUT_WR
         try:
@@ -348,53 +392,5 @@
         """
         with self._changed:
             self._changed.wait_for(lambda: self.is_idle)
+            self._closed_at = self._closed_at or read_clock()
         super().close()
-
-
-class RoutedServer(EntryServer):
-    """Server for callers that may pipeline requests.
-
-    Parameters
-    ----------
-    address : str
-        ``ip:port`` to listen on.
-    application : callable
-        WSGI application.
-    settings : object
-        Limits and timeouts.
-    metrics : Metrics
-        Counters of refused requests and connection errors.
-    listener : socket.socket or None, default=None
-        Socket that already listens on the address.
-    """
-
-    ConnectionClass = PipelinedConnection
-
-    def __init__(self, address, application, settings, metrics, listener=None):
-        super().__init__(address, application, settings, metrics, listener)
-        self.workers = ThreadPoolExecutor(MAX_WORKERS, "request")
-        self.long_buffers = threading.Semaphore(MAX_LONG_BUFFERS)
-
-    @property
-    def can_add_keepalive_connection(self):
-        """Return True; each request decides whether to close its connection."""
-        return True
-
-    def apply_limits(self, limits):
-        """Apply new limits on callers.
-
-        Parameters
-        ----------
-        limits : CallerLimits
-            Limits and timeouts.
-        """
-        self.max_request_header_size = limits.header_bytes
-        # 0 turns the check off; the application limits the size of bodies.
-        self.max_request_body_size = 0
-        self.timeout = limits.header_timeout_s
-        self.keep_alive_timeout = limits.idle_timeout_s
-
-    def drain_connections(self):
-        """Accept no further request; shut down the idle connections."""
-        for connection in self.requests.list_connections():
-            connection.drain()
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -9,7 +9,6 @@
 from .instances import InstanceDirectory
 from .members import Members, build_member, compute_capacity
 from .metrics import Metrics, connect_statsd
-from .pipelining import RoutedServer
 from .platform import headers
 from .platform.documents import decode_change
 from .platform.pages import PlatformPages
@@ -17,6 +16,7 @@
 from .policy.shares import ColdShare, HostCount, ProbeShare, RetryShare
 from .policy.subsets import TargetSubsets
 from .routedispatch import RouteDispatcher
+from .routedserver import RoutedServer
 from .routeforwarder import RouteForwarder
 from .server import EntryServer, ServerLimits
 from .sources import WATCH_WAIT_S, SourceSelector, StoreSource
@@ -72,6 +72,7 @@
         decisions=entry.decisions,
         data_centre=settings.data_centre,
         regions=settings.regions,
+        shutdown=entry.shutdown,
     )
     assemble_servers(entry, settings)
 
@@ -122,6 +123,7 @@
         entry.metrics,
         entry.decisions,
         latencies,
+        entry.shutdown,
     )
     bounds = ServerLimits(settings.max_connections)
     listeners = entry.listeners
@@ -130,6 +132,7 @@
         forwarder,
         bounds,
         entry.metrics,
+        entry.shutdown,
         listeners.get(settings.address),
     )
     pages = PlatformPages(lambda: entry.is_ready, entry.find_addresses)
--- a/redwingspring/routedentry.py
+++ b/redwingspring/routedentry.py
@@ -4,10 +4,10 @@
 import random
 import threading
 
-from .clock import read_clock
 from .errors import StartError
 from .members import MemberState
 from .routedassembly import assemble_routed
+from .shutdown import Phase, Shutdown, ShutdownTimes
 from .threads import run_supervised, start_thread
 
 logger = logging.getLogger(__name__)
@@ -55,8 +55,7 @@
         self._configured = threading.Event()
         self.stopping = threading.Event()
         self._stopped = threading.Event()
-        self._draining = False
-        self._lock = threading.Lock()
+        self.shutdown = Shutdown()
         assemble_routed(self, settings)
 
     def start(self):
@@ -120,7 +119,7 @@
     @property
     def is_ready(self):
         """Tell whether this host has a routing table and is not draining."""
-        return self.store_state.table is not None and not self._draining
+        return self.store_state.table is not None and not self.shutdown.has_begun
 
     def apply_table(self, table):
         """Apply a routing table.
@@ -131,7 +130,10 @@
             The new table.
         """
         self.server.apply_limits(table.limits)
-        if self.members.own.state is MemberState.STARTING and not self._draining:
+        if (
+            self.members.own.state is MemberState.STARTING
+            and not self.shutdown.has_begun
+        ):
             self.gossip.announce(MemberState.SERVING)
         # The directory names this host from now on, so connections can be accepted.
         self._configured.set()
@@ -176,13 +178,22 @@
 
     def drain(self):
         """Begin a graceful shutdown without waiting for its end."""
-        start_thread("drain", self._drain)
+        end_s = self.settings.grace - EXIT_MARGIN_S
+        times = ShutdownTimes.fit(ACCEPT_AFTER_SIGTERM_S, CLOSE_IDLE_AFTER_S, end_s)
+        if self.shutdown.begin(times):
+            start_thread("drain", self._drain)
+            # The process exits in time whatever happens to the other thread.
+            start_thread("shutdown-end", self._stop_at_end)
 
     def stop(self):
         """Stop immediately and abort the requests in progress."""
         if self.stopping.is_set():
             return
-        self.decisions.record("process stopped", host=self.settings.name)
+        self.decisions.record(
+            "process stopped",
+            host=self.settings.name,
+            unanswered=self.server.count_unanswered(),
+        )
         self.stopping.set()
         self._stopped.set()
 
@@ -197,11 +208,13 @@
         self._stopped.wait()
 
     def _drain(self):
-        with self._lock:
-            if self._draining:
-                return
-            self._draining = True
-        started = read_clock()
+        try:
+            self._finish_requests()
+        finally:
+            self.stop()
+
+    def _finish_requests(self):
+        """Close the listener and the connections, each when it is time."""
         self.decisions.record(
             "process leaving",
             host=self.settings.name,
@@ -209,18 +222,15 @@
         )
         self.server.keep_alive_enabled = False
         self.gossip.announce(MemberState.LEAVING)
-        self._sleep_until(started + ACCEPT_AFTER_SIGTERM_S)
+        self.stopping.wait(self.shutdown.compute_phase_left_s(Phase.ACCEPTING))
         self.server.close_listener()
-        self._sleep_until(started + CLOSE_IDLE_AFTER_S)
-        end = started + self.settings.grace - EXIT_MARGIN_S
-        while self.server.requests.count and read_clock() < end:
-            self.server.drain_connections()
-            self._sleep_until(read_clock() + POLL_INTERVAL_S)
-        self.stop()
+        while not self.stopping.is_set() and self.server.drain_connections():
+            self.stopping.wait(POLL_INTERVAL_S)
 
-    def _sleep_until(self, end):
-        while (remaining_s := end - read_clock()) > 0:
-            self.stopping.wait(remaining_s)
+    def _stop_at_end(self):
+        """Stop at the end of the shutdown if requests are still in progress."""
+        self.stopping.wait(self.shutdown.compute_phase_left_s(Phase.FINISHING))
+        self.stop()
 
     def _run_supervised(self, name, target):
         run_supervised(name, target, self.stopping, self.metrics)
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -10,6 +10,7 @@
 from .policy.placement import ResponseStatistics
 from .policy.waitpolicy import RequestTiming, choose_retry_after
 from .policy.waitqueues import WaitQueues
+from .shutdown import Shutdown
 from .upstream import allow_stream
 from .verdict import Reason
 
@@ -18,9 +19,18 @@
 _FAILURE_WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
 # Reasons with which a request is rejected because no target was found in time.
 _QUEUE_REASONS = frozenset((Reason.NO_CAPACITY, Reason.DEADLINE))
+# The caller sends a request that a stopping host rejects to another host at once. Some
+# callers treat 0 as no retry time.
+STOPPING_RETRY_AFTER_S = 0.01
 # Reasons that do not count as failures of the target.
 _NEUTRAL_REASONS = frozenset(
-    (Reason.CALLER_GONE, Reason.DEADLINE, Reason.STALE_DECISION, Reason.MALFORMED)
+    (
+        Reason.CALLER_GONE,
+        Reason.DEADLINE,
+        Reason.STALE_DECISION,
+        Reason.MALFORMED,
+        Reason.STOPPING,
+    )
 )
 
 
@@ -54,6 +64,8 @@
         Seconds that the caller had waited before this request arrived.
     begin_stream : callable, optional
         Called before a long response is relayed in parts; returns whether it may be.
+    read_at : float or None, default=None
+        When the request had been read; None if that was when it arrived.
     """
 
     request_id: str
@@ -68,6 +80,7 @@
     caller_socket: object
     prior_wait_s: float = 0.0
     begin_stream: object = allow_stream
+    read_at: float | None = None
 
 
 @dataclass(frozen=True)
@@ -113,6 +126,8 @@
         Data centre of this host.
     regions : mapping of str to str
         Region of each data centre.
+    shutdown : Shutdown or None, default=None
+        Shutdown of the host.
     clock : callable, default=read_clock
         Returns seconds.
     """
@@ -131,6 +146,7 @@
         decisions,
         data_centre,
         regions,
+        shutdown=None,
         clock=read_clock,
     ):
         self.directory = directory
@@ -147,6 +163,7 @@
         self.decisions = decisions
         self.data_centre = data_centre
         self.regions = regions
+        self.shutdown = shutdown or Shutdown(clock)
         self.clock = clock
 
     def send(self, call):
@@ -168,7 +185,9 @@
             return outcome
         failure = outcome.error
         retry_after = None
-        if failure.proves_not_run:
+        if failure.reason is Reason.STOPPING:
+            retry_after = STOPPING_RETRY_AFTER_S
+        elif failure.proves_not_run:
             waiting = len(self.wait_queues.find(call.service.name))
             if failure.reason in _QUEUE_REASONS:
                 # The rejected request has left the queue but counts as waiting.
@@ -202,6 +221,25 @@
             call.prior_wait_s,
         )
 
+    def may_send(self, call):
+        """Tell whether the shutdown of the host, if any, allows to send a call now.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            The call.
+
+        Returns
+        -------
+        bool
+            False if it was read too late or would be answered too late.
+        """
+        return self.shutdown.may_send(
+            call.received_at if call.read_at is None else call.read_at,
+            call.deadline,
+            self.statistics.estimate_work_s(call.route),
+        )
+
     def find_instances(self, call):
         """Return the instances that may run a call.
 
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -5,11 +5,11 @@
 from .body import RequestBody
 from .calls import HOP_BY_HOP_HEADERS, read_content_length, read_headers
 from .clock import read_clock
-from .routedispatch import Rejection, RoutedCall
+from .routedispatch import STOPPING_RETRY_AFTER_S, Rejection, RoutedCall
 from .routes import WeightedRoundRobin
 from .targetconnection import ResponseBroken
 from .upstream import CallerGone, allow_stream
-from .verdict import Reason, refuse
+from .verdict import Reason, refuse, refuse_stopping
 
 PHRASES = {
     400: "Bad Request",
@@ -45,6 +45,8 @@
         Log with one line for each decision.
     latencies : RequestLatencies
         Latency histograms by route and outcome.
+    shutdown : Shutdown
+        Shutdown of the host.
     clock : callable, default=read_clock
         Clock; returns a time in seconds.
     """
@@ -57,6 +59,7 @@
         metrics,
         decisions,
         latencies,
+        shutdown,
         clock=read_clock,
     ):
         self.store_state = store_state
@@ -65,6 +68,7 @@
         self.metrics = metrics
         self.decisions = decisions
         self.latencies = latencies
+        self.shutdown = shutdown
         self._clock = clock
         self._round_robin = WeightedRoundRobin()
 
@@ -102,6 +106,8 @@
 
     def _read_call(self, environ, received_at):
         """Return Ok with a RoutedCall, or an Error with a Rejection."""
+        if not self.shutdown.accepts_request(received_at):
+            return _reject_late()
         table = self.store_state.table
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
@@ -134,12 +140,17 @@
             self._clock,
         )
         try:
-            body.buffer(MAX_BUFFERED_BODY_BYTES)
+            body.buffer(MAX_BUFFERED_BODY_BYTES, self.shutdown.may_await_rest)
         except CallerGone as error:
             return Error(Rejection(refuse(error.reason, str(error), error.status)))
         except TimeoutError:
+            if not self.shutdown.may_await_rest():
+                return _reject_late()
             failure = refuse(Reason.DEADLINE, "the request body was late")
             return Error(Rejection(failure))
+        read_at = self._clock() if body.exists else received_at
+        if not self.shutdown.accepts_request(read_at):
+            return _reject_late()
         service = table.services[self._round_robin.choose(route)]
         return Ok(
             RoutedCall(
@@ -157,6 +168,7 @@
                     route, metadata.time_left_s
                 ),
                 begin_stream=getattr(request, "begin_stream", allow_stream),
+                read_at=read_at,
             )
         )
 
@@ -242,6 +254,11 @@
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
 
 
+def _reject_late():
+    """Return the Error of a request that was read too late by a stopping host."""
+    return Error(Rejection(refuse_stopping(), STOPPING_RETRY_AFTER_S))
+
+
 class _StreamedBody:
     """Response body relayed in blocks, which ends normally only if it is complete."""
 
--- a/redwingspring/server.py
+++ b/redwingspring/server.py
@@ -11,6 +11,7 @@
 from cheroot import wsgi
 from cheroot.server import HTTPConnection
 
+from .callerstreams import make_file
 from .listeners import LISTEN_BACKLOG
 from .parsing import EntryRequest, render_refusal
 from .targetconnection import enable_reset_on_close
@@ -22,52 +23,6 @@
 MAX_REFUSAL_THREADS = 8
 
 
-class _DeadlineReader(socket.SocketIO):
-    """Raw socket reader with an optional deadline and a non-blocking mode."""
-
-    # Monotonic time in seconds by which all reads must end.
-    deadline = None
-    nonblocking = False
-
-    def readinto(self, buffer):
-        if self.nonblocking and not _is_readable(self._sock):
-            return None
-        if self.deadline is not None:
-            remaining = self.deadline - time.monotonic()
-            if remaining <= 0:
-                # cheroot recognises a timeout by this text.
-                raise TimeoutError("timed out")
-            self._sock.settimeout(remaining)
-        return super().readinto(buffer)
-
-
-def _is_readable(sock):
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLIN)
-    return bool(poller.poll(0))
-
-
-def _make_file(sock, mode, size):
-    """Return a buffered reader or an unbuffered writer over a socket."""
-    # cheroot's own file objects are written in Python and copy each block several
-    # times, which dominates the cost of a request.
-    if "r" in mode:
-        return io.BufferedReader(_DeadlineReader(sock, "r"), size)
-    return _SocketWriter(sock)
-
-
-class _SocketWriter:
-    """Unbuffered writer."""
-
-    def __init__(self, sock):
-        self._sock = sock
-        self.bytes_written = 0
-
-    def write(self, data):
-        self._sock.sendall(data)
-        return len(data)
-
-
 class EntryConnection(HTTPConnection):
     """Connection of a caller.
 
@@ -84,22 +39,25 @@
     RequestHandlerClass = EntryRequest
 
     def __init__(self, server, sock, makefile=None):
-        super().__init__(server, sock, makefile=_make_file)
+        super().__init__(server, sock, makefile=make_file)
         self.aborted = False
 
     def abort(self):
         """Make ``close`` reset the connection."""
         self.aborted = True
 
-    def set_read_timeout(self, seconds):
+    def set_read_timeout(self, seconds, may_wait=None):
         """Limit the total time of the following reads.
 
         Parameters
         ----------
         seconds : float or None
             Seconds from now; with None, only the time of each read is limited.
+        may_wait : callable or None, default=None
+            Tells whether they may still wait for data; asked from time to time.
         """
         raw = self.rfile.raw
+        raw.may_wait = may_wait
         raw.deadline = None if seconds is None else time.monotonic() + seconds
         self.socket.settimeout(self.server.timeout)
 
@@ -122,6 +80,7 @@
         self.rfile.raw.nonblocking = True
         try:
             if self.rfile.peek(1):
+                self.rfile.raw.has_received = True
                 return True
         except OSError:
             return False
@@ -392,11 +351,15 @@
     def close_listener(self):
         """Accept the connections in the listen backlog, then close the listener."""
         # The server's accept loop must not poll a closed listener, so it ends first.
+        # cheroot starts it again without a pause while the server is ready, which
+        # would leave the other threads little time to run.
+        self.ready = False
         self._connections.stop()
         self.socket.settimeout(0)
         while (conn := self._connections._from_server_socket(self.socket)) is not None:
             self.process_conn(conn)
         self.socket.close()
+        self._connections.close()
 
     @property
     def can_add_keepalive_connection(self):
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -20,7 +20,7 @@
     should_reject,
 )
 from .polling import poll_exchanges
-from .verdict import Reason, refuse
+from .verdict import Reason, refuse, refuse_stopping
 
 # Targets that are probed concurrently in one search, and the number of searches
 # before a request enters the wait queue.
@@ -84,6 +84,8 @@
     def _wait_in_queue(self, queue, entry):
         """Search for a target whenever this request is at the head of the queue."""
         while True:
+            if not self._dispatcher.may_send(self._call):
+                return Error(refuse_stopping())
             ahead = queue.count_ahead(entry)
             timing = self._dispatcher.build_timing(self._call)
             if should_reject(timing, ahead, queue.placements_per_s):
@@ -111,6 +113,8 @@
 
     def _try_search(self):
         """Search once; return Ok with an Exchange, an Error, or None to wait."""
+        if not self._dispatcher.may_send(self._call):
+            return Error(refuse_stopping())
         timing = self._dispatcher.build_timing(self._call)
         if timing.remaining_s <= 0:
             return Error(refuse(Reason.DEADLINE, "the time of the caller is over"))
--- a/redwingspring/verdict.py
+++ b/redwingspring/verdict.py
@@ -23,6 +23,7 @@
     UNKNOWN_SERVICE = "unknown-service"
     NOT_READY = "not-ready"
     ISOLATED = "isolated"
+    STOPPING = "stopping"
     CONNECTIONS = "connections"
     QUEUE_FULL = "queue-full"
     NO_CAPACITY = "no-capacity"
@@ -92,6 +93,17 @@
     return Failure(Verdict.NOT_RUN, reason, detail, status)
 
 
+def refuse_stopping():
+    """Build the failure of a request that comes too late for a stopping host.
+
+    Returns
+    -------
+    Failure
+        A failure with the verdict ``NOT_RUN``.
+    """
+    return refuse(Reason.STOPPING, "this host stops and could not answer in time")
+
+
 def fail_uncertain(reason, detail, status=502):
     """Build the failure of a request that may have run.
 
