Handle signals of a suspended process, and exit though logs are not read

Cause: a signal that arrives while a process is suspended may be delivered to any thread; Python's handler then waits for the main thread, which was blocked on a lock and not woken. Five of six processes that got SIGTERM while suspended ignored it and were killed at the end of the grace period with their requests. The exit also waited up to 4 s for unread log output, and a SIGHUP whose file blocked kept the main thread from exiting.

Change: the main thread waits for the wake-up descriptor of signals, in both modes; SIGHUP reads the settings in a thread; the last log lines get 0.3 s.

--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -77,6 +77,7 @@
         from .control import Entry
         from .logs import configure_logs
         from .settings import parse_settings
+        from .signals import handle_signals
 
         parsed = parse_settings(text, str(path))
         configure_logs(parsed.log_style, parsed.log_level)
@@ -84,7 +85,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: process.drain())
     process.start()
-    process.wait()
+    handle_signals(process.wait)
 
 
 @app.command()
--- a/redwingspring/logs.py
+++ b/redwingspring/logs.py
@@ -156,17 +156,23 @@
 class LogWriter(QueueListener):
     """Writes queued lines in a separate thread."""
 
-    def stop(self):
-        """Write the lines still queued, but give up after a few seconds."""
+    def stop(self, wait_s=STOP_WAIT_S):
+        """Write the lines still queued, but give up after a while.
+
+        Parameters
+        ----------
+        wait_s : float, default=2.0
+            Seconds for which to wait for space in the queue, and again for its end.
+        """
         thread, self._thread = self._thread, None
         if thread is None:
             return
         # If standard error is blocked, the process must still be able to exit.
         try:
-            self.queue.put(self._sentinel, timeout=STOP_WAIT_S)
+            self.queue.put(self._sentinel, timeout=wait_s)
         except queue.Full:
             return
-        thread.join(STOP_WAIT_S)
+        thread.join(wait_s)
 
 
 def count_dropped_lines():
--- a/redwingspring/routedprocess.py
+++ b/redwingspring/routedprocess.py
@@ -8,17 +8,24 @@
 import os
 import signal
 import sys
+import threading
 from pathlib import Path
 
 from .errors import RedwingspringError
 from .listeners import open_listener
+from .signals import handle_signals
 from .startup import DeferredSignal, pause_gc
+from .threads import start_thread
 from .yamlsource import read_file
 
 # The module is also run as a script, whose name is not below that of the package.
 logger = logging.getLogger("redwingspring.routedprocess")
 
 EXIT_INVALID = 2
+# Time for the last log lines, twice of which is part of the time for the exit.
+LOG_WAIT_S = 0.15
+
+_reload_lock = threading.Lock()
 
 
 def run_process(text, path, hangup_signal):
@@ -53,9 +60,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: process.drain())
     process.start()
-    hangup_signal.set_handler(lambda *_: reload_settings(process, path))
-    process.wait()
-    writer.stop()
+    # Reading the file may take long, and the main thread also handles SIGTERM.
+    hangup_signal.set_handler(
+        lambda *_: start_thread("reload", reload_settings, process, path)
+    )
+    handle_signals(process.wait)
+    writer.stop(LOG_WAIT_S)
     # Threads that wait for targets would keep the interpreter from exiting.
     os._exit(0)
 
@@ -72,11 +82,13 @@
     """
     from .routedsettings import parse_routed_settings
 
-    try:
-        process.reload(parse_routed_settings(read_file(path), str(path)))
-    except RedwingspringError as error:
-        fields = {"cause": str(error)}
-        logger.warning("settings not read again", extra={"fields": fields})
+    # The last one to read the file is also the last one to apply it.
+    with _reload_lock:
+        try:
+            process.reload(parse_routed_settings(read_file(path), str(path)))
+        except RedwingspringError as error:
+            fields = {"cause": str(error)}
+            logger.warning("settings not read again", extra={"fields": fields})
 
 
 def main(arguments):
--- a/tests/test_routedprocess.py
+++ b/tests/test_routedprocess.py
@@ -43,6 +43,15 @@
 BURST_CALLERS = 100
 
 
+def fill_pipe(writer):
+    """Write to a pipe until it takes no more bytes."""
+    os.set_blocking(writer, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, b"x" * 4096)
+    os.set_blocking(writer, True)
+
+
 class ProcessTest(RedwingspringTestCase):
     command = ("redwingspring", "entry", "--settings")
 
@@ -71,11 +80,14 @@
     def start(self):
         self.output = self.path.with_name("output")
         with self.output.open("wb") as stream:
-            process = subprocess.Popen(
-                [sys.executable, "-m", *self.command, str(self.path)],
-                stdout=stream,
-                stderr=subprocess.STDOUT,
-            )
+            return self.start_with_output(stream)
+
+    def start_with_output(self, stream):
+        process = subprocess.Popen(
+            [sys.executable, "-m", *self.command, str(self.path)],
+            stdout=stream,
+            stderr=subprocess.STDOUT,
+        )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
         return process
@@ -110,6 +122,49 @@
         for message in ("process started", "process leaving", "process stopped"):
             self.assertEqual(1, len(self.read_lines(message)), message)
 
+    def test_the_process_exits_though_its_output_is_not_read(self):
+        """The platform kills a process that is there after its grace period."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        fill_pipe(writer)
+        process = self.start_with_output(writer)
+        wait_until(lambda: self.ask() == 200)
+        started = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(8))
+        self.assertTrue(time.monotonic() - started < self.values["grace"])
+
+    def test_a_process_that_is_suspended_at_its_sigterm_stops(self):
+        """The kernel may then deliver the signal to any thread."""
+        for _ in range(2):
+            process = self.start()
+            wait_until(lambda: self.ask() == 200)
+            process.send_signal(signal.SIGSTOP)
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGCONT)
+            self.assertEqual(0, process.wait(5))
+
+    def test_signals_during_the_shutdown_do_not_delay_the_exit(self):
+        """SIGHUP reads the settings, for which the main thread may have to wait."""
+        process = self.start()
+        wait_until(lambda: self.ask() == 200)
+        kept = Caller(self.address)
+        self.addCleanup(kept.close)
+        self.assertEqual(200, kept.ask("GET", READS + "1")[0])
+        self.path.unlink()
+        os.mkfifo(self.path)
+        started = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        wait_until(lambda: self.read_lines("process leaving"))
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(8))
+        self.assertTrue(time.monotonic() - started < self.values["grace"])
+        self.assertEqual(1, len(self.read_lines("process leaving")))
+        [line] = self.read_lines("process stopped")
+        self.assertEqual(0, line["unanswered"])
+
     def test_callers_that_connect_at_the_same_moment_all_get_an_answer(self):
         """A short listen backlog drops connections, which are opened again late."""
         process = self.start()
