--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,6 +6,7 @@
 import time
 
 from redwingspring import routedentry, shutdown
+from redwingspring.callerstreams import is_delivered
 from redwingspring.metrics import Metrics
 from redwingspring.server import EntryServer, ServerLimits
 from redwingspring.shutdown import (
@@ -142,11 +143,11 @@
 class LateRequestTest(RedwingspringTestCase):
     """One host with real sockets, which accepts no request 0.3 s after its drain."""
 
-    def start(self, grace=6.0, routes=None):
+    def start(self, grace=6.0, routes=None, instances=1):
         self.patch(routedentry, "ACCEPT_AFTER_SIGTERM_S", 0.1)
         self.patch(routedentry, "CLOSE_IDLE_AFTER_S", 0.3)
         configuration = routes and describe_configuration(routes=routes)
-        self.host = HostFixture(self, 1, configuration, grace=grace)
+        self.host = HostFixture(self, instances, configuration, grace=grace)
         self.instance = self.host.instances[0]
         self.entry = self.host.entry
         self.addCleanup(wait_until, self.entry.stopping.is_set, 12)
@@ -221,6 +222,30 @@
         self.assert_rejected()
         self.assertFalse(self.entry.stopping.is_set())
 
+    def send_slow_read(self, target_latency_s, work_s, mode="normal"):
+        """Send a request on which its target works until shortly before the end."""
+        route = describe_route(
+            "reads", READS, "idempotent", target_latency_s=target_latency_s
+        )
+        self.start(grace=2.0, routes=[{**route, "timeout_s": 9.0}], instances=2)
+        for instance in self.host.instances:
+            instance.work_s = work_s
+            instance.mode = mode
+        self.caller.send(render_request("GET", READS, "slow", 9000))
+        wait_until(lambda: self.host.runs)
+        self.entry.drain()
+
+    def test_no_retry_is_sent_that_could_not_be_answered(self):
+        """It would be cut, and the response that there is would be lost."""
+        self.send_slow_read(9.0, 1.1, "error")
+        self.assertEqual(500, read_head(self.stream)[0])
+        self.assertEqual(["slow"], [run[0] for run in self.host.runs])
+
+    def test_no_hedge_is_sent_that_could_not_be_answered(self):
+        self.send_slow_read(2.1, 1.3)
+        self.assertEqual(200, read_head(self.stream)[0])
+        self.assertEqual(["slow"], [run[0] for run in self.host.runs])
+
     def test_a_request_read_in_time_is_answered_late(self):
         """The work may take longer than requests are accepted."""
         self.start()
@@ -252,6 +277,27 @@
         wait_until(self.entry.stopping.is_set, 3)
 
 
+class DeliveryTest(RedwingspringTestCase):
+    def test_unacknowledged_bytes_are_not_delivered(self):
+        """The exit of the process could keep them from the caller."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            caller = socket.create_connection(listener.getsockname())
+            sock, _ = listener.accept()
+        self.addCleanup(caller.close)
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        sent = sock.send(LONG_BODY)
+        self.assertFalse(is_delivered(sock))
+        sock.shutdown(socket.SHUT_WR)
+        received = 0
+        while data := caller.recv(1 << 20):
+            received += len(data)
+        self.assertEqual(sent, received)
+        wait_until(lambda: is_delivered(sock))
+        sock.close()
+        self.assertTrue(is_delivered(sock))
+
+
 class AcceptLoopTest(RedwingspringTestCase):
     def test_the_accept_loop_ends_with_its_listener(self):
         """cheroot would run it without a pause and leave other threads no time."""
