--- a/redwingspring/signals.py
+++ b/redwingspring/signals.py
@@ -29,7 +29,7 @@
     writer.setblocking(False)
     stopped = threading.Event()
 
-    def wait_and_wake():
+    def _wait_and_wake():
         wait()
         stopped.set()
         with contextlib.suppress(OSError):
@@ -37,7 +37,7 @@
 
     previous = signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
     try:
-        start_thread("stop", wait_and_wake)
+        start_thread("stop", _wait_and_wake)
         while not stopped.is_set():
             select.select([reader], [], [])
             with contextlib.suppress(BlockingIOError):
