Bound the time at which the store confirmed the state of a host

Cause: the age of a confirmation was counted from the arrival of a response. A response that stayed unread while the process was suspended, or that was long under way, counted as fresh. This is too late for decisions that must stop when a host no longer hears from the store. Change: Confirmation.confirmed_at is a lower bound. A watch of the store that waited without changes confirms the time at which it was sent plus its wait, any other call the time at which it was sent. A feed response states the bound relative to the arrival of the request at its sender, so hops add up and a wait at the sender costs nothing; a host of the previous version states none, which counts as unknown. LastConfirmation receives the bound after the state is in force. With renews_early, off by default, a watch after changes ends one wait after the last confirmation. The choice of sources and the refusal to serve a stale feed still use the age by arrival: by the bound a reader can be 1.9 s old after a late change, which would stop its feed at 1.5 s.

--- /dev/null
+++ b/redwingspring/confirmations.py
@@ -0,0 +1,23 @@
+"""Time at which the store last confirmed the state in force at this host."""
+
+
+class LastConfirmation:
+    """Lower bound of the time at which the store last held the state in force.
+
+    The follower records a confirmation after the state that it belongs to has been put
+    in force, and decisions read the time before they read that state. So the state
+    that they read is never older than the time.
+    """
+
+    def __init__(self):
+        self.confirmed_at = float("-inf")
+
+    def record(self, confirmation):
+        """Record a confirmation unless a later one is known.
+
+        Parameters
+        ----------
+        confirmation : Confirmation
+            When the store confirmed the state that is now in force.
+        """
+        self.confirmed_at = max(self.confirmed_at, confirmation.confirmed_at)
--- a/redwingspring/feed.capnp
+++ b/redwingspring/feed.capnp
@@ -18,4 +18,7 @@
   changes @4 :List(Change);
   hops @5 :UInt8;
   # Hosts between the sender and the store; 0 when the sender reads the store itself.
+  confirmedOffsetMs @6 :Int32 = -2147483648;
+  # Earliest time at which the store may have confirmed the data, relative to the arrival
+  # of the request at the sender; the default value means that it is unknown.
 }
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -6,6 +6,7 @@
 lost the store, switches to another source or to the store.
 """
 
+import math
 import threading
 import zlib
 from collections import deque
@@ -40,6 +41,9 @@
 MAX_REVISION_DIGITS = 19
 _MAX_AGE_MS = 0xFFFFFFFF
 _MAX_HOPS = 0xFF
+# Offset of a confirmation whose time is unknown, and the latest one that fits.
+_UNKNOWN_OFFSET_MS = -(2**31)
+_MAX_OFFSET_MS = 2**31 - 1
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("feed.capnp")))
@@ -55,10 +59,15 @@
         Seconds since the response of the store.
     hops : int, default=0
         Hosts that forwarded the data.
+    confirmed_at : float, default=-inf
+        Lower bound of the time at which the store held the data, on the clock of this
+        host; -inf if it is unknown. Unlike ``age_s`` it counts the time in which the
+        store's response was under way or unread.
     """
 
     age_s: float = 0.0
     hops: int = 0
+    confirmed_at: float = float("-inf")
 
 
 FROM_STORE = Confirmation()
@@ -78,12 +87,16 @@
         Whether the changes are a full snapshot of the store.
     confirmation : Confirmation
         When the store last confirmed the data.
+    confirmed_offset_s : float, default=-inf
+        Lower bound of the time at which the store held the data, in seconds after the
+        request for the update arrived; negative before that, -inf if it is unknown.
     """
 
     changes: tuple
     revision: int
     whole: bool
     confirmation: Confirmation
+    confirmed_offset_s: float = float("-inf")
 
 
 class StoreMirror:
@@ -103,6 +116,7 @@
         self._revision = 0
         self._history_start = 0
         self._confirmed_at = None
+        self._earliest_confirmed_at = float("-inf")
         self._hops = 0
 
     @property
@@ -162,6 +176,9 @@
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
             self._hops = confirmation.hops
+        self._earliest_confirmed_at = max(
+            self._earliest_confirmed_at, confirmation.confirmed_at
+        )
         self._changed.notify_all()
 
     def read(self, after, wait_s):
@@ -180,24 +197,29 @@
             A snapshot when the history does not reach back to the revision; None
             when the data was last confirmed too long ago.
         """
-        end = self._clock() + wait_s
+        arrived_at = self._clock()
+        end = arrived_at + wait_s
         with self._changed:
             while self.confirmed_age_s <= MAX_CONFIRMED_AGE_S:
-                if after is None:
-                    return self._build_update(tuple(self._entries.values()), True)
-                if after < self._history_start:
-                    return self._build_update(tuple(self._entries.values()), True)
+                if after is None or after < self._history_start:
+                    entries = tuple(self._entries.values())
+                    return self._build_update(entries, True, arrived_at)
                 changes = tuple(c for c in self._history if c.revision > after)
                 remaining = end - self._clock()
                 if changes or remaining <= 0:
-                    return self._build_update(changes, False)
+                    return self._build_update(changes, False, arrived_at)
                 until_stale_s = MAX_CONFIRMED_AGE_S - self.confirmed_age_s
                 self._changed.wait(max(0.01, min(remaining, until_stale_s)))
         return None
 
-    def _build_update(self, changes, whole):
-        confirmation = Confirmation(self.confirmed_age_s, self._hops)
-        return FeedUpdate(changes, self._revision, whole, confirmation)
+    def _build_update(self, changes, whole, arrived_at):
+        return FeedUpdate(
+            changes,
+            self._revision,
+            whole,
+            Confirmation(self.confirmed_age_s, self._hops),
+            self._earliest_confirmed_at - arrived_at,
+        )
 
 
 class FeedPage(PageApplication):
@@ -249,13 +271,16 @@
         Peer address of the host, ``ip:port``.
     metrics : Metrics
         Counters.
+    clock : callable, default=read_clock
+        Returns seconds.
     """
 
-    def __init__(self, address, metrics):
+    def __init__(self, address, metrics, clock=read_clock):
         host, port = address.rsplit(":", 1)
         self.name = f"host {address}"
         self.is_store = False
         self._metrics = metrics
+        self._clock = clock
         self._pool = WholeHeadPool(host, int(port), maxsize=1, retries=False)
 
     def close(self):
@@ -275,11 +300,12 @@
         StoreError
             If the host gives no usable response.
         """
+        sent_at = self._clock()
         update = self._fetch_update({})
         if not update.whole:
             raise StoreError("a host sent changes instead of a snapshot")
         snapshot = StoreSnapshot(update.changes, update.revision)
-        return snapshot, _add_hop(update.confirmation)
+        return snapshot, self._build_confirmation(update, sent_at)
 
     def watch(self, after):
         """Wait for changes after a revision.
@@ -302,10 +328,12 @@
         StoreError
             If the host gives no usable response.
         """
+        sent_at = self._clock()
         update = self._fetch_update({"after": after})
         if update.whole:
             raise HistoryLost("a host no longer has the changes in its history")
-        return update.changes, update.revision, _add_hop(update.confirmation)
+        confirmation = self._build_confirmation(update, sent_at)
+        return update.changes, update.revision, confirmation
 
     def _fetch_update(self, fields):
         self._metrics.increment("feed.calls")
@@ -322,10 +350,15 @@
             raise StoreError(f"a host responded with status {response.status}")
         return decode_update(response.data)
 
+    def _build_confirmation(self, update, sent_at):
+        """Return the confirmation of an update, with one more hop.
 
-def _add_hop(confirmation):
-    """Return a confirmation with one more hop, as the receiving host holds it."""
-    return Confirmation(confirmation.age_s, confirmation.hops + 1)
+        The request arrived at the other host after it was sent, so the time at which it
+        was sent stands for its arrival, which is unknown here.
+        """
+        confirmed_at = min(sent_at + update.confirmed_offset_s, self._clock())
+        received = update.confirmation
+        return Confirmation(received.age_s, received.hops + 1, confirmed_at)
 
 
 def encode_update(update):
@@ -347,6 +380,7 @@
         whole=update.whole,
         confirmedAgeMs=min(_MAX_AGE_MS, int(update.confirmation.age_s * 1000)),
         hops=min(_MAX_HOPS, update.confirmation.hops),
+        confirmedOffsetMs=_encode_offset(update.confirmed_offset_s),
     )
     entries = message.init("changes", len(update.changes))
     for entry, change in zip(entries, update.changes, strict=True):
@@ -357,6 +391,17 @@
     return zlib.compress(message.to_bytes_packed(), COMPRESSION_LEVEL)
 
 
+def _encode_offset(offset_s):
+    """Return an offset in whole milliseconds, rounded to the earlier one."""
+    offset_ms = max(_UNKNOWN_OFFSET_MS, min(_MAX_OFFSET_MS, offset_s * 1000))
+    return math.floor(offset_ms)
+
+
+def _decode_offset(offset_ms):
+    """Return an offset in seconds, -inf if it is unknown."""
+    return float("-inf") if offset_ms == _UNKNOWN_OFFSET_MS else offset_ms / 1000
+
+
 def _decompress(data):
     """Return decompressed data; raise ValueError if it is too long or incomplete."""
     decompressor = zlib.decompressobj()
@@ -395,6 +440,9 @@
             for entry in message.changes
         )
         confirmation = Confirmation(message.confirmedAgeMs / 1000, message.hops)
-        return FeedUpdate(changes, message.revision, message.whole, confirmation)
+        offset_s = _decode_offset(message.confirmedOffsetMs)
+        return FeedUpdate(
+            changes, message.revision, message.whole, confirmation, offset_s
+        )
     except (capnp.KjException, zlib.error, ValueError) as error:
         raise StoreError(f"cannot decode a host's response: {error}") from error
--- a/redwingspring/follower.py
+++ b/redwingspring/follower.py
@@ -1,5 +1,6 @@
 """Follows the store: reads a snapshot, then changes; starts over after a gap."""
 
+from .confirmations import LastConfirmation
 from .storestate import HistoryLost, StoreError
 
 # Pause after changes from the store, so that one call reads further changes that
@@ -21,12 +22,15 @@
         Puts snapshots and changes in force.
     mirror : StoreMirror
         Keeps snapshots and changes for the feed to other hosts.
+    last_confirmation : LastConfirmation or None, default=None
+        Receives when the store confirmed the state in force.
     """
 
-    def __init__(self, sources, store_state, mirror):
+    def __init__(self, sources, store_state, mirror, last_confirmation=None):
         self._sources = sources
         self._store_state = store_state
         self._mirror = mirror
+        self._last_confirmation = last_confirmation or LastConfirmation()
         self._has_snapshot = False
 
     def run(self, stopping):
@@ -61,6 +65,7 @@
             self._sources.check_hops(source, confirmation)
             self._mirror.apply_snapshot(snapshot, confirmation)
             self._store_state.apply_snapshot(snapshot)
+            self._last_confirmation.record(confirmation)
             self._has_snapshot = True
             return False
         after = self._store_state.revision
@@ -68,6 +73,7 @@
         self._sources.check_hops(source, confirmation)
         self._mirror.apply_changes(changes, revision, confirmation)
         self._store_state.apply_changes(changes, revision)
+        self._last_confirmation.record(confirmation)
         return bool(changes) and source.is_store
 
     def _handle_failure(self, source, error):
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -1,13 +1,15 @@
 """Selection of the source from which a host reads the store's changes."""
 
 from .clock import read_clock
-from .feed import FROM_STORE
+from .feed import Confirmation
 from .policy.rendezvous import rank_hosts
 from .storestate import StoreError
 
 # A watch of the store ends after this long and is sent again, because a connection on
 # which a response was lost delivers nothing more.
 WATCH_WAIT_S = 0.9
+# Shortest wait of a watch that only renews the confirmation of the store.
+MIN_WATCH_WAIT_S = 0.05
 # Hops of the data that a reader accepts: its source must read the store itself. Other
 # hosts read from a reader and accept one hop more.
 MAX_READER_HOPS = 1
@@ -30,14 +32,22 @@
         Client of the store.
     wait_s : float
         Longest wait of a watch in seconds.
+    renews_early : bool, default=False
+        Whether a watch that follows changes ends one wait after the last confirmation,
+        which bounds its age at the price of one more call.
+    clock : callable, default=read_clock
+        Returns seconds.
     """
 
     name = "store"
     is_store = True
 
-    def __init__(self, store, wait_s):
+    def __init__(self, store, wait_s, renews_early=False, clock=read_clock):
         self._store = store
         self._wait_s = wait_s
+        self._renews_early = renews_early
+        self._clock = clock
+        self._confirmed_at = float("-inf")
 
     def read_all(self):
         """Return a snapshot of the store.
@@ -47,7 +57,9 @@
         tuple of (StoreSnapshot, Confirmation)
             The snapshot, confirmed by the store itself.
         """
-        return self._store.read_all(), FROM_STORE
+        sent_at = self._clock()
+        snapshot = self._store.read_all()
+        return snapshot, self._build_confirmation(sent_at)
 
     def watch(self, after):
         """Wait for changes after a revision.
@@ -63,8 +75,27 @@
             The changes, confirmed by the store itself, and the revision to
             continue from.
         """
-        changes, revision = self._store.watch(after, self._wait_s)
-        return changes, revision, FROM_STORE
+        sent_at = self._clock()
+        wait_s = self._choose_wait(sent_at)
+        changes, revision = self._store.watch(after, wait_s)
+        confirmed_at = sent_at
+        # Only a watch that found nothing is known to have waited. Events that cannot
+        # be read are left out of the changes, but they increase the revision.
+        waited = self._clock() - sent_at >= wait_s
+        if waited and not changes and revision == after:
+            confirmed_at = sent_at + wait_s
+        return changes, revision, self._build_confirmation(confirmed_at)
+
+    def _choose_wait(self, now):
+        """Return the wait of the next watch in seconds."""
+        if not self._renews_early:
+            return self._wait_s
+        remaining_s = self._confirmed_at + self._wait_s - now
+        return min(self._wait_s, max(MIN_WATCH_WAIT_S, remaining_s))
+
+    def _build_confirmation(self, confirmed_at):
+        self._confirmed_at = confirmed_at
+        return Confirmation(confirmed_at=confirmed_at)
 
 
 class SourceSelector:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,13 +1,21 @@
 """Tests of how hosts read store changes from the store and from each other."""
 
+import re
+import tempfile
 import threading
+import zlib
 from dataclasses import replace
+from pathlib import Path
+
+import capnp
 
 from redwingspring import feed
+from redwingspring.confirmations import LastConfirmation
 from redwingspring.feed import (
     FROM_STORE,
     MAX_CONFIRMED_AGE_S,
     Confirmation,
+    FeedClient,
     FeedUpdate,
     StoreMirror,
     decode_update,
@@ -15,7 +23,13 @@
 )
 from redwingspring.follower import StoreFollower
 from redwingspring.members import MemberReport, Members
-from redwingspring.sources import READERS_REFRESH_S, SourceSelector
+from redwingspring.metrics import Metrics
+from redwingspring.sources import (
+    MIN_WATCH_WAIT_S,
+    READERS_REFRESH_S,
+    SourceSelector,
+    StoreSource,
+)
 from redwingspring.storestate import (
     HistoryLost,
     StoreChange,
@@ -115,6 +129,175 @@
         self.assertLess(len(data), 12_000)
 
 
+UNKNOWN = float("-inf")
+WAIT_S = 0.9
+
+
+class StoreStub:
+    """Stub of a store client whose responses take time on the clock of a test."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.pause_s = 0.0
+        self.answer = lambda after, wait_s: (wait_s, (), after)
+
+    def read_all(self):
+        self.clock.now += self.pause_s
+        return StoreSnapshot((), 1)
+
+    def watch(self, after, wait_s):
+        self.wait_s = wait_s
+        took_s, changes, revision = self.answer(after, wait_s)
+        self.clock.now += took_s + self.pause_s
+        return changes, revision
+
+
+class ConfirmationTest(RedwingspringTestCase):
+    """An age that is measured too low accepts API keys that were revoked."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.store = StoreStub(self.clock)
+        self.source = StoreSource(self.store, WAIT_S, clock=self.clock)
+
+    def watch(self, took_s, changes=(), revision=1):
+        """Return how long ago a watch that took a time says it was confirmed."""
+        self.store.answer = lambda after, wait_s: (took_s, changes, revision)
+        confirmation = self.source.watch(1)[2]
+        return round(self.clock.now - confirmation.confirmed_at, 6)
+
+    def test_a_snapshot_is_as_old_as_its_request(self):
+        self.store.pause_s = 3.0
+        self.assertEqual(self.clock.now, self.source.read_all()[1].confirmed_at)
+
+    def test_a_watch_without_changes_is_confirmed_at_the_end_of_its_wait(self):
+        self.assertEqual(0.1, self.watch(WAIT_S + 0.1))
+
+    def test_a_response_that_stayed_unread_while_suspended_is_old(self):
+        self.store.pause_s = 20.0
+        self.assertEqual(20.0, self.watch(WAIT_S))
+        change = StoreChange("a", b"", 2)
+        self.assertEqual(20.5, self.watch(0.5, (change,), 2))
+
+    def test_a_watch_that_ended_early_is_as_old_as_its_request(self):
+        self.assertEqual(0.4, self.watch(0.4))
+
+    def test_events_that_cannot_be_read_are_not_taken_for_a_whole_wait(self):
+        self.assertEqual(2.0, self.watch(2.0, (), revision=3))
+
+    def test_a_watch_after_changes_renews_the_confirmation_in_time(self):
+        """The age would reach two waits, and keys would be rejected too soon."""
+        self.source = StoreSource(self.store, WAIT_S, True, self.clock)
+        self.source.read_all()
+        self.watch(0.8, (StoreChange("a", b"", 2),), 2)
+        self.clock.now += 0.05
+        self.watch(0.1)
+        self.assertAlmostEqual(0.05, self.store.wait_s)
+        self.clock.now += 60
+        self.watch(MIN_WATCH_WAIT_S)
+        self.assertEqual(MIN_WATCH_WAIT_S, self.store.wait_s)
+        self.watch(WAIT_S)
+        self.assertAlmostEqual(WAIT_S, self.store.wait_s)
+
+    def test_a_host_without_a_limit_on_the_age_watches_as_long_as_before(self):
+        self.watch(0.8, (StoreChange("a", b"", 2),), 2)
+        self.watch(WAIT_S)
+        self.assertEqual(WAIT_S, self.store.wait_s)
+
+    def relay(self, mirror, under_way_s):
+        """Return the confirmation that a host gets from a mirror of another one."""
+        client = FeedClient("127.0.0.1:1", Metrics(), self.clock)
+
+        def fetch(fields):
+            self.clock.now += under_way_s
+            update = mirror.read(fields.get("after"), 0)
+            self.clock.now += under_way_s
+            return decode_update(encode_update(update))
+
+        self.patch(client, "_fetch_update", fetch)
+        return client.watch(1)[2]
+
+    def test_ages_add_up_over_the_hops_of_the_feed(self):
+        first, second = StoreMirror(self.clock), StoreMirror(self.clock)
+        confirmed_at = self.clock.now
+        first.apply_snapshot(
+            StoreSnapshot((), 1), Confirmation(confirmed_at=confirmed_at)
+        )
+        self.clock.now += 0.3
+        received = self.relay(first, 0.25)
+        self.assertAlmostEqual(confirmed_at - 0.25, received.confirmed_at, 2)
+        second.apply_snapshot(StoreSnapshot((), 1), received)
+        self.clock.now += 0.2
+        received = self.relay(second, 0.25)
+        self.assertTrue(received.confirmed_at <= confirmed_at - 0.5)
+        self.assertEqual(2, received.hops)
+
+    def test_a_wait_of_the_feed_does_not_make_its_data_older(self):
+        mirror = StoreMirror(self.clock)
+        mirror.apply_snapshot(
+            StoreSnapshot((), 1), Confirmation(confirmed_at=self.clock.now)
+        )
+        condition = mirror._changed
+        self.patch(
+            condition,
+            "wait",
+            lambda s: setattr(self.clock, "now", self.clock.now + s),
+        )
+        arrived_at = self.clock.now
+        update = mirror.read(1, 0.4)
+        self.assertAlmostEqual(arrived_at + 0.4, self.clock.now)
+        self.assertAlmostEqual(0.0, update.confirmed_offset_s)
+
+    def test_a_confirmation_from_the_future_counts_as_one_of_now(self):
+        client = FeedClient("127.0.0.1:1", Metrics(), self.clock)
+        update = FeedUpdate((), 1, False, Confirmation(), 1e6)
+        self.patch(client, "_fetch_update", lambda fields: update)
+        self.assertEqual(self.clock.now, client.watch(1)[2].confirmed_at)
+
+    def test_a_host_of_the_previous_version_states_no_confirmation(self):
+        """Zero, the default of a missing number, would confirm its data for ever."""
+        schema = Path(feed.__file__).with_name("feed.capnp").read_text()
+        schema = re.sub(r"  confirmedOffsetMs.*?\n}", "}", schema, flags=re.S)
+        schema = schema.replace("@0xc7e2f1904b8d3a65", "@0xc7e2f1904b8d3a66")
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "previous.capnp"
+            path.write_text(schema)
+            previous = capnp.load(str(path))
+        self.assertNotIn("confirmedOffsetMs", previous.Feed.schema.fields)
+        message = previous.Feed.new_message(version=feed.PROTOCOL_VERSION, revision=4)
+        update = decode_update(zlib.compress(message.to_bytes_packed()))
+        self.assertEqual((4, UNKNOWN), (update.revision, update.confirmed_offset_s))
+
+    def test_an_offset_survives_encoding_and_is_never_rounded_up(self):
+        for offset_s in (-1.2345, 0.0, 2.0, UNKNOWN, -1e9):
+            update = FeedUpdate((), 1, False, Confirmation(), offset_s)
+            decoded = decode_update(encode_update(update)).confirmed_offset_s
+            self.assertTrue(decoded <= offset_s, offset_s)
+            if abs(offset_s) < 1e9:
+                self.assertTrue(decoded > offset_s - 0.0011, offset_s)
+
+    def test_a_confirmation_counts_only_once_its_state_is_in_force(self):
+        """A key would be looked up in the state before the confirmed one."""
+        last = LastConfirmation()
+        seen = []
+
+        class StoreStateStub:
+            revision = 1
+
+            def apply_snapshot(self, snapshot):
+                seen.append(last.confirmed_at)
+
+        follower = StoreFollower(None, StoreStateStub(), StoreMirror(), last)
+        selector = SourceSelector(
+            Members(build_member(1), self.clock), self.source, SourceStub, self.clock
+        )
+        follower._sources = selector
+        follower._read_source(self.source)
+        self.assertEqual([UNKNOWN], seen)
+        self.assertEqual(self.clock.now, last.confirmed_at)
+
+
 class SourceStub:
     """Stub of a source whose failures a test sets."""
 
