Read teams, public routes and the bounds on keys and rates

Cause: the configuration may list tenants with API keys, and routes that need none; deployments state how soon a removed key must be rejected. A configuration with an invalid tenant is refused as others are: wrong types, names that are no header value, keys with spaces, a name or key of two tenants. The error names the place and the tenants, not the key. StoreChange leaves its value out of its representation, because that of the configuration contains keys. Settings revoke, strict_revoke, quota_window, quota_overage and quota_slack; the template writes each only where the platform has its field. quota_overage and quota_slack default to 0, so that a field that is 0 and not written means the same. tests/test_deploy.py: the stand-in for the template also fills in sections over a field, as the platform does.

--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -15,6 +15,7 @@
     InstanceRemoval,
     TableChange,
 )
+from ..teams import Team, build_team_table
 from ..units import check_address
 
 logger = logging.getLogger(__name__)
@@ -45,6 +46,15 @@
 _Text = Annotated[str, Meta(min_length=1, max_length=1024)]
 # An id is sent to its target in a header.
 _INSTANCE_ID = re.compile(r"[!-~]{1,200}")
+# So is the name of a tenant, which may contain spaces. An API key is what follows the
+# scheme in a header, up to the end of the line.
+_TenantName = Annotated[
+    str, Meta(pattern=r"\A[!-~]([ -~]*[!-~])?\Z", min_length=1, max_length=200)
+]
+_ApiKey = Annotated[
+    str, Meta(pattern=r"\A[^\s\x00-\x20\x7f]+\Z", min_length=1, max_length=1024)
+]
+_Priority = Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 
 
 class _SplitEntry(Struct, frozen=True):
@@ -59,10 +69,11 @@
     timeout_s: _Positive
     target_latency_s: _Positive
     max_attempts: _Count = 1
-    priority: Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)] = 0
+    priority: _Priority = 0
     service: _Text | None = None
     traffic_split: tuple[_SplitEntry, ...] = ()
     allowed_regions: tuple[_Text, ...] = ()
+    public: bool = False
 
     def __post_init__(self):
         if self.service is None and not any(s.weight for s in self.traffic_split):
@@ -84,6 +95,18 @@
     warmup_per_s: _NonNegative = 0.0
 
 
+class _Tenant(Struct, frozen=True):
+    name: _TenantName
+    api_keys: tuple[_ApiKey, ...]
+    priority: _Priority | None = None
+    rate_per_s: _NonNegative = 0.0
+    burst: _NonNegative = 0.0
+
+    def __repr__(self):
+        """Return a text without the API keys."""
+        return f"_Tenant({self.name!r})"
+
+
 class _Limits(Struct, frozen=True):
     max_header_bytes: Annotated[int, Meta(gt=0, le=MAX_BYTES)] = (
         CallerLimits.header_bytes
@@ -98,6 +121,7 @@
     services: list[_Service]
     virtual_hosts: list[_VirtualHost]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
     def __post_init__(self):
         known = {service.name for service in self.services}
@@ -107,6 +131,8 @@
                 used |= {route.service} - {None}
                 if unknown := used - known:
                     raise ValueError(f"route {route.name} names {sorted(unknown)}")
+        # Also checks the keys, which must belong to one tenant each.
+        _build_teams(self.tenants)
 
 
 class _InstanceInfo(Struct, frozen=True):
@@ -192,7 +218,23 @@
         RoutedService(s.name, s.health_path, s.max_conns, s.warmup_s, s.warmup_per_s)
         for s in document.services
     ]
-    return build_table(document.config_version, routes, services, limits)
+    teams = _build_teams(document.tenants)
+    return build_table(document.config_version, routes, services, limits, teams)
+
+
+def _build_teams(tenants):
+    """Return the table of teams, None without tenants."""
+    if not tenants:
+        return None
+    return build_team_table(
+        [
+            (
+                Team(t.name, t.priority, t.rate_per_s, t.burst),
+                [key.encode() for key in t.api_keys],
+            )
+            for t in tenants
+        ]
+    )
 
 
 def _build_route(route):
@@ -212,6 +254,7 @@
         target_latency_s=route.target_latency_s,
         priority=route.priority,
         regions=tuple(route.allowed_regions),
+        public=route.public,
     )
 
 
--- a/redwingspring/routedsettings.py
+++ b/redwingspring/routedsettings.py
@@ -69,6 +69,18 @@
         Bandwidth of the host's network link in Mbit/s.
     first_start : bool, default=False
         Whether all hosts start for the first time, so that no caller waits yet.
+    revoke : float or None, default=None
+        Seconds after the publication of a configuration without an API key from
+        which on no host accepts the key in a new request.
+    strict_revoke : bool, default=False
+        Whether ``revoke`` holds at hosts that cannot hear of the configuration, too.
+        They accept no keys once the store has not confirmed theirs for most of it.
+    quota_window : float, default=5.0
+        Length of the window of the rate limits of teams in seconds.
+    quota_overage : float, default=0.0
+        Fraction by which the requests of a team in a window may exceed its limit.
+    quota_slack : float, default=0.0
+        Fixed number of requests by which they may exceed it in addition.
     """
 
     name: Name
@@ -94,6 +106,11 @@
     core_share: _Positive = 1.0
     link_mbit: _Positive = 1000.0
     first_start: bool = False
+    revoke: Seconds | None = None
+    strict_revoke: bool = False
+    quota_window: Seconds = 5.0
+    quota_overage: _NonNegative = 0.0
+    quota_slack: _NonNegative = 0.0
 
     @property
     def source_ip(self):
@@ -106,6 +123,11 @@
         port = self.peer_address.rsplit(":", 1)[1]
         return tuple(f"{seed.rsplit(':', 1)[0]}:{port}" for seed in self.seeds)
 
+    @property
+    def strict_revoke_s(self):
+        """Time in seconds within which all hosts reject a removed key, if limited."""
+        return self.revoke if self.strict_revoke else None
+
     @property
     def regions(self):
         """Region of each data centre, read-only."""
--- a/redwingspring/routes.py
+++ b/redwingspring/routes.py
@@ -47,6 +47,8 @@
         Priority; 0 is the highest.
     regions : tuple of str
         Regions whose targets may run the requests; empty allows all.
+    public : bool, default=False
+        Whether requests need no API key although there are teams.
     """
 
     name: str
@@ -58,6 +60,7 @@
     target_latency_s: float
     priority: int
     regions: tuple = ()
+    public: bool = False
 
 
 @dataclass(frozen=True)
@@ -121,12 +124,16 @@
         Services by name.
     limits : CallerLimits
         Limits on callers.
+    teams : TeamTable or None, default=None
+        Teams and their API keys; None if the configuration contains no teams, and
+        requests need no keys.
     """
 
     version: int
     hosts: MappingProxyType
     services: MappingProxyType
     limits: CallerLimits = field(default_factory=CallerLimits)
+    teams: object = None
 
     def find_route(self, host, path):
         """Return the route that matches a request.
@@ -151,7 +158,7 @@
         return None
 
 
-def build_table(version, routes, services, limits):
+def build_table(version, routes, services, limits, teams=None):
     """Build a routing table.
 
     Parameters
@@ -164,6 +171,8 @@
         All services.
     limits : CallerLimits
         Limits on callers.
+    teams : TeamTable or None, default=None
+        Teams and their API keys.
 
     Returns
     -------
@@ -182,6 +191,7 @@
         MappingProxyType(ordered),
         MappingProxyType({service.name: service for service in services}),
         limits,
+        teams,
     )
 
 
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .clock import read_clock
 from .errors import DocumentError, RedwingspringError
@@ -50,7 +50,8 @@
     """
 
     key: str
-    value: bytes | None
+    # The value of the configuration contains API keys.
+    value: bytes | None = field(repr=False)
     revision: int
 
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -31,6 +31,14 @@
     "limits.cpu_share": "0.717",
     "limits.link_mbps": "100.0",
 }
+# Fields that other deployments do not have.
+KEY_FIELDS = {
+    "bounds.revoke_s": "5",
+    "bounds.strict_revoke": "true",
+    "bounds.quota_window_s": "5",
+    "bounds.quota_overage": "0.25",
+    "bounds.quota_slack": "20",
+}
 SECTIONS = {
     "zones": [("akl-a", "aotearoa-north"), ("ham-b", "aotearoa-north")],
     "bootstrap": [("", "")],
@@ -42,6 +50,8 @@
     """Fill in the template as the platform's pages describe it."""
 
     def fill_section(match):
+        if match[1] not in sections:
+            return match[2] if match[1] in fields else ""
         entries = sections[match[1]]
         parts = [
             match[2].replace("{{@}}", key).replace("{{.}}", value)
@@ -53,7 +63,9 @@
             for part, comma in zip(parts, commas, strict=False)
         )
 
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", fill_section, template, flags=re.S)
+    text = re.sub(
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", fill_section, template, flags=re.S
+    )
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: fields[match[1]], text)
 
 
@@ -73,6 +85,26 @@
         self.assertEqual((3, 0.717), (settings.cores, settings.core_share))
         self.assertEqual(100.0, settings.link_mbit)
 
+    def test_the_bounds_on_api_keys_and_rates_are_read(self):
+        fields = {**FIELDS, **KEY_FIELDS}
+        settings = parse_routed_settings(render(self.template, fields=fields))
+        self.assertEqual((5.0, True, 5.0), (settings.revoke, settings.strict_revoke,
+                                            settings.strict_revoke_s))  # fmt: skip
+        self.assertEqual((5.0, 0.25, 20.0), (settings.quota_window,
+                         settings.quota_overage, settings.quota_slack))  # fmt: skip
+        fields["bounds.strict_revoke"] = "false"
+        settings = parse_routed_settings(render(self.template, fields=fields))
+        self.assertEqual((5.0, None), (settings.revoke, settings.strict_revoke_s))
+
+    def test_a_deployment_without_bounds_on_api_keys_starts(self):
+        text = render(self.template)
+        for name in ("revoke", "quota"):
+            self.assertNotIn(name, text)
+        settings = parse_routed_settings(text)
+        self.assertEqual((None, False, 5.0, 0.0, 0.0), (settings.revoke,
+                         settings.strict_revoke, settings.quota_window,
+                         settings.quota_overage, settings.quota_slack))  # fmt: skip
+
     def test_a_deployment_without_seeds_starts(self):
         settings = parse_routed_settings(
             render(self.template, {**SECTIONS, "seeds": []})
