Ask the store for all of the wait of a watch

Cause: the wait was cut to whole milliseconds, 0.283 s to 282 ms. A watch that ends before its wait counts as one that ended early, so its confirmation is as old as the whole watch. Change: the wait is rounded, and a shortened one has whole milliseconds. Result: test_a_watch_asks_for_all_of_its_wait passes; tests/test_feed.py and tests/test_platform.py pass.

--- a/redwingspring/platform/store.py
+++ b/redwingspring/platform/store.py
@@ -121,7 +121,7 @@
         StoreError
             If the store gives no usable response.
         """
-        fields = {"prefix": "", "after": after, "wait_ms": int(wait_s * 1000)}
+        fields = {"prefix": "", "after": after, "wait_ms": round(wait_s * 1000)}
         document = self._call("kv-watch", fields, wait_s + WATCH_MARGIN_S)
         events = document.get("events")
         if not isinstance(events, list):
--- a/redwingspring/sources.py
+++ b/redwingspring/sources.py
@@ -87,11 +87,14 @@
         return changes, revision, self._build_confirmation(confirmed_at)
 
     def _choose_wait(self, now):
-        """Return the wait of the next watch in seconds."""
+        """Return the wait of the next watch in seconds, in whole milliseconds."""
         if not self._renews_early:
             return self._wait_s
         remaining_s = self._confirmed_at + self._wait_s - now
-        return min(self._wait_s, max(MIN_WATCH_WAIT_S, remaining_s))
+        wait_s = min(self._wait_s, max(MIN_WATCH_WAIT_S, remaining_s))
+        # The store waits for whole milliseconds. A wait that it shortens would look
+        # like a watch that ended early.
+        return round(wait_s, 3)
 
     def _build_confirmation(self, confirmed_at):
         self._confirmed_at = confirmed_at
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -197,6 +197,9 @@
         self.clock.now += 60
         self.watch(MIN_WATCH_WAIT_S)
         self.assertEqual(MIN_WATCH_WAIT_S, self.store.wait_s)
+        self.clock.now += 0.0004
+        self.watch(WAIT_S)
+        self.assertEqual(WAIT_S, self.store.wait_s)
         self.watch(WAIT_S)
         self.assertAlmostEqual(WAIT_S, self.store.wait_s)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -200,6 +200,16 @@
         self.assertEqual([b"x", None], [change.value for change in changes])
         self.assertEqual(((), revision), self.client.watch(revision, 0.05))
 
+    def test_a_watch_asks_for_all_of_its_wait(self):
+        """A watch that ends sooner confirms less than one that waited."""
+        waits = []
+        self.stand_in.read_watch = lambda query: (
+            waits.append(query["wait_ms"]) or (200, {"events": [], "store_revision": 1})
+        )
+        for wait_s in (0.9, 0.283, 0.57, 0.05):
+            self.client.watch(1, wait_s)
+        self.assertEqual(["900", "283", "570", "50"], waits)
+
     def test_each_failure_of_the_store_raises_its_own_error(self):
         self.stand_in.put("servers/1", b"x")
         self.stand_in.compact_history()
