Authenticate requests by their API keys

Cause: while the configuration contains teams, a request must run under the team that holds its key, or not at all, also at hosts that cannot hear that a key was removed. Change: RouteForwarder asks an Authenticator before it reads the body, and the guard asks it again before the first byte of each attempt. Authorization and Tenant of callers are dropped while there are teams, and targets get our Tenant. The priority of a team comes before that of its route. Reasons unauthorized and unconfirmed; neither is retried nor counts against the target. Without teams nothing changes. MAX_CONFIRMED_AGE_S moves to confirmations, which both users import. tests/standins.py: targets also record the header lines that they got, since a dict hides a second line of the same name.

--- a/redwingspring/confirmations.py
+++ b/redwingspring/confirmations.py
@@ -1,5 +1,11 @@
 """Time at which the store last confirmed the state in force at this host."""
 
+# A newer configuration may exist after this time without a confirmation, so what is
+# unknown to the one in force is not rejected for good.
+MAX_CONFIRMED_AGE_S = 3.0
+# Time after which a host that the store has not confirmed may have a confirmation.
+RENEWAL_RETRY_AFTER_S = 0.3
+
 
 class LastConfirmation:
     """Lower bound of the time at which the store last held the state in force.
--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -25,7 +25,15 @@
 # pauses before the send.
 MAX_DECISION_AGE_S = 0.1
 # Failures that no further attempt can remedy.
-_FINAL_REASONS = frozenset((Reason.CALLER_GONE, Reason.DEADLINE, Reason.MALFORMED))
+_FINAL_REASONS = frozenset(
+    (
+        Reason.CALLER_GONE,
+        Reason.DEADLINE,
+        Reason.MALFORMED,
+        Reason.UNAUTHORIZED,
+        Reason.UNCONFIRMED,
+    )
+)
 
 
 class Delivery:
@@ -250,7 +258,10 @@
         headers = dict(call.headers)
         headers.update(
             self._dispatcher.dialect.build_request_headers(
-                call.request_id, call.deadline - now, instance.id
+                call.request_id,
+                call.deadline - now,
+                instance.id,
+                call.team.name if call.team else None,
             )
         )
         if call.body.exists and call.body.length is not None:
@@ -274,6 +285,9 @@
             return refuse(Reason.STALE_DECISION, "the target stopped taking work")
         if exchange.state.is_backing_off(self._clock()):
             return refuse(Reason.STALE_DECISION, "the target wants a pause")
+        failure = self._call.check_team()
+        if failure is not None:
+            return failure
         # The clock is read last, so that it includes a pause before this point.
         now = self._clock()
         if now - decided_at > MAX_DECISION_AGE_S:
--- a/redwingspring/metadata.py
+++ b/redwingspring/metadata.py
@@ -1,6 +1,6 @@
 """Request and response metadata, parsed from the headers of the platform."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -13,10 +13,14 @@
         Identifier of one attempt of the caller; None if missing or too long.
     time_left_s : float or None
         Seconds until the caller times out.
+    api_key : bytes or None, default=None
+        API key as the caller sent it; None if it sent none. Empty if it sent one in a
+        form that cannot be read.
     """
 
     request_id: str | None
     time_left_s: float | None
+    api_key: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True)
--- a/redwingspring/platform/headers.py
+++ b/redwingspring/platform/headers.py
@@ -1,5 +1,6 @@
 """Parsing and building of the platform's request and response headers."""
 
+import re
 from email.utils import parsedate_to_datetime
 
 from ..metadata import RequestMetadata, ResponseMetadata
@@ -17,6 +18,10 @@
 DRAINING_VALUE = "1"
 RETRY_AFTER = "Retry-After"
 DATE = "Date"
+AUTHORIZATION = "Authorization"
+TEAM = "Tenant"
+# Scheme of the credentials in Authorization; the API key follows it.
+AUTHENTICATION_SCHEME = "Token"
 
 # Request headers that the entry host replaces on each attempt.
 REPLACED_REQUEST_HEADERS = frozenset(
@@ -28,6 +33,9 @@
         EXPECTED_INSTANCE.lower(),
     )
 )
+# Request headers that are not passed on while the configuration contains teams. Targets
+# get the name of the team from this host only, and never a key.
+TEAM_REQUEST_HEADERS = frozenset((AUTHORIZATION.lower(), TEAM.lower()))
 # Response headers of targets that are not passed on to callers. That a request did
 # not run is told to the caller by the status of this host's own response.
 INTERNAL_RESPONSE_HEADERS = frozenset(
@@ -40,6 +48,9 @@
     )
 )
 MAX_REQUEST_ID_LENGTH = 256
+_CREDENTIALS = re.compile(rf"{AUTHENTICATION_SCHEME} +([^ ].*)", re.I | re.S)
+# The scheme at the start of any of several credentials, which the server joins.
+_SCHEME = re.compile(rf"(?:\A|,)[ \t]*{AUTHENTICATION_SCHEME}(?:[ \t,]|\Z)", re.I)
 
 
 def parse_request_headers(environ):
@@ -60,10 +71,29 @@
         request_id = None
     # The header holds the remaining time, not a point in time.
     left_ms = _read_number(environ.get("HTTP_DEADLINE_MS"))
-    return RequestMetadata(request_id, None if left_ms is None else left_ms / 1000)
+    return RequestMetadata(
+        request_id,
+        None if left_ms is None else left_ms / 1000,
+        _read_api_key(environ.get("HTTP_AUTHORIZATION")),
+    )
+
+
+def _read_api_key(text):
+    """Return the bytes of the API key in Authorization, None without one.
+
+    Credentials of other schemes are no key. Of several credentials none can be told to
+    be the caller's; with a key among them they are a key that no team holds.
+    """
+    if text is None:
+        return None
+    match = _CREDENTIALS.fullmatch(text)
+    if match:
+        # The server decodes each byte of a header into one character.
+        return match[1].encode("latin-1")
+    return b"" if _SCHEME.search(text) else None
 
 
-def build_request_headers(request_id, time_left_s, instance_id):
+def build_request_headers(request_id, time_left_s, instance_id, team_name=None):
     """Return the headers for one attempt of a request.
 
     Parameters
@@ -74,17 +104,22 @@
         Seconds until the caller times out.
     instance_id : str
         The only instance that may run the request.
+    team_name : str or None, default=None
+        Name of the team that sent the request, if it is known.
 
     Returns
     -------
     dict of str to str
         Headers.
     """
-    return {
+    headers = {
         REQUEST_ID: request_id,
         TIME_LEFT: str(max(1, int(time_left_s * 1000))),
         EXPECTED_INSTANCE: instance_id,
     }
+    if team_name is not None:
+        headers[TEAM] = team_name
+    return headers
 
 
 def parse_response_headers(headers):
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -1,5 +1,7 @@
 """Composition root of an entry process that follows a store."""
 
+from .authentication import Authenticator
+from .confirmations import LastConfirmation
 from .decisions import DecisionLog
 from .drainnotices import DrainNotices
 from .exposition import MetricsCollector, MetricsPage, RequestLatencies
@@ -46,14 +48,24 @@
     entry.store_state.on_table = entry.apply_table
     assemble_membership(entry, settings)
     entry.mirror = StoreMirror()
-    store = StoreSource(StoreClient(settings.store, entry.metrics), WATCH_WAIT_S)
+    store = StoreSource(
+        StoreClient(settings.store, entry.metrics),
+        WATCH_WAIT_S,
+        renews_early=settings.strict_revoke_s is not None,
+    )
     entry.sources = SourceSelector(
         entry.members,
         store,
         lambda address: FeedClient(address, entry.metrics),
         is_first_start=settings.first_start,
     )
-    entry.follower = StoreFollower(entry.sources, entry.store_state, entry.mirror)
+    last_confirmation = LastConfirmation()
+    entry.follower = StoreFollower(
+        entry.sources, entry.store_state, entry.mirror, last_confirmation
+    )
+    entry.authenticator = Authenticator(
+        entry.store_state, last_confirmation, settings.strict_revoke_s, entry.metrics
+    )
     hosts = HostCount()
     entry.gossip.on_alive_count = hosts.record_count
     entry.dispatcher = RouteDispatcher(
@@ -118,6 +130,7 @@
     forwarder = RouteForwarder(
         entry.store_state,
         entry.dispatcher,
+        entry.authenticator,
         headers,
         entry.metrics,
         entry.decisions,
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -5,6 +5,7 @@
 from expression import Error
 
 from .clock import read_clock
+from .confirmations import RENEWAL_RETRY_AFTER_S
 from .deliveries import Delivery
 from .policy.callertimeouts import CallerTimeouts
 from .policy.placement import ResponseStatistics
@@ -20,10 +21,27 @@
 _QUEUE_REASONS = frozenset((Reason.NO_CAPACITY, Reason.DEADLINE))
 # Reasons that do not count as failures of the target.
 _NEUTRAL_REASONS = frozenset(
-    (Reason.CALLER_GONE, Reason.DEADLINE, Reason.STALE_DECISION, Reason.MALFORMED)
+    (
+        Reason.CALLER_GONE,
+        Reason.DEADLINE,
+        Reason.STALE_DECISION,
+        Reason.MALFORMED,
+        Reason.UNAUTHORIZED,
+        Reason.UNCONFIRMED,
+    )
 )
 
 
+def allow_team():
+    """Allow a request to run under its team.
+
+    Returns
+    -------
+    None
+        No failure.
+    """
+
+
 @dataclass(frozen=True)
 class RoutedCall:
     """One request of a caller on a route.
@@ -54,6 +72,11 @@
         Seconds that the caller had waited before this request arrived.
     begin_stream : callable, optional
         Called before a long response is relayed in parts; returns whether it may be.
+    team : Team or None, default=None
+        Team that sent the request, if it is known.
+    check_team : callable, optional
+        Called directly before each send. Returns None if the request may still run
+        under its team, or the Failure that forbids it.
     """
 
     request_id: str
@@ -68,6 +91,15 @@
     caller_socket: object
     prior_wait_s: float = 0.0
     begin_stream: object = allow_stream
+    team: object = None
+    check_team: object = allow_team
+
+    @property
+    def priority(self):
+        """Priority in effect, that of the team before that of the route."""
+        if self.team is None or self.team.priority is None:
+            return self.route.priority
+        return self.team.priority
 
 
 @dataclass(frozen=True)
@@ -167,6 +199,8 @@
         if outcome.is_ok():
             return outcome
         failure = outcome.error
+        if failure.reason is Reason.UNCONFIRMED:
+            return Error(Rejection(failure, RENEWAL_RETRY_AFTER_S))
         retry_after = None
         if failure.proves_not_run:
             waiting = len(self.wait_queues.find(call.service.name))
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -5,6 +5,7 @@
 from .body import RequestBody
 from .calls import HOP_BY_HOP_HEADERS, read_content_length, read_headers
 from .clock import read_clock
+from .confirmations import MAX_CONFIRMED_AGE_S
 from .routedispatch import Rejection, RoutedCall
 from .routes import WeightedRoundRobin
 from .targetconnection import ResponseBroken
@@ -13,6 +14,7 @@
 
 PHRASES = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     413: "Content Too Large",
     502: "Bad Gateway",
@@ -23,9 +25,6 @@
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
 # Request bodies up to this size are buffered, so that they can be replayed in a retry.
 MAX_BUFFERED_BODY_BYTES = 256 << 10
-# With a configuration that was not confirmed for longer than this, a request without
-# a matching route may belong to a route that this host does not know yet.
-MAX_CONFIRMED_AGE_S = 3.0
 
 
 class RouteForwarder:
@@ -37,6 +36,8 @@
         Configuration in force.
     dispatcher : RouteDispatcher
         Sends calls to targets.
+    authenticator : Authenticator
+        Decides under which team a request runs.
     dialect : module
         Module with the names of the request and response headers and their parser.
     metrics : Metrics
@@ -53,6 +54,7 @@
         self,
         store_state,
         dispatcher,
+        authenticator,
         dialect,
         metrics,
         decisions,
@@ -61,6 +63,7 @@
     ):
         self.store_state = store_state
         self.dispatcher = dispatcher
+        self.authenticator = authenticator
         self.dialect = dialect
         self.metrics = metrics
         self.decisions = decisions
@@ -102,13 +105,21 @@
 
     def _read_call(self, environ, received_at):
         """Return Ok with a RoutedCall, or an Error with a Rejection."""
-        table = self.store_state.table
+        confirmed = self.authenticator.read_table()
+        table = confirmed.table
         if table is None:
             failure = refuse(Reason.NOT_READY, "this host has no configuration yet")
             return Error(Rejection(failure, NO_CONFIGURATION_RETRY_AFTER_S))
         metadata = self.dialect.parse_request_headers(environ)
         path = environ.get("REQUEST_URI") or environ["PATH_INFO"]
         route = table.find_route(environ.get("HTTP_HOST", ""), path)
+        authenticated = self.authenticator.authenticate(
+            confirmed, route, metadata.api_key
+        )
+        if authenticated.is_error():
+            return authenticated
+        identity = authenticated.ok
+        # The rate limit of the team is checked here, before the body is read.
         if route is None:
             return Error(self._reject_unknown_route())
         if metadata.request_id is None:
@@ -148,7 +159,7 @@
                 service=service,
                 method=environ["REQUEST_METHOD"],
                 path=path,
-                headers=read_headers(environ, self.dialect.REPLACED_REQUEST_HEADERS),
+                headers=self._read_headers(environ, identity),
                 body=body,
                 received_at=received_at,
                 deadline=deadline,
@@ -157,9 +168,18 @@
                     route, metadata.time_left_s
                 ),
                 begin_stream=getattr(request, "begin_stream", allow_stream),
+                team=identity.team,
+                check_team=lambda: self.authenticator.check_again(identity),
             )
         )
 
+    def _read_headers(self, environ, identity):
+        """Return the headers of a request that are passed on to its target."""
+        replaced = self.dialect.REPLACED_REQUEST_HEADERS
+        if identity.uses_keys:
+            replaced = replaced | self.dialect.TEAM_REQUEST_HEADERS
+        return read_headers(environ, replaced)
+
     def _reject_unknown_route(self):
         """Return the rejection of a request that matches no known route."""
         if self.store_state.age_s > MAX_CONFIRMED_AGE_S:
@@ -223,7 +243,8 @@
             status=failure.status,
             retry_after_s=retry_after,
             route=call.route.name if call else None,
-            priority=call.route.priority if call else None,
+            priority=call.priority if call else None,
+            team=call.team.name if call and call.team else None,
             held_ms=round((self._clock() - received_at) * 1000, 1),
             configuration_version=self.store_state.version,
             configuration_age_s=round(self.store_state.age_s, 2),
@@ -237,6 +258,9 @@
         ]
         if retry_after is not None and failure.status == 503:
             headers.append(("Retry-After", f"{retry_after:.3f}"))
+        if failure.status == 401:
+            scheme = self.dialect.AUTHENTICATION_SCHEME
+            headers.append(("WWW-Authenticate", scheme))
         phrase = PHRASES.get(failure.status, "Failure")
         start_response(f"{failure.status} {phrase}", headers)
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -74,7 +74,7 @@
         result = None
         timing = self._dispatcher.build_timing(call)
         late_at = self._clock() + timing.target_latency_left_s - timing.work_s
-        entry = queue.enter(call.route.priority, call.received_at, late_at)
+        entry = queue.enter(call.priority, call.received_at, late_at)
         try:
             result = self._wait_in_queue(queue, entry)
             return result
--- a/redwingspring/verdict.py
+++ b/redwingspring/verdict.py
@@ -40,6 +40,8 @@
     DUPLICATE = "duplicate"
     CALLER_GONE = "caller-gone"
     INTERNAL = "internal"
+    UNAUTHORIZED = "unauthorized"
+    UNCONFIRMED = "unconfirmed"
 
     def __str__(self):
         return self.value
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -201,6 +201,7 @@
         self.arrivals = []
         self.probes = 0
         self.headers = []
+        self.field_lines = []
         self.disconnected = threading.Event()
         stand_in = self
 
@@ -300,6 +301,7 @@
         request_id = handler.headers["Request-Id"]
         self.arrivals.append(request_id)
         self.headers.append(dict(handler.headers.items()))
+        self.field_lines.append(handler.headers.items())
         mode = self.mode
         if handler.headers.get("Target-Instance") != self.id:
             self.refuse(handler, 421)
