--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -425,6 +425,21 @@
             self.assertTrue(len(found) > 4)
             self.assertEqual([["kaje80"]] * len(found), found)
 
+    def test_a_request_waits_with_the_priority_of_its_team(self):
+        host = self.build(instances=1)
+        host.instances[0].load = "3,5,3,100"
+        queue = host.entry.dispatcher.wait_queues.find("desk")
+        enter, priorities = queue.enter, []
+
+        def record(priority, *times):
+            priorities.append(priority)
+            return enter(priority, *times)
+
+        self.patch(queue, "enter", record)
+        for key in (KEY, OTHER_KEY):
+            self.assertEqual(503, self.ask(host, key)[0])
+        self.assertEqual([0, 1], priorities)
+
     def test_the_line_of_a_failed_request_has_its_team_and_priority(self):
         logs = DecisionLogCapture(self)
         host = self.build(instances=0)
