Merge teams and API keys, and limit the rates of teams

The forwarder asks the rate limiter after the authentication, and gives an admission back if nothing ran.

--- a/redwingspring/feed.capnp
+++ b/redwingspring/feed.capnp
@@ -20,4 +20,7 @@
   # Hosts between the sender and the store; 0 when the sender reads the store itself.
   epoch @6 :UInt64;
   # Epoch of the store to which the revisions belong; 0 from hosts that know no epochs.
+  confirmedOffsetMs @7 :Int32 = -2147483648;
+  # Earliest time at which the store may have confirmed the data, relative to the arrival
+  # of the request at the sender; the default value means that it is unknown.
 }
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -1,5 +1,7 @@
 """Composition root of an entry process that follows a store."""
 
+from .authentication import Authenticator
+from .confirmations import LastConfirmation
 from .decisions import DecisionLog
 from .drainnotices import DrainNotices
 from .exposition import MetricsCollector, MetricsPage, RequestLatencies
@@ -48,14 +50,24 @@
     entry.store_state.on_table = entry.apply_table
     assemble_membership(entry, settings)
     entry.mirror = StoreMirror()
-    store = StoreSource(StoreClient(settings.store, entry.metrics), WATCH_WAIT_S)
+    store = StoreSource(
+        StoreClient(settings.store, entry.metrics),
+        WATCH_WAIT_S,
+        renews_early=settings.strict_revoke_s is not None,
+    )
     entry.sources = SourceSelector(
         entry.members,
         store,
         lambda address: FeedClient(address, entry.metrics),
         is_first_start=settings.first_start,
     )
-    entry.follower = StoreFollower(entry.sources, entry.store_state, entry.mirror)
+    last_confirmation = LastConfirmation()
+    entry.follower = StoreFollower(
+        entry.sources, entry.store_state, entry.mirror, last_confirmation
+    )
+    entry.authenticator = Authenticator(
+        entry.store_state, last_confirmation, settings.strict_revoke_s, entry.metrics
+    )
     hosts = HostCount()
     entry.gossip.on_alive_count = hosts.record_count
     entry.dispatcher = RouteDispatcher(
@@ -98,12 +110,12 @@
 
     def _find_version():
         table = entry.store_state.table
-        return table.version if getattr(table, "teams", None) is not None else None
+        return None if table is None or table.teams is None else table.version
 
     return RateLimiter(
         entry.gossip,
         entry.members,
-        UsageBound(),
+        UsageBound(settings.quota_window, settings.quota_overage, settings.quota_slack),
         _find_version,
         entry.metrics,
         entry.decisions,
@@ -154,6 +166,8 @@
     forwarder = RouteForwarder(
         entry.store_state,
         entry.dispatcher,
+        entry.authenticator,
+        entry.rate_limiter,
         headers,
         entry.metrics,
         entry.decisions,
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -5,6 +5,7 @@
 from expression import Error
 
 from .clock import read_clock
+from .confirmations import RENEWAL_RETRY_AFTER_S
 from .deliveries import Delivery
 from .policy.callertimeouts import CallerTimeouts
 from .policy.placement import ResponseStatistics
@@ -30,10 +31,22 @@
         Reason.STALE_DECISION,
         Reason.MALFORMED,
         Reason.STOPPING,
+        Reason.UNAUTHORIZED,
+        Reason.UNCONFIRMED,
     )
 )
 
 
+def allow_team():
+    """Allow a request to run under its team.
+
+    Returns
+    -------
+    None
+        No failure.
+    """
+
+
 @dataclass(frozen=True)
 class RoutedCall:
     """One request of a caller on a route.
@@ -66,6 +79,11 @@
         Called before a long response is relayed in parts; returns whether it may be.
     read_at : float or None, default=None
         When the request had been read; None if that was when it arrived.
+    team : Team or None, default=None
+        Team that sent the request, if it is known.
+    check_team : callable, optional
+        Called directly before each send. Returns None if the request may still run
+        under its team, or the Failure that forbids it.
     """
 
     request_id: str
@@ -81,6 +99,15 @@
     prior_wait_s: float = 0.0
     begin_stream: object = allow_stream
     read_at: float | None = None
+    team: object = None
+    check_team: object = allow_team
+
+    @property
+    def priority(self):
+        """Priority in effect, that of the team before that of the route."""
+        if self.team is None or self.team.priority is None:
+            return self.route.priority
+        return self.team.priority
 
 
 @dataclass(frozen=True)
@@ -184,6 +211,8 @@
         if outcome.is_ok():
             return outcome
         failure = outcome.error
+        if failure.reason is Reason.UNCONFIRMED:
+            return Error(Rejection(failure, RENEWAL_RETRY_AFTER_S))
         retry_after = None
         if failure.reason is Reason.STOPPING:
             retry_after = STOPPING_RETRY_AFTER_S
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .clock import read_clock
 from .drainingentries import DrainingEntries
@@ -87,7 +87,8 @@
     """
 
     key: str
-    value: bytes | None
+    # The value of the configuration contains API keys.
+    value: bytes | None = field(repr=False)
     revision: int
 
 
--- a/redwingspring/verdict.py
+++ b/redwingspring/verdict.py
@@ -41,6 +41,9 @@
     DUPLICATE = "duplicate"
     CALLER_GONE = "caller-gone"
     INTERNAL = "internal"
+    UNAUTHORIZED = "unauthorized"
+    UNCONFIRMED = "unconfirmed"
+    RATE_LIMITED = "rate-limited"
 
     def __str__(self):
         return self.value
