Let late requests give way only to requests that can be in time

Where all requests of a service are late, for example because its target latency is shorter than the work, one request at each target left most slots empty.

--- a/redwingspring/overload.py
+++ b/redwingspring/overload.py
@@ -67,6 +67,8 @@
             full_share, call.profile, PROBE_INTERVAL_S
         ):
             return NO_PRESSURE
+        if not pressure.has_requests_in_time:
+            return NO_PRESSURE
         if pressure.begin_period():
             self._metrics.increment("overload.periods")
             self._decisions.record(
@@ -83,6 +85,19 @@
         )
         return Precedence(True, factor)
 
+    def record_arrival(self, service, timing):
+        """Record a call that arrives.
+
+        Parameters
+        ----------
+        service : str
+            Name of its service.
+        timing : RequestTiming
+            Times of the call.
+        """
+        if not timing.is_late:
+            self._pressures.find(service).record_in_time()
+
     def record_wait(self, timing):
         """Count a call that begins to wait, and whether it gives way to others.
 
--- a/redwingspring/policy/pressure.py
+++ b/redwingspring/policy/pressure.py
@@ -22,6 +22,9 @@
 MAX_SAMPLES = 64
 # Highest predicted slowdown of a target that counts as having room.
 MAX_ROOM_SLOWDOWN = 1.6
+# Late requests give way only while a request that can be answered in time arrived at
+# this host within this time; small hosts get about one request a second.
+IN_TIME_MEMORY_S = 5.0
 # Pressure that returns within this time belongs to the same period.
 PERIOD_GAP_S = 1.0
 
@@ -62,6 +65,7 @@
         self._lock = threading.Lock()
         self._samples = deque(maxlen=MAX_SAMPLES)
         self._period_end = float("-inf")
+        self._in_time_at = float("-inf")
 
     def record(self, has_room):
         """Record whether a sampled target had room.
@@ -86,6 +90,15 @@
             full = sum(not has_room for _, has_room in self._samples)
             return full / len(self._samples)
 
+    def record_in_time(self):
+        """Record the arrival of a request that can be answered in time."""
+        self._in_time_at = self._clock()
+
+    @property
+    def has_requests_in_time(self):
+        """Tell whether such a request arrived recently, for which others give way."""
+        return self._clock() - self._in_time_at < IN_TIME_MEMORY_S
+
     def begin_period(self):
         """Record that there is too little room now.
 
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -65,6 +65,8 @@
         """
         call = self._call
         queue = self._dispatcher.wait_queues.find(call.service.name)
+        timing = self._dispatcher.build_timing(call)
+        self._dispatcher.overload.record_arrival(call.service.name, timing)
         for _ in range(SEARCHES_BEFORE_QUEUE):
             if queue:
                 break
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,17 +1,29 @@
 """Decisions on overload: pressure, precedence, and replays of a burst."""
 
+from types import SimpleNamespace
+
+from redwingspring.metrics import Metrics
+from redwingspring.overload import OverloadControl
 from redwingspring.policy.loadsamples import LoadSample
+from redwingspring.policy.placement import ResponseStatistics
 from redwingspring.policy.precedence import (
+    NO_PRESSURE,
     Precedence,
     compute_wait_factor,
     has_pressure,
 )
-from redwingspring.policy.pressure import MIN_SAMPLES, ServicePressure, has_room
+from redwingspring.policy.pressure import (
+    IN_TIME_MEMORY_S,
+    MIN_SAMPLES,
+    ServicePressure,
+    has_room,
+)
 from redwingspring.policy.waitpolicy import (
     PROBE_INTERVAL_S,
     RequestTiming,
     accepts_target,
 )
+from redwingspring.policy.waitqueues import WaitQueues
 from redwingspring.routes import (
     CallerLimits,
     Route,
@@ -57,6 +69,17 @@
             pressure.record(False)
         self.assertEqual(0.0, pressure.full_share)
 
+    def test_late_requests_do_not_give_way_to_nobody(self):
+        # Where a route's target latency is shorter than its work, all its requests are
+        # late, and with one of them at each target most slots would stay empty.
+        clock = Clock()
+        pressure = ServicePressure(clock)
+        self.assertFalse(pressure.has_requests_in_time)
+        pressure.record_in_time()
+        self.assertTrue(pressure.has_requests_in_time)
+        clock.now += IN_TIME_MEMORY_S
+        self.assertFalse(pressure.has_requests_in_time)
+
     def test_a_slow_full_or_unhealthy_target_has_no_room(self):
         self.assertTrue(has_room(LoadSample(1, 0, 3), SLOWDOWN))
         for sample in (
@@ -79,6 +102,53 @@
         self.assertTrue(has_pressure(1.0, patient, PROBE_INTERVAL_S))
 
 
+class OverloadControlTest(RedwingspringTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.lines = []
+        decisions = SimpleNamespace(record=lambda event, **f: self.lines.append(event))
+        self.metrics = Metrics(None)
+        self.control = OverloadControl(
+            ResponseStatistics(), WaitQueues(), self.metrics, decisions, self.clock
+        )
+        route = SimpleNamespace(prefix="/r/", target_latency_s=0.475)
+        service = SimpleNamespace(name="desk")
+        self.call = SimpleNamespace(
+            service=service, route=route, priority=1, profile=PROFILE
+        )
+
+    def fill(self):
+        for _ in range(MIN_SAMPLES):
+            self.control.record_sample("desk", LoadSample(3, 0, 3))
+
+    def test_calls_give_way_only_to_calls_that_can_be_in_time(self):
+        self.fill()
+        self.assertIs(NO_PRESSURE, self.control.choose_precedence(self.call))
+        late = RequestTiming(0.45, 2.5, 0.475, 0.16)
+        self.control.record_arrival("desk", late)
+        self.assertIs(NO_PRESSURE, self.control.choose_precedence(self.call))
+        self.control.record_arrival("desk", RequestTiming(0.0, 3.0, 0.475, 0.16))
+        chosen = self.control.choose_precedence(self.call)
+        self.assertEqual(Precedence(True, 0.5), chosen)
+        for timing in (late, RequestTiming(0.0, 3.0, 0.475, precedence=chosen)):
+            self.control.record_wait(timing)
+        counts = self.metrics.snapshot()
+        self.assertEqual((1, 1), (counts["overload.waits"], counts["overload.yields"]))
+
+    def test_a_period_of_pressure_has_one_line(self):
+        self.control.record_arrival("desk", RequestTiming(0.0, 3.0, 0.475, 0.16))
+        for _ in range(5):
+            self.fill()
+            self.control.choose_precedence(self.call)
+            self.clock.now += 0.5
+        self.assertEqual(["service lacks room"], self.lines)
+        self.clock.now += 1.5
+        self.fill()
+        self.control.choose_precedence(self.call)
+        self.assertEqual(2, len(self.lines))
+
+
 class PrecedenceTest(RedwingspringTestCase):
     def accepts(self, timing, running=1, slots=4, slowness=1.0):
         return accepts_target(LoadSample(running, 0, slots, slowness), timing, SLOWDOWN)
