Check a platform configuration before it is published

Operators learned that hosts refuse a configuration only after they had published it, and entries without effect were not reported at all.

No output contains an API key: the decoder's messages contain no values, keys are compared as sets and reported as counts, and tracebacks of the command line show no local variables.

Exit codes are those of the existing command where it has them: 2 for an invalid or unreadable file. Warnings alone give 1, which check did not use.

The decoder stops at the first fault, so the parts of a refused document are checked one by one; the decision itself is the decoder's.

--- a/redwingspring/cmdline.py
+++ b/redwingspring/cmdline.py
@@ -22,14 +22,19 @@
 app = typer.Typer(
     help="Load balancer for servers whose load shifts in milliseconds.",
     no_args_is_help=True,
+    # The local variables of a traceback may contain API keys.
+    pretty_exceptions_show_locals=False,
 )
 standin = typer.Typer(help="Run stand-ins for external systems, for tests.")
 app.add_typer(standin, name="standin")
 
 EXIT_CHANGED = 1
+EXIT_WARNINGS = 1
 EXIT_INVALID = 2
 
-DocumentKind = StrEnum("DocumentKind", ["configuration", "hosts", "settings"])
+DocumentKind = StrEnum(
+    "DocumentKind", ["configuration", "hosts", "settings", "platform"]
+)
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
 
 
@@ -90,29 +95,74 @@
 
 @app.command()
 def check(
-    file: Annotated[Path, typer.Argument(help="The YAML file to check.")],
+    file: Annotated[Path, typer.Argument(help="The file to check.")],
     kind: Annotated[
-        DocumentKind,
+        DocumentKind | None,
         typer.Option(
             help="What the file is: the published configuration, the settings of "
-            "one host, or the list of hosts."
+            "one host, the list of hosts, or the JSON configuration of a platform. "
+            "Default: platform if it has its keys, otherwise configuration."
         ),
-    ] = DocumentKind.configuration,
+    ] = None,
+    against: Annotated[
+        Path | None,
+        typer.Option(help="Platform configuration in force, to compare with."),
+    ] = None,
     as_json: JsonOption = False,
 ):
     """Check a file without publishing or changing it.
 
     Prints each problem as FILE:LINE: KEY: MESSAGE. The exit code is 0 for a
-    valid file and 2 for an invalid one.
+    valid file, 1 for a valid platform configuration with warnings and 2 for a
+    file that is invalid or cannot be read.
     """
     from .validation import check_file
 
-    report = check_file(file, kind.value)
+    if against is not None and kind not in (None, DocumentKind.platform):
+        typer.echo("--against applies only to --kind platform", err=True)
+        raise typer.Exit(EXIT_INVALID)
+    if against is not None or kind is DocumentKind.platform or _is_platform(file, kind):
+        _check_platform(file, against, as_json)
+        return
+    report = check_file(file, (kind or DocumentKind.configuration).value)
     _print_output(report.to_json() if as_json else report.to_text())
     if report.problems:
         raise typer.Exit(EXIT_INVALID)
 
 
+def _is_platform(path, kind):
+    """Tell whether a file of unstated kind is a configuration of a platform."""
+    if kind is not None:
+        return False
+    from .routedassembly import is_platform_configuration
+
+    try:
+        return is_platform_configuration(read_file(path))
+    except DocumentError:
+        return False
+
+
+def _check_platform(path, path_in_force, as_json):
+    from .logs import escape_controls
+    from .routedassembly import check_configuration
+
+    paths = [path] if path_in_force is None else [path, path_in_force]
+    try:
+        texts = [text for p in paths for text in (read_file(p), str(p))]
+    except DocumentError as error:
+        _exit_with_error(error, as_json)
+    report = check_configuration(*texts)
+    if as_json:
+        _print_output(report.to_json())
+    else:
+        for line in report.to_text().split("\n"):
+            typer.echo(escape_controls(line))
+    if report.problems:
+        raise typer.Exit(EXIT_INVALID)
+    if report.warnings:
+        raise typer.Exit(EXIT_WARNINGS)
+
+
 @app.command()
 def explain(
     file: Annotated[Path, typer.Argument(help="A configuration file.")],
--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -33,7 +33,7 @@
 
 # Route types by whether a request may run more than once. A download is a long response
 # to an idempotent request, an upload a request with a large body.
-_IDEMPOTENT_BY_TYPE = {
+IDEMPOTENT_BY_TYPE = {
     "idempotent": True,
     "download": True,
     "non_idempotent": False,
@@ -81,6 +81,16 @@
                 "needs a service, or a traffic_split with a weight above 0"
             )
 
+    @property
+    def weights(self):
+        """Weights of the services that get the requests, by their names."""
+        weights = {}
+        for share in self.traffic_split:
+            if share.weight:
+                weights[share.service] = weights.get(share.service, 0) + share.weight
+        # Without a weighted split, all requests go to the single service.
+        return weights or {self.service: 1.0}
+
 
 class _VirtualHost(Struct, frozen=True):
     host: _Text
@@ -116,7 +126,23 @@
     idle_timeout_s: _Positive = CallerLimits.idle_timeout_s
 
 
-class _Configuration(Struct, frozen=True):
+class Configuration(Struct, frozen=True):
+    """A configuration with the fields of its document.
+
+    Attributes
+    ----------
+    config_version : int
+        Version; increases with each change.
+    services : list of Struct
+        Services.
+    virtual_hosts : list of Struct
+        Virtual hosts with their routes, the field ``paths``.
+    limits : Struct
+        Limits on callers.
+    tenants : tuple of Struct
+        Teams with their API keys.
+    """
+
     config_version: Annotated[int, Meta(ge=0, le=MAX_VERSION)]
     services: list[_Service]
     virtual_hosts: list[_VirtualHost]
@@ -124,17 +150,37 @@
     tenants: tuple[_Tenant, ...] = ()
 
     def __post_init__(self):
-        known = {service.name for service in self.services}
-        for host in self.virtual_hosts:
-            for route in host.paths:
-                used = {share.service for share in route.traffic_split}
-                used |= {route.service} - {None}
-                if unknown := used - known:
-                    raise ValueError(f"route {route.name} names {sorted(unknown)}")
+        for _, message in list_unknown_services(self.services, self.virtual_hosts):
+            raise ValueError(message)
         # Also checks the keys, which must belong to one tenant each.
         _build_teams(self.tenants)
 
 
+def list_unknown_services(services, virtual_hosts):
+    """Yield a message for each route that names a service that does not exist.
+
+    Parameters
+    ----------
+    services : iterable of Struct
+        All services of a document.
+    virtual_hosts : iterable of Struct
+        Its virtual hosts.
+
+    Yields
+    ------
+    tuple of (str, str)
+        Path of the route in the document, and the message.
+    """
+    known = {service.name for service in services}
+    for i, host in enumerate(virtual_hosts):
+        for j, route in enumerate(host.paths):
+            used = {share.service for share in route.traffic_split}
+            used |= {route.service} - {None}
+            if unknown := used - known:
+                message = f"route {route.name} names {sorted(unknown)}"
+                yield f"$.virtual_hosts[{i}].paths[{j}]", message
+
+
 class _InstanceInfo(Struct, frozen=True):
     service: _Text
     zone: _Text
@@ -202,7 +248,7 @@
     DocumentError
         If the document is invalid.
     """
-    document = _decode(_Configuration, value, CONFIGURATION_KEY)
+    document = read_configuration(value)
     limits = CallerLimits(
         document.limits.max_header_bytes,
         document.limits.max_body_bytes,
@@ -222,6 +268,27 @@
     return build_table(document.config_version, routes, services, limits, teams)
 
 
+def read_configuration(value):
+    """Read a configuration with the fields of its document.
+
+    Parameters
+    ----------
+    value : bytes
+        The document.
+
+    Returns
+    -------
+    Configuration
+        The document, with defaults for missing fields.
+
+    Raises
+    ------
+    DocumentError
+        If the document is invalid.
+    """
+    return _decode(Configuration, value, CONFIGURATION_KEY)
+
+
 def _build_teams(tenants):
     """Return the table of teams, None without tenants."""
     if not tenants:
@@ -264,14 +331,14 @@
     Without a route its requests would match a shorter prefix, so a route of an unknown
     type is kept, and its requests are never repeated.
     """
-    if route.type not in _IDEMPOTENT_BY_TYPE:
+    if route.type not in IDEMPOTENT_BY_TYPE:
         logger.warning(
             "route %s has the unknown type %r; its requests are never repeated",
             route.name,
             route.type,
         )
         return False
-    return _IDEMPOTENT_BY_TYPE[route.type]
+    return IDEMPOTENT_BY_TYPE[route.type]
 
 
 def decode_instance(key, value):
--- a/redwingspring/routedassembly.py
+++ b/redwingspring/routedassembly.py
@@ -202,3 +202,40 @@
             for address, application in applications.items()
         ),
     ]
+
+
+def check_configuration(*args):
+    """Check a configuration of the platform before it is published.
+
+    Parameters
+    ----------
+    *args : str
+        As in ``platform.configurationcheck``.
+
+    Returns
+    -------
+    ConfigurationReport
+        The result.
+    """
+    # Only a command needs this module, and not the entry process that is starting.
+    from .platform.configurationcheck import check_configuration as check
+
+    return check(*args)
+
+
+def is_platform_configuration(text):
+    """Tell whether a text is meant as a configuration of the platform.
+
+    Parameters
+    ----------
+    text : str
+        Content of a file.
+
+    Returns
+    -------
+    bool
+        True also for a malformed one.
+    """
+    from .platform.configurationcheck import is_configuration
+
+    return is_configuration(text)
