Let the test of feed responses use positions

The merge of the epochs changed read_all and FeedUpdate, so test_a_feed of InvalidResponseTest ended with an AttributeError before its first check. It has the same checks as before, with a StorePosition.

--- a/tests/test_responsehead.py
+++ b/tests/test_responsehead.py
@@ -19,7 +19,7 @@
 from redwingspring.platform import headers
 from redwingspring.platform.store import StoreClient
 from redwingspring.servicereader import ServiceReader
-from redwingspring.storestate import StoreError
+from redwingspring.storestate import StoreError, StorePosition
 from redwingspring.targetconnection import StrictResponse
 
 from .base import RedwingspringTestCase
@@ -198,11 +198,11 @@
     def test_a_feed(self):
         def read(address):
             try:
-                FeedClient(address, Metrics(None)).read_all()
+                FeedClient(address, Metrics(None)).read_all(0)
             except StoreError as error:
                 raise ReadFailed from error
 
-        update = FeedUpdate((), 1, True, Confirmation(0.0, 0))
+        update = FeedUpdate((), StorePosition(0, 1), True, Confirmation(0.0, 0))
         self.check_client(read, content=encode_update(update))
 
     def test_a_response_to_the_caller_library(self):
