End an aborted connection of a caller with a reset only

The worker thread shut an aborted connection down for writing too, which sends a FIN before the reset. Found by review; the new test failed before.

--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -361,8 +361,10 @@
         """Shut down writing: no further response follows."""
         self.ended = True
         self._closed_at = self._closed_at or read_clock()
-        # The caller then closes its side, which ends this connection's thread.
-        how = socket.SHUT_RDWR if self.aborted else socket.SHUT_WR
+        # The caller then closes its side, which ends this connection's thread. That of
+        # an aborted connection ends by the end of its own reads, because an orderly end
+        # before the reset would make a body without a length look complete.
+        how = socket.SHUT_RD if self.aborted else socket.SHUT_WR
         try:
             self.socket.shutdown(how)
         except OSError as error:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -6,6 +6,7 @@
 import time
 
 from redwingspring import routedentry
+from redwingspring.callerstreams import is_readable
 
 from .base import RedwingspringTestCase
 from .standins import (
@@ -308,3 +309,22 @@
             time.sleep(0.005)
         caller.close()
         self.assertNotIn(-1, descriptors)
+
+    def test_an_aborted_connection_ends_with_a_reset_only(self):
+        """After an orderly end, a body without a length would look complete."""
+        host = HostFixture(self)
+        caller = host.connect()
+        self.addCleanup(caller.close)
+        caller.send(b"GET")
+        requests = host.entry.server.requests
+        wait_until(lambda: requests.count)
+        [connection] = requests.list_connections()
+        turn = connection.add_turn()
+        self.assertTrue(connection.accept_request(turn))
+        connection.abort()
+        connection.shut_down_writing()
+        sock = caller.connection.sock
+        self.assertFalse(is_readable(sock, 0.2))
+        connection.finish_request(turn)
+        with self.assertRaises(ConnectionResetError):
+            sock.recv(1)
