Read bodies of clients in parts, whatever size they declare

The standard library asks for the declared size of a body or chunk at once. A size beyond the memory raised MemoryError or OverflowError, which is no failed call, so the follower's thread ended and started again after a second, without another source. Two tests of test_responsehead failed before.

--- a/redwingspring/responsehead.py
+++ b/redwingspring/responsehead.py
@@ -25,6 +25,8 @@
 MAX_INTERIM_RESPONSES = 16
 # Bytes of all chunk extensions of a body, which are read but not relayed.
 MAX_EXTENSION_BYTES = 64 << 10
+# A body is read in parts of this size, so that memory is used only for what arrives.
+READ_PART_BYTES = 1 << 20
 # Statuses whose responses have no body.
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
@@ -184,6 +186,18 @@
             raise HTTPException("the chunk extensions are too long")
         return size
 
+    def _safe_read(self, amt):
+        # The base class asks for all bytes at once. Memory for a size that no response
+        # reaches cannot be allocated, and that error is none of a broken response.
+        if amt <= READ_PART_BYTES:
+            return super()._safe_read(amt)
+        parts = []
+        while amt:
+            part = super()._safe_read(min(amt, READ_PART_BYTES))
+            parts.append(part)
+            amt -= len(part)
+        return b"".join(parts)
+
     def _read_and_discard_trailer(self):
         read_fields(self.fp, MAX_SKIPPED_FIELDS, MAX_SKIPPED_LINE_BYTES)
 
--- a/tests/invalidresponses.py
+++ b/tests/invalidresponses.py
@@ -90,8 +90,13 @@
 
 
 def list_cut_bodies(fields, content=b"body"):
-    """Yield responses whose chunked body ends within a line."""
+    """Yield responses whose body ends early: within a line, or within its size."""
     head = b"HTTP/1.1 200 OK\r\n" + fields + b"Transfer-Encoding: chunked\r\n\r\n"
     start = head + b"%x\r\n" % len(content) + content + b"\r\n"
     for rest in (b"", b"0", b"0\r", b"0\r\n", b"0\r\nA: b", b"0\r\nA: b\r\n"):
         yield start + rest
+    # Sizes that exceed the memory, and those that a read can have.
+    for size in (b"f" * 15, b"f" * 16):
+        yield start + size + b"\r\nb"
+    status = b"HTTP/1.1 200 OK\r\n"
+    yield status + fields + b"Content-Length: " + b"9" * 18 + b"\r\n\r\n" + content
