Let no signal handler wait for the one that it interrupts

Handlers of signals run in the main thread and may interrupt each other. The second of two took the lock of the first and waited for good, so that the host never began its shutdown. The new test failed before.

--- a/redwingspring/shutdown.py
+++ b/redwingspring/shutdown.py
@@ -119,7 +119,9 @@
 
     def __init__(self, clock=read_clock):
         self._clock = clock
-        self._lock = threading.Lock()
+        # Taken for good by the call that begins. The others do not wait, because the
+        # handler of a signal may interrupt that of another in the same thread.
+        self._begun = threading.Lock()
         self._started_at = None
         self._times = None
 
@@ -136,13 +138,12 @@
         bool
             False if it had begun before; its times then stay.
         """
-        with self._lock:
-            if self._started_at is not None:
-                return False
-            self._times = times
-            # Set last, because other threads read it without the lock.
-            self._started_at = self._clock()
-            return True
+        if not self._begun.acquire(blocking=False):
+            return False
+        self._times = times
+        # Set last, because other threads read it without the lock.
+        self._started_at = self._clock()
+        return True
 
     @property
     def has_begun(self):
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -65,6 +65,24 @@
         self.assertAlmostEqual(2.6, self.shutdown.compute_phase_left_s(Phase.FINISHING))
         self.assertFalse(self.shutdown.accepts_request(3.0))
 
+    def test_a_signal_within_the_handler_of_another_begins_nothing(self):
+        """Its handler runs in the same thread; it would wait for itself for good."""
+        nested = []
+
+        def read_clock_and_begin():
+            nested.append(started and started.begin(TIMES))
+            return 0.0
+
+        started = None
+        started = Shutdown(read_clock_and_begin)
+        begun = []
+        thread = threading.Thread(
+            target=lambda: begun.append(started.begin(TIMES)), daemon=True
+        )
+        thread.start()
+        thread.join(1)
+        self.assertEqual(([True], [False]), (begun, nested))
+
     def test_a_request_is_forwarded_only_if_it_was_read_in_time(self):
         """It could be cut at the exit of the process."""
         self.begin()
