See no pressure while half of the targets have room

A search takes at least one probe interval (12 ms), which is over 6% of a target latency below 0.2 s. A service with such a route lacked room for good, also without a sample. Services with target latencies from 0.27 s on decide as before. The new test failed before.

--- a/redwingspring/policy/precedence.py
+++ b/redwingspring/policy/precedence.py
@@ -15,6 +15,9 @@
 # A service has too little room when a search takes longer than this share of the
 # shortest target latency of its routes.
 MAX_SEARCH_SHARE = 0.06
+# Up to this share of targets without room there is no pressure, however short the
+# target latencies are: most searches find a target with room at once.
+MAX_CALM_SHARE = 0.5
 # Factors on the wait of a request, as far as it decides which targets are accepted: of
 # requests below the highest priority, and the least for those that need much work. No
 # kind of request starves, since its wait still counts.
@@ -58,6 +61,8 @@
     bool
         True if a search is expected to take too long for its most urgent route.
     """
+    if full_share <= MAX_CALM_SHARE:
+        return False
     success = 1.0 - full_share**SEARCH_SAMPLES
     longest_s = MAX_SEARCH_SHARE * profile.shortest_latency_s
     return search_interval_s > success * longest_s
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -78,6 +78,14 @@
         self.assertFalse(has_pressure(0.8, patient, PROBE_INTERVAL_S))
         self.assertTrue(has_pressure(1.0, patient, PROBE_INTERVAL_S))
 
+    def test_targets_with_room_are_no_pressure_on_a_short_target_latency(self):
+        """Requests would yield in normal operation, and for good."""
+        for latency_s in (0.01, 0.1, 0.19):
+            short = ServiceProfile(0, latency_s)
+            self.assertFalse(has_pressure(0.0, short, PROBE_INTERVAL_S))
+            self.assertFalse(has_pressure(0.5, short, PROBE_INTERVAL_S))
+            self.assertTrue(has_pressure(0.8, short, PROBE_INTERVAL_S))
+
 
 class PrecedenceTest(RedwingspringTestCase):
     def accepts(self, timing, running=1, slots=4, slowness=1.0):
