Run a request in its connection's thread if no worker can start

The pool queues a task before it starts a thread for it. When that failed, the caller got 500 with not-run, and the request ran with the next one: shown by a trial with a caller that keeps its connection. The task now runs once, in the thread of the connection unless a worker takes it first. The new test failed before.

--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -45,6 +45,19 @@
         self._finished.set()
 
 
+class _Task:
+    """Call that is made once, by the first of several threads."""
+
+    def __init__(self, process):
+        self._process = process
+        self._taken = threading.Lock()
+
+    def run(self):
+        """Make the call unless it was made before."""
+        if self._taken.acquire(blocking=False):
+            self._process()
+
+
 class PipelinedRequest(EntryRequest):
     """Request whose response is written after all earlier ones.
 
@@ -305,7 +318,13 @@
             Processes the request; called once without arguments.
         """
         self._concurrency_limit.acquire()
-        self.server.workers.submit(process)
+        task = _Task(process)
+        try:
+            self.server.workers.submit(task.run)
+        except RuntimeError:
+            # No thread could be started, but the task stays in the queue of the pool.
+            self.server.metrics.increment("server.no_thread")
+            task.run()
 
     def release_concurrent(self):
         """Let another request run in a worker thread."""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 from redwingspring import routedentry
 from redwingspring.callerstreams import is_readable
@@ -328,3 +329,22 @@
         connection.finish_request(turn)
         with self.assertRaises(ConnectionResetError):
             sock.recv(1)
+
+
+class NoThreadTest(RedwingspringTestCase):
+    def test_a_request_without_a_worker_thread_is_answered_and_runs_once(self):
+        """It got a proof that it did not run, and stayed in the queue to run later."""
+        host = HostFixture(self, instances=1)
+        workers = host.entry.server.workers
+
+        def fail():
+            raise RuntimeError("can't start new thread")
+
+        with mock.patch.object(workers, "_adjust_thread_count", fail):
+            outcomes = [host.ask()[:2]]
+        outcomes.append(host.ask()[:2])
+        # The only worker thread has then taken all of the queue.
+        workers.shutdown()
+        self.assertEqual([200, 200], [status for status, _ in outcomes], outcomes)
+        self.assertEqual(2, len(host.runs))
+        wait_until(lambda: host.entry.server.count_unanswered() == 0)
