Keep a complete response whose Keep-Alive header is malformed

isdigit is true for superscript digits and for any count of digits, which int does not accept, so the caller library raised ValueError in place of the response. The new test failed before.

--- a/redwingspring/callerconnections.py
+++ b/redwingspring/callerconnections.py
@@ -253,6 +253,6 @@
     """Return how long a connection may be unused, in seconds."""
     for part in response.headers.get("keep-alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return min(MAX_IDLE_S, max(0.0, int(value) - 1.0))
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return min(MAX_IDLE_S, max(0.0, float(value) - 1.0))
     return MAX_IDLE_S
--- a/tests/test_responsehead.py
+++ b/tests/test_responsehead.py
@@ -223,6 +223,18 @@
                 self.assertTrue(outcome.is_error(), response)
                 self.assertEqual("may-have-run", outcome.error.verdict, response)
 
+    def test_a_malformed_keep_alive_does_not_end_a_complete_response(self):
+        """The caller library raised ValueError instead of returning the response."""
+        server = self.serve()
+        caller = Caller("desk", [server.address])
+        self.addCleanup(caller.close)
+        find = functools.partial(lambda host, _: Ok([host]), server.address)
+        self.patch(caller._addresses, "find", find)
+        for value in (b"\xb2", b"9" * 5000):
+            fields = b"Content-Length: 0\r\nKeep-Alive: timeout=" + value
+            server.send_next(b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n\r\n")
+            self.assertTrue(caller.request("GET", "/").is_ok())
+
 
 class InvalidTargetTest(RedwingspringTestCase):
     """An invalid response of a target is a failed attempt that may have run."""
