Keep a connection open whose next request waits behind a long response

Between the end of the long response and the acceptance of the request the connection had none in progress, and from 3.25 s after SIGTERM on it could be closed as idle: the request, read in time, got no response. The new test failed before.

--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -207,6 +207,8 @@
         self._announced_close = False
         self._streaming_turn = None
         self._active_requests = 0
+        # Whether a request that was read waits until a streamed response is complete.
+        self._is_request_waiting = False
 
     @property
     def is_idle(self):
@@ -246,7 +248,9 @@
             False if the request must be dropped.
         """
         with self._changed:
+            self._is_request_waiting = True
             self._changed.wait_for(lambda: self._streaming_turn is None)
+            self._is_request_waiting = False
             self.rfile.raw.has_received = False
             if self.ended or self._announces_close:
                 return False
@@ -370,7 +374,7 @@
             # The thread of the connection has closed it.
             has_unread = False
         return ConnectionState(
-            self._active_requests,
+            self._active_requests + self._is_request_waiting,
             has_unread,
             self._closed_at,
             is_delivered(self.socket),
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -8,6 +8,7 @@
 
 from redwingspring import routedentry
 from redwingspring.callerstreams import is_readable
+from redwingspring.shutdown import ShutdownTimes
 
 from .base import RedwingspringTestCase
 from .standins import (
@@ -330,6 +331,35 @@
         with self.assertRaises(ConnectionResetError):
             sock.recv(1)
 
+    def test_a_request_behind_a_stream_is_not_dropped_when_the_stream_ends(self):
+        """The connection had no active request until that one was accepted."""
+        host = HostFixture(self)
+        caller = host.connect()
+        self.addCleanup(caller.close)
+        caller.send(b"GET")
+        requests = host.entry.server.requests
+        wait_until(lambda: requests.count)
+        [connection] = requests.list_connections()
+        streamed = connection.add_turn()
+        self.assertTrue(connection.accept_request(streamed))
+        self.assertTrue(connection.begin_stream(streamed))
+        connection.begin_response(streamed)
+        accepted = []
+        turn = connection.add_turn()
+        thread = threading.Thread(
+            target=lambda: accepted.append(connection.accept_request(turn))
+        )
+        thread.start()
+        wait_until(lambda: connection._changed._waiters)
+        # The time for requests that have arrived in part is over.
+        host.entry.shutdown.begin(ShutdownTimes(-9.0, -9.0, 30.0))
+        with connection._changed:
+            connection.finish_request(streamed)
+            connection.drain()
+        thread.join()
+        self.assertEqual([True], accepted)
+        connection.finish_request(turn)
+
 
 class NoThreadTest(RedwingspringTestCase):
     def test_a_request_without_a_worker_thread_is_answered_and_runs_once(self):
