--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -45,6 +45,19 @@
         self._finished.set()
 
 
+class _Task:
+    """Call that is made once, by the first of several threads."""
+
+    def __init__(self, process):
+        self._process = process
+        self._taken = threading.Lock()
+
+    def run(self):
+        """Make the call unless it was made before."""
+        if self._taken.acquire(blocking=False):
+            self._process()
+
+
 class PipelinedRequest(EntryRequest):
     """Request whose response is written after all earlier ones.
 
@@ -194,6 +207,8 @@
         self._announced_close = False
         self._streaming_turn = None
         self._active_requests = 0
+        # Whether a request that was read waits until a streamed response is complete.
+        self._is_request_waiting = False
 
     @property
     def is_idle(self):
@@ -233,7 +248,9 @@
             False if the request must be dropped.
         """
         with self._changed:
+            self._is_request_waiting = True
             self._changed.wait_for(lambda: self._streaming_turn is None)
+            self._is_request_waiting = False
             self.rfile.raw.has_received = False
             if self.ended or self._announces_close:
                 return False
@@ -305,7 +322,13 @@
             Processes the request; called once without arguments.
         """
         self._concurrency_limit.acquire()
-        self.server.workers.submit(process)
+        task = _Task(process)
+        try:
+            self.server.workers.submit(task.run)
+        except RuntimeError:
+            # No thread could be started, but the task stays in the queue of the pool.
+            self.server.metrics.increment("server.no_thread")
+            task.run()
 
     def release_concurrent(self):
         """Let another request run in a worker thread."""
@@ -351,7 +374,7 @@
             # The thread of the connection has closed it.
             has_unread = False
         return ConnectionState(
-            self._active_requests,
+            self._active_requests + self._is_request_waiting,
             has_unread,
             self._closed_at,
             is_delivered(self.socket),
@@ -361,8 +384,10 @@
         """Shut down writing: no further response follows."""
         self.ended = True
         self._closed_at = self._closed_at or read_clock()
-        # The caller then closes its side, which ends this connection's thread.
-        how = socket.SHUT_RDWR if self.aborted else socket.SHUT_WR
+        # The caller then closes its side, which ends this connection's thread. That of
+        # an aborted connection ends by the end of its own reads, because an orderly end
+        # before the reset would make a body without a length look complete.
+        how = socket.SHUT_RD if self.aborted else socket.SHUT_WR
         try:
             self.socket.shutdown(how)
         except OSError as error:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -4,8 +4,11 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 from redwingspring import routedentry
+from redwingspring.callerstreams import is_readable
+from redwingspring.shutdown import ShutdownTimes
 
 from .base import RedwingspringTestCase
 from .standins import (
@@ -308,3 +311,70 @@
             time.sleep(0.005)
         caller.close()
         self.assertNotIn(-1, descriptors)
+
+    def test_an_aborted_connection_ends_with_a_reset_only(self):
+        """After an orderly end, a body without a length would look complete."""
+        host = HostFixture(self)
+        caller = host.connect()
+        self.addCleanup(caller.close)
+        caller.send(b"GET")
+        requests = host.entry.server.requests
+        wait_until(lambda: requests.count)
+        [connection] = requests.list_connections()
+        turn = connection.add_turn()
+        self.assertTrue(connection.accept_request(turn))
+        connection.abort()
+        connection.shut_down_writing()
+        sock = caller.connection.sock
+        self.assertFalse(is_readable(sock, 0.2))
+        connection.finish_request(turn)
+        with self.assertRaises(ConnectionResetError):
+            sock.recv(1)
+
+    def test_a_request_behind_a_stream_is_not_dropped_when_the_stream_ends(self):
+        """The connection had no active request until that one was accepted."""
+        host = HostFixture(self)
+        caller = host.connect()
+        self.addCleanup(caller.close)
+        caller.send(b"GET")
+        requests = host.entry.server.requests
+        wait_until(lambda: requests.count)
+        [connection] = requests.list_connections()
+        streamed = connection.add_turn()
+        self.assertTrue(connection.accept_request(streamed))
+        self.assertTrue(connection.begin_stream(streamed))
+        connection.begin_response(streamed)
+        accepted = []
+        turn = connection.add_turn()
+        thread = threading.Thread(
+            target=lambda: accepted.append(connection.accept_request(turn))
+        )
+        thread.start()
+        wait_until(lambda: connection._changed._waiters)
+        # The time for requests that have arrived in part is over.
+        host.entry.shutdown.begin(ShutdownTimes(-9.0, -9.0, 30.0))
+        with connection._changed:
+            connection.finish_request(streamed)
+            connection.drain()
+        thread.join()
+        self.assertEqual([True], accepted)
+        connection.finish_request(turn)
+
+
+class NoThreadTest(RedwingspringTestCase):
+    def test_a_request_without_a_worker_thread_is_answered_and_runs_once(self):
+        """It got a proof that it did not run, and stayed in the queue to run later."""
+        host = HostFixture(self, instances=1)
+        workers = host.entry.server.workers
+
+        def fail():
+            raise RuntimeError("can't start new thread")
+
+        with mock.patch.object(workers, "_adjust_thread_count", fail):
+            outcomes = [host.ask()[:2]]
+        outcomes.append(host.ask()[:2])
+        # The only worker thread has then taken all of the queue.
+        workers.shutdown()
+        self.assertEqual([200, 200], [status for status, _ in outcomes], outcomes)
+        self.assertEqual(2, len(host.runs))
+        wait_until(lambda: host.entry.server.count_unanswered() == 0)
