Send a team's rate limit with its own version

A message about a request paired the limit by which the request was read with the version in force when the message was built. A request read before a limit was lowered and cancelled afterwards made the owner keep the old limit under the new version, until the next version.

Team now contains the version of its configuration. The expected teams in test_teams gain the version; the test of extreme versions sets the version of the team, which is where it comes from now.

--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -132,7 +132,7 @@
                 if unknown := used - known:
                     raise ValueError(f"route {route.name} names {sorted(unknown)}")
         # Also checks the keys, which must belong to one tenant each.
-        _build_teams(self.tenants)
+        _build_teams(self.tenants, self.config_version)
 
 
 class _InstanceInfo(Struct, frozen=True):
@@ -218,18 +218,18 @@
         RoutedService(s.name, s.health_path, s.max_conns, s.warmup_s, s.warmup_per_s)
         for s in document.services
     ]
-    teams = _build_teams(document.tenants)
+    teams = _build_teams(document.tenants, document.config_version)
     return build_table(document.config_version, routes, services, limits, teams)
 
 
-def _build_teams(tenants):
+def _build_teams(tenants, version):
     """Return the table of teams, None without tenants."""
     if not tenants:
         return None
     return build_team_table(
         [
             (
-                Team(t.name, t.priority, t.rate_per_s, t.burst),
+                Team(t.name, t.priority, t.rate_per_s, t.burst, version),
                 [key.encode() for key in t.api_keys],
             )
             for t in tenants
--- a/redwingspring/ratelimiter.py
+++ b/redwingspring/ratelimiter.py
@@ -211,7 +211,7 @@
         Parameters
         ----------
         team : Team
-            The team that sent it; has ``name``, ``rate_per_s`` and ``burst``.
+            The team that sent it, with its limit and the version of that.
 
         Returns
         -------
@@ -253,7 +253,8 @@
         limit = RateLimit(
             min(team.rate_per_s, MAX_RATE),
             min(max(team.burst, 0.0), MAX_RATE),
-            min(self._find_version() or 0, MAX_VERSION),
+            # The version in force may be newer than the one that contains this limit.
+            min(team.version, MAX_VERSION),
         )
         return LimitedTeam(team.name, key, limit)
 
--- a/redwingspring/teams.py
+++ b/redwingspring/teams.py
@@ -19,12 +19,15 @@
         Requests per second that the team may send; 0 for no limit.
     burst : float
         Requests that it may send in each window beyond its rate.
+    version : int, default=0
+        Version of the configuration that contains these values.
     """
 
     name: str
     priority: int | None
     rate_per_s: float
     burst: float
+    version: int = 0
 
 
 @dataclass(frozen=True)
--- a/tests/test_ratelimiter.py
+++ b/tests/test_ratelimiter.py
@@ -25,6 +25,7 @@
     priority: int | None = None
     rate_per_s: float = 36.0
     burst: float = 36.0
+    version: int = 1
 
 
 class DecisionsStub:
@@ -158,8 +159,19 @@
 
     def test_extreme_limits_and_versions_fit_into_messages(self):
         [host] = self.start(1)
-        host.version = 1 << 80
-        self.admit_first(host, Team(rate_per_s=1e30, burst=1e30))
+        self.admit_first(host, Team(rate_per_s=1e30, burst=1e30, version=1 << 80))
+
+    def test_a_request_read_before_a_limit_was_lowered_does_not_raise_it(self):
+        """Its limit would be in force at the owner until the version after next."""
+        [host] = self.start(1)
+        before = Team(rate_per_s=1000.0, burst=1000.0)
+        after = Team(rate_per_s=0.01, burst=0.0, version=2)
+        self.admit_first(host, before)
+        host.version = 2
+        host.limiter.cancel(before)
+        outcomes = [host.limiter.admit(after) for _ in range(60)]
+        bound = BOUND.compute_bound(RateLimit(0.01, 0.0))
+        self.assertTrue(outcomes.count(None) <= bound, outcomes.count(None))
 
     def test_malformed_datagrams_are_counted_and_end_no_thread(self):
         [host] = self.start(1)
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -48,7 +48,8 @@
         ]
         table = decode(routes=routes, tenants=[TENANT, {**limited, "burst": 1.5}])
         self.assertEqual(
-            (Team("kaje80", None, 0.0, 0.0), Team("b", 0, 36.0, 1.5)), table.teams.teams
+            (Team("kaje80", None, 0.0, 0.0, 3), Team("b", 0, 36.0, 1.5, 3)),
+            table.teams.teams,
         )
         self.assertEqual("kaje80", table.teams.find(OTHER_KEY.encode()).name)
         found = [table.find_route("desk.example", path) for path in ("/p/", "/r/")]
