Report that a request may have run after a failed hedge

A hedge that failed while it was sent was counted and dropped. If the first target then refused the request, the caller got a 503, which guarantees that it has not run, and the team its token back. The failure is now kept like that of other attempts. The new test failed before.

--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -253,6 +253,8 @@
         self._metrics.increment("hedges.sent")
         failure = self._send_attempt(exchange, pending)
         if failure is not None:
+            # The request may have run there, whatever becomes of the other attempt.
+            self._keep_failure(failure)
             self._metrics.increment("hedges.failed")
 
     def _build_attempt(self, exchange):
