Return a token only as far as its bucket would have kept it

A returned token was added while the bucket had room, although the bucket may have been full again since the token was issued.

Returned tokens state the clock reading with which they were issued, in new fields at the end of the message. The existing test of a returned token states its reading; the simulation does so too.

--- a/redwingspring/policy/usagecaps.py
+++ b/redwingspring/policy/usagecaps.py
@@ -13,6 +13,7 @@
 
 from ..mappings import drop_oldest
 from .usagemessages import CARRY_SLOTS, MAX_CARRY_AGE_S, Carry, OwnerStamp, UsageReply
+from .usagereturns import ReturnedTokens
 
 # A share is ceded for this long. The owner counts from the moment at which it sent the
 # clock reading that the host returns, which is before the host counts from.
@@ -96,6 +97,8 @@
         The newest limit that is known.
     updated_at : float
         Time up to which ``level`` is computed, in seconds.
+    returns : ReturnedTokens
+        Decides about tokens that are returned.
     level : float, default=0.0
         Tokens.
     promised_until : float, default=0.0
@@ -105,6 +108,7 @@
     team: int
     limit: object
     updated_at: float
+    returns: ReturnedTokens
     level: float = 0.0
     promised_until: float = 0.0
 
@@ -149,7 +153,7 @@
         UsageReply
             The answer.
         """
-        stamp = OwnerStamp(self._run, math.floor(now * 1000))
+        stamp = OwnerStamp(self._run, _to_ms(now))
         with self._lock:
             carry = self._release(ask, now) if ask.release else None
             is_new = self._record_cession(ask, now)
@@ -277,7 +281,8 @@
         """Return the bucket of a team, filled up to now, and its allotment."""
         bucket = self._buckets.get(ask.team)
         if bucket is None:
-            bucket = Bucket(ask.team, ask.limit, self._earliest)
+            returns = ReturnedTokens(_to_ms(now))
+            bucket = Bucket(ask.team, ask.limit, self._earliest, returns)
             self._buckets[ask.team] = bucket
             if len(self._buckets) > MAX_TEAMS:
                 # A forgotten bucket that starts again must not be filled twice.
@@ -304,6 +309,7 @@
         level = bucket.level + refill + tokens
         bucket.level = min(allotment.depth * fraction, level)
         bucket.updated_at = now
+        bucket.returns.record(_to_ms(now), allotment.depth * fraction - bucket.level)
         rate = allotment.rate_per_s * min(1.0, allotment.rate_factor * fraction)
         return allotment.depth * fraction, rate
 
@@ -345,6 +351,11 @@
         }
 
     def _return_token(self, ask, now):
-        """Put a token back; the level stays within the depth."""
-        bucket, depth, _ = self._find_bucket(ask, now)
-        bucket.level = min(depth, bucket.level + 1.0)
+        """Put a token back that this process issued."""
+        bucket, _, _ = self._find_bucket(ask, now)
+        if ask.issued.run == self._run:
+            bucket.level += bucket.returns.take_back(ask.issued.clock_ms, _to_ms(now))
+
+
+def _to_ms(seconds):
+    return math.floor(seconds * 1000)
--- a/redwingspring/policy/usagemessages.py
+++ b/redwingspring/policy/usagemessages.py
@@ -109,6 +109,8 @@
         Whether a token is returned instead of requested.
     carry : Carry or None, default=None
         Tokens of the share that come with the cession.
+    issued : OwnerStamp, default=OwnerStamp(0, 0)
+        Clock reading of the answer that issued the returned token.
     """
 
     group: int
@@ -122,6 +124,7 @@
     limit: object = None
     returned: bool = False
     carry: object = None
+    issued: OwnerStamp = OwnerStamp(0, 0)
 
 
 @dataclass(frozen=True)
--- a/redwingspring/ratelimiter.py
+++ b/redwingspring/ratelimiter.py
@@ -193,7 +193,7 @@
             return
         self._metrics.increment("usage.returned")
         if admission.static_at is None:
-            self._return_token(admission.team)
+            self._return_token(admission.team, admission.issued)
         else:
             self._static.cancel(admission.team.key, admission.static_at)
 
@@ -244,9 +244,9 @@
         team = request.team
         if reply is not None and reply.granted:
             if now - request.asked_at <= ASK_TIMEOUT_S:
-                return Admission(team)
+                return Admission(team, issued=reply.stamp)
             # This process was suspended; the token is for an earlier time.
-            self._return_token(team)
+            self._return_token(team, reply.stamp)
         if reply is None:
             self._metrics.increment("usage.unanswered")
         is_refused = reply is not None and not reply.granted and reply.empty_s > 0
@@ -271,17 +271,19 @@
             self._blocked[team.key] = (until, team.limit, now + reply.retry_after_s)
             drop_oldest(self._blocked, MAX_PENDING)
 
-    def _return_token(self, team):
+    def _return_token(self, team, issued):
         owner = self._rights[team.group].choose_owner(self._clock())
         if owner is not None:
-            self._send_ask(owner, team.group, returned_for=team)
+            self._send_ask(owner, team.group, returned_for=team, issued=issued)
 
-    def _send_ask(self, owner, group, request=None, returned_for=None):
+    def _send_ask(self, owner, group, request=None, returned_for=None, issued=None):
         """Send a message to an owner, which may be this host."""
         fields = {}
         team = returned_for or (request and request.team)
         if team:
             fields = {"team": team.key, "limit": team.limit}
+        if returned_for is not None:
+            fields.update(returned=True, issued=issued)
         with self._lock:
             sequence = next(self._sequence)
             if request is not None:
@@ -291,7 +293,6 @@
             self._clock(),
             owner,
             sequence,
-            returned=returned_for is not None,
             **fields,
         )
         if owner == self._name:
@@ -332,7 +333,7 @@
                 request.reply = reply
                 request.event.set()
         if is_surplus and reply.granted:
-            self._return_token(request.team)
+            self._return_token(request.team, reply.stamp)
         rights = self._rights[reply.group]
         now = self._clock()
         if rights.record_reply(reply, now):
--- a/redwingspring/usagereports.capnp
+++ b/redwingspring/usagereports.capnp
@@ -19,6 +19,9 @@
   carryAgeS @10 :UInt16;
   carryLevels @11 :Data;
   # Tokens of the share, by slots of teams; empty without any.
+  issuedRun @12 :UInt32;
+  issuedMs @13 :UInt64;
+  # Clock reading of the answer that issued the returned token.
 }
 
 struct Reply {
--- a/redwingspring/usagereports.py
+++ b/redwingspring/usagereports.py
@@ -65,6 +65,8 @@
     entry.stampMs = ask.stamp.clock_ms
     entry.team = ask.team
     entry.returned = ask.returned
+    entry.issuedRun = ask.issued.run
+    entry.issuedMs = ask.issued.clock_ms
     _encode_carry(entry, ask.carry)
     if ask.limit is not None:
         entry.ratePerS = ask.limit.rate_per_s
@@ -144,6 +146,7 @@
         limit if entry.team else None,
         entry.returned,
         _decode_carry(entry),
+        OwnerStamp(entry.issuedRun, entry.issuedMs),
     )
 
 
--- a/redwingspring/usagerequests.py
+++ b/redwingspring/usagerequests.py
@@ -50,11 +50,14 @@
         an admitted one.
     static_at : float or None, default=None
         When this host's static share admitted it, in seconds; None for a token.
+    issued : OwnerStamp or None, default=None
+        Clock reading of the owner that issued its token.
     """
 
     team: object = None
     retry_after_s: float | None = None
     static_at: float | None = None
+    issued: object = None
 
 
 @dataclass
--- a/tests/test_ratelimiter.py
+++ b/tests/test_ratelimiter.py
@@ -11,6 +11,7 @@
 from redwingspring.policy import usagehosts
 from redwingspring.policy.usageallotments import RateLimit, UsageBound
 from redwingspring.policy.usagehosts import HostPlace
+from redwingspring.policy.usagemessages import OwnerStamp
 from redwingspring.ratelimiter import ASK_TIMEOUT_S, RateLimiter
 from redwingspring.usagereports import PREFIX
 from redwingspring.usagerequests import Admission, describe_team
@@ -125,7 +126,7 @@
         admissions = [host.limiter.admit(team)]
         while admissions[-1].retry_after_s is None:
             admissions.append(host.limiter.admit(team))
-        host.limiter.cancel(Admission(describe_team(team)))
+        host.limiter.cancel(Admission(describe_team(team), issued=OwnerStamp(0, 0)))
         self.assertTrue(host.limiter.admit(team).retry_after_s > 0)
         host.limiter.cancel(admissions[-1])
         self.assertTrue(host.limiter.admit(team).retry_after_s > 0)
--- a/tests/test_usagecaps.py
+++ b/tests/test_usagecaps.py
@@ -363,11 +363,74 @@
         returned = UsageAsk(
             0, "host-2", self.sequence + 1, team=TEAM, limit=self.limit, returned=True
         )
+        returned = replace(returned, issued=OwnerStamp(7, int(now * 1000)))
         for _ in range(3):
             self.owner.handle(returned, now)
         self.sequence += 1
         self.assertEqual(1, self.count_tokens(now, hosts=1))
 
+    def use_tokens(self, now):
+        """Return how many tokens there are at once, and use them."""
+        return self.count_tokens(now, hosts=1) + self.count_tokens(now, hosts=1)
+
+    def hold(self, start, end):
+        for step in range(10 * (end - start) + 1):
+            self.ask(start + step / 10, hosts=1, returned=True)
+
+    def test_tokens_that_return_to_a_bucket_that_was_full_again_are_lost(self):
+        """Requests that wait long and never run would double the limit of a window."""
+        self.limit = RateLimit(*LARGE)
+        self.hold(10, 20)
+        depth = self.use_tokens(20.0)
+        self.hold(20, 28)
+        tokens = self.use_tokens(28.0)
+        for _ in range(depth):
+            self.ask(28.0, hosts=1, returned=True, issued=OwnerStamp(7, 20000))
+        tokens += self.use_tokens(28.0)
+        self.assertEqual((64, 64), (depth, tokens))
+
+    def test_tokens_return_as_far_as_the_bucket_was_never_full_without_them(self):
+        self.limit = RateLimit(*LARGE)
+        self.hold(10, 20)
+        depth = self.use_tokens(20.0)
+        self.hold(20, 21)
+        for _ in range(depth):
+            self.ask(21.0, hosts=1, returned=True, issued=OwnerStamp(7, 20000))
+        # It would have been full all the time.
+        self.assertEqual(depth, self.use_tokens(21.0))
+        for _ in range(depth):
+            self.ask(21.01, hosts=1, returned=True, issued=OwnerStamp(7, 21000))
+        self.assertEqual(depth, self.use_tokens(21.01))
+
+    def test_returned_tokens_never_exceed_those_of_a_bucket_without_the_requests(self):
+        self.limit = RateLimit(*LARGE)
+        allotment = UsageBound().allot(self.limit)
+        rng = random.Random(11)
+        self.hold(10, 12)
+        expected, issued, now_ms = self.owner._buckets[TEAM].level, [], 12000
+        for _ in range(4000):
+            elapsed_ms = rng.choice((1, 1, 1, 40, 400))
+            now_ms += elapsed_ms
+            refilled = expected + allotment.rate_per_s * elapsed_ms / 1000
+            expected = min(allotment.depth, refilled)
+            action = rng.random()
+            if issued and action < 0.3:
+                stamp = OwnerStamp(7, issued.pop(rng.randrange(len(issued))))
+                self.ask(now_ms / 1000, hosts=1, returned=True, issued=stamp)
+            elif self.ask(now_ms / 1000, hosts=1).granted:
+                if action < 0.7:
+                    issued.append(now_ms)
+                else:
+                    expected -= 1.0
+            self.assertTrue(self.owner._buckets[TEAM].level <= expected + 0.1)
+
+    def test_a_token_of_another_process_or_the_future_does_not_return(self):
+        self.hold(10, 20)
+        self.use_tokens(20.0)
+        for stamp in (OwnerStamp(8, 20000), OwnerStamp(7, 21000), OwnerStamp(0, 0)):
+            self.ask(20.0, hosts=1, returned=True, issued=stamp)
+        self.assertEqual(0, self.use_tokens(20.0))
+
     def test_rejected_requests_get_times_of_different_tokens(self):
         self.ask(10.0, hosts=1)
         times = [self.ask(10.0, hosts=1).retry_after_s for _ in range(4)]
--- a/tests/test_usagereports.py
+++ b/tests/test_usagereports.py
@@ -27,7 +27,7 @@
     3, NAME, (1 << 64) - 1, 65535, True, True, STAMP, (1 << 64) - 1, LIMIT, True
 )
 CARRY = Carry(0xFFFF, bytes(range(1, CARRY_SLOTS + 1)))
-ASK = replace(ASK, carry=CARRY)
+ASK = replace(ASK, carry=CARRY, issued=STAMP)
 REPLY = UsageReply(3, NAME, (1 << 64) - 1, STAMP, True, 4.999, 4.999, True, CARRY)
 
 
--- a/tests/usagesimulation.py
+++ b/tests/usagesimulation.py
@@ -76,7 +76,8 @@
             return
         request = self.simulation.waiting.pop((self, message.sequence), None)
         if request is not None and request.wait_for(message):
-            self.send(message.host, team=TEAM, limit=self.limit, returned=True)
+            fields = {"returned": True, "issued": message.stamp}
+            self.send(message.host, team=TEAM, limit=self.limit, **fields)
         if self.rights.record_reply(message, now):
             owner = self.rights.choose_owner(now)
             if owner is not None:
