Let the time after a start run without teams, too

A host uses no share of the rate limits for 2 s after its start. That time was counted only while the configuration contained teams, so the first configuration with teams rejected all their requests with 429 for 2 s, and after a start of all hosts the 2 s began with its arrival.

The hosts are followed from the start; no message is sent without teams, as before. The new test failed before.

--- a/redwingspring/ratelimiter.py
+++ b/redwingspring/ratelimiter.py
@@ -118,16 +118,21 @@
             Set when the process stops.
         """
         while not stopping.wait(TICK_S):
-            if self._find_version() is not None:
-                self.advance()
+            self.advance()
 
     def advance(self):
-        """Take over the current hosts and send the messages that are due."""
+        """Take over the current hosts and send the messages that are due.
+
+        Without teams no message is sent, but the hosts are followed, so that their
+        shares can be used as soon as there are teams.
+        """
         now = self._clock()
         alive = self._members.list_alive()
         staying = [m for m in alive if m.state is not MemberState.LEAVING]
         leaving = [m.name for m in alive if m.state is MemberState.LEAVING]
         self._hosts.update({m.name: m.data_centre for m in staying}, leaving, now)
+        if self._find_version() is None:
+            return
         place = self._hosts.find_place()
         is_leaving = self._members.own.state is MemberState.LEAVING
         count = 0 if place is None or is_leaving else place.count
--- a/tests/test_ratelimiter.py
+++ b/tests/test_ratelimiter.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from redwingspring import ratelimiter
+from redwingspring.clock import read_clock
 from redwingspring.decisions import DecisionLog
 from redwingspring.gossip import GossipNetwork
 from redwingspring.limitedteams import MAX_LIMITED_TEAMS, QUIET_S, LimitedTeams
@@ -203,6 +204,24 @@
         self.admit_first(host, Team())
 
 
+class StartTest(RedwingspringTestCase):
+    def test_a_share_can_be_used_when_the_first_teams_arrive_after_the_start(self):
+        """The requests of the first two seconds with teams would be rejected."""
+        host = HostStandIn(self, 1, version=None)
+        started_at = now = read_clock()
+        host.limiter._clock = lambda: now
+
+        class Stopping:
+            def wait(self, seconds):
+                nonlocal now
+                now += seconds
+                return now > started_at + usagehosts.SETTLE_S + 0.5
+
+        host.limiter.run(Stopping())
+        self.assertIsNotNone(host.limiter._hosts.find_place())
+        self.assertEqual({}, host.metrics.snapshot())
+
+
 class AssembledHostTest(RedwingspringTestCase):
     def test_the_process_admits_within_a_limit_once_there_are_teams(self):
         self.patch(usagehosts, "SETTLE_S", 0.0)
