Name only the type of an invalid item without a key in the log

The line contained up to 200 characters of an item that is no object, or of a key that is no text, and so could contain API keys.

--- a/redwingspring/platform/store.py
+++ b/redwingspring/platform/store.py
@@ -158,7 +158,9 @@
 
     def _log_once(self, item, error):
         """Log an invalid item unless one with its key was logged recently."""
-        key = repr(item.get("key") if isinstance(item, dict) else item)[:200]
+        key = item.get("key") if isinstance(item, dict) else None
+        # Anything else may contain API keys.
+        key = repr(key)[:200] if isinstance(key, str) else f"of {type(key).__name__}"
         if key in self._logged_keys:
             return
         self._logged_keys[key] = True
--- a/tests/test_hostileentries.py
+++ b/tests/test_hostileentries.py
@@ -179,6 +179,17 @@
         counts = self.metrics.snapshot()
         self.assertEqual(2 * len(odd_items), counts["store.invalid_items"])
 
+    def test_an_item_that_is_not_an_object_is_not_logged(self):
+        """It may be a part of the configuration, with API keys."""
+        secret = "yx5x42q492cqf75rjvz4"
+        items = ([{"api_keys": [secret]}], secret, {"key": {"api_keys": [secret]}})
+        for number, item in enumerate(items):
+            self.stand_in.items[f"servers/{number}"] = item
+        with self.assertLogs("redwingspring", "WARNING") as logs:
+            self.client.read_all()
+        self.assertEqual(2, len(logs.output))
+        self.assertNotIn(secret, str(logs.output))
+
     def test_a_response_that_nests_without_end_is_a_failure_of_the_store(self):
         self.stand_in.read_range = lambda query: _Raw(nest(DEPTH))
         self.assertRaises(StoreError, self.client.read_all)
