--- a/redwingspring/platform/store.py
+++ b/redwingspring/platform/store.py
@@ -160,7 +160,7 @@
         """Log an invalid item unless one with its key was logged recently."""
         key = item.get("key") if isinstance(item, dict) else None
         # Anything else may contain API keys.
-        key = repr(key)[:200] if isinstance(key, str) else f"of {type(key).__name__}"
+        key = repr(key)[:200] if isinstance(key, str) else type(key).__name__
         if key in self._logged_keys:
             return
         self._logged_keys[key] = True
