--- a/redwingspring/platform/documents.py
+++ b/redwingspring/platform/documents.py
@@ -153,7 +153,7 @@
         for _, message in list_unknown_services(self.services, self.virtual_hosts):
             raise ValueError(message)
         # Also checks the keys, which must belong to one tenant each.
-        _build_teams(self.tenants)
+        _build_teams(self.tenants, self.config_version)
 
 
 def list_unknown_services(services, virtual_hosts):
@@ -264,7 +264,7 @@
         RoutedService(s.name, s.health_path, s.max_conns, s.warmup_s, s.warmup_per_s)
         for s in document.services
     ]
-    teams = _build_teams(document.tenants)
+    teams = _build_teams(document.tenants, document.config_version)
     return build_table(document.config_version, routes, services, limits, teams)
 
 
@@ -289,14 +289,14 @@
     return _decode(Configuration, value, CONFIGURATION_KEY)
 
 
-def _build_teams(tenants):
+def _build_teams(tenants, version):
     """Return the table of teams, None without tenants."""
     if not tenants:
         return None
     return build_team_table(
         [
             (
-                Team(t.name, t.priority, t.rate_per_s, t.burst),
+                Team(t.name, t.priority, t.rate_per_s, t.burst, version),
                 [key.encode() for key in t.api_keys],
             )
             for t in tenants
