Split the record of a cession, and correct docstrings of the owner

Two docstrings of UsageOwner named the allotment where the depth and the refill rate are returned. _record_cession did four things; _take returned a bare map of fields. No change of behaviour: the tests of the rate limits pass.

--- a/redwingspring/policy/usagecaps.py
+++ b/redwingspring/policy/usagecaps.py
@@ -22,10 +22,10 @@
 REMEMBERED_S = 15.0
 MAX_HOSTS = 4096
 MAX_TEAMS = 4096
-# Least and greatest time that a rejected request is told to wait.
+# Shortest and longest retry time of a rejected request.
 MIN_RETRY_AFTER_S = 0.005
 MAX_RETRY_AFTER_S = 5.0
-# Told to a request for which this owner never has a token.
+# Retry time of a request while the shares of this owner are too few for one token.
 NO_SHARE_RETRY_AFTER_S = 1.0
 # While an owner obtained most of its shares within this time, its buckets may hold
 # fewer tokens than those of the previous owner.
@@ -47,7 +47,7 @@
     has_credit : bool
         Whether it includes a credit.
     carry : Carry or None
-        Tokens from its previous owner.
+        Tokens of the share from its previous owner.
     sequence : int
         Newest message of the host.
     heard_at : float
@@ -133,9 +133,11 @@
         self._lock = threading.Lock()
         self._cessions = {}
         self._buckets = {}
+        # New buckets get no tokens for the time before this.
         self._earliest = -math.inf
         self._holdings = None
-        # Until this time, shares that are not held now may have been held.
+        # When the holdings were last computed. Shares that are missing from them may
+        # have been held until then.
         self._lapsed_at = -math.inf
 
     def handle(self, ask, now):
@@ -162,7 +164,7 @@
                 if is_new:
                     self._return_token(ask, now)
             elif ask.team:
-                reply = replace(reply, **self._take(ask, now))
+                reply = self._take(ask, reply, now)
         return reply
 
     def compute_fraction(self, now):
@@ -223,11 +225,7 @@
         known = self._find_cession(ask.host, now)
         if known is not None and ask.sequence <= known.sequence:
             return False
-        until = -math.inf
-        stamp_s = ask.stamp.clock_ms / 1000
-        is_own = ask.stamp.run == self._run and stamp_s <= now
-        if ask.hosts and is_own and not ask.release:
-            until = stamp_s + CESSION_S
+        until = self._compute_end(ask, now)
         if known is not None and not ask.release:
             known.sequence = ask.sequence
             known.heard_at = now
@@ -235,11 +233,28 @@
                 return True
         weight = 1.0 / ask.hosts if until > now else 0.0
         if known is not None and known.until >= now and weight:
-            known.until = max(known.until, until)
-            if known.weight != weight:
-                known.weight = weight
-                self._holdings = None
-            return True
+            self._renew(known, until, weight)
+        else:
+            self._replace_cession(known, ask, until, weight, now)
+        return True
+
+    def _compute_end(self, ask, now):
+        """Return when the cession in a message ends; -inf if it contains none."""
+        stamp_s = ask.stamp.clock_ms / 1000
+        is_own = ask.stamp.run == self._run and stamp_s <= now
+        if ask.hosts and is_own and not ask.release:
+            return stamp_s + CESSION_S
+        return -math.inf
+
+    def _renew(self, cession, until, weight):
+        """Extend a cession that has not ended."""
+        cession.until = max(cession.until, until)
+        if cession.weight != weight:
+            cession.weight = weight
+            self._holdings = None
+
+    def _replace_cession(self, known, ask, until, weight, now):
+        """Store a cession that begins, or the record of a share that was released."""
         # What comes with a cession is counted at its start only.
         is_start = known is None or known.until < now
         self._holdings = None
@@ -254,12 +269,12 @@
             now,
         )
         self._drop_old(now)
-        return True
 
     def _find_cession(self, host, now):
-        """Return the cession of a host, or None if it was not heard for long.
+        """Return the cession of a host, or None without a message of it for long.
 
-        The numbers of a host begin below the previous ones when its clock was reset.
+        The host may then have restarted with its clock set back, so that the sequence
+        numbers of its messages are lower than before.
         """
         known = self._cessions.get(host)
         if known is None or known.heard_at < now - REMEMBERED_S:
@@ -278,14 +293,15 @@
         drop_oldest(self._cessions, MAX_HOSTS)
 
     def _find_bucket(self, ask, now):
-        """Return the bucket of a team, filled up to now, and its allotment."""
+        """Return the bucket of a team, filled up to now, its depth and refill rate."""
         bucket = self._buckets.get(ask.team)
         if bucket is None:
             returns = ReturnedTokens(_to_ms(now))
             bucket = Bucket(ask.team, ask.limit, self._earliest, returns)
             self._buckets[ask.team] = bucket
             if len(self._buckets) > MAX_TEAMS:
-                # A forgotten bucket that starts again must not be filled twice.
+                # A bucket that is dropped and created again must not be filled a
+                # second time for the time before.
                 self._earliest = now
                 drop_oldest(self._buckets, MAX_TEAMS)
         elif ask.limit.version > bucket.limit.version:
@@ -295,12 +311,16 @@
         return bucket, *self._fill(bucket, now)
 
     def _fill(self, bucket, now):
-        """Add the tokens since the last time; return the allotment and refill rate."""
+        """Add the tokens since the last time; return the depth and refill rate.
+
+        Both are those of the shares that this owner holds now.
+        """
         allotment = self._bound.allot(bucket.limit)
         holdings = self._find_holdings(now)
         fraction = min(1.0, holdings.fraction)
         tokens = 0.0
-        if holdings.since <= bucket.updated_at and self._lapsed_at <= bucket.updated_at:
+        # The sum over all cessions is needed only if one began or ended meanwhile.
+        if max(holdings.since, self._lapsed_at) <= bucket.updated_at:
             share_seconds = fraction * (now - bucket.updated_at)
         else:
             share_seconds, tokens = self._sum_shares(bucket, allotment, now)
@@ -314,7 +334,11 @@
         return allotment.depth * fraction, rate
 
     def _sum_shares(self, bucket, allotment, now):
-        """Return the share seconds and tokens since the last time."""
+        """Return the share seconds and tokens since the last time.
+
+        A share second is one second in which this owner held all shares, or two in
+        which it held half of them. The tokens are those that came with new cessions.
+        """
         share_seconds, tokens = 0.0, 0.0
         for cession in self._cessions.values():
             start = max(cession.since, bucket.updated_at)
@@ -329,26 +353,28 @@
                 tokens += cession.weight * carried
         return share_seconds, tokens
 
-    def _take(self, ask, now):
-        """Return fields of the answer: whether a token is issued, and times."""
+    def _take(self, ask, reply, now):
+        """Return a reply that issues a token or states when one is available."""
         bucket, depth, rate = self._find_bucket(ask, now)
         if bucket.level >= 1.0:
             bucket.level -= 1.0
-            return {"granted": True}
+            return replace(reply, granted=True)
         if depth < 1.0 or rate <= 0.0:
-            return {"retry_after_s": NO_SHARE_RETRY_AFTER_S, "is_starting": True}
+            return replace(
+                reply, retry_after_s=NO_SHARE_RETRY_AFTER_S, is_starting=True
+            )
         empty_s = (1.0 - bucket.level) / rate
         # Rejected requests that all returned at the first token would be rejected
         # again, so each gets the time of a token of its own.
         start = max(bucket.promised_until, now + empty_s - 1.0 / rate)
         latest = now + MAX_RETRY_AFTER_S
         bucket.promised_until = min(start + 1.0 / rate, latest)
-        retry_after_s = max(MIN_RETRY_AFTER_S, bucket.promised_until - now)
-        return {
-            "empty_s": empty_s,
-            "retry_after_s": retry_after_s,
-            "is_starting": self._find_holdings(now).are_new,
-        }
+        return replace(
+            reply,
+            empty_s=empty_s,
+            retry_after_s=max(MIN_RETRY_AFTER_S, bucket.promised_until - now),
+            is_starting=self._find_holdings(now).are_new,
+        )
 
     def _return_token(self, ask, now):
         """Put a token back that this process issued."""
