Name the times of the messages to owners after what they bound

The comment on the renewal said that it counts from the reply, but the code counts from the message; the one on repeats said a second where it is 0.6 s. _is_due states its three reasons.

--- a/redwingspring/policy/usagerights.py
+++ b/redwingspring/policy/usagerights.py
@@ -10,22 +10,23 @@
 from .usagecaps import CESSION_S, MAX_TEAMS
 from .usagemessages import OwnerStamp, UsageAsk
 
-# A share is ceded again this long after the last answer of the owner.
+# A share is ceded again this long after the last message to its owner.
 RENEWAL_S = 0.5
-# Messages without an answer are repeated at this interval, for the first second.
-REPEAT_S = 0.15
-REPEATS_S = 0.6
-# An owner that has not answered for this long is replaced by its successor, until it
-# answers again.
+# Messages without a reply are repeated at this interval, and only for this long.
+REPEAT_INTERVAL_S = 0.15
+REPEAT_PERIOD_S = 0.6
+# An owner that has not replied for this long is replaced by its successor, until it
+# replies again.
 SILENCE_S = 0.3
-# An owner that answered within this time can hold the share.
+# An owner that replied within this time can get the share.
 FRESH_S = 1.2
+# The preferred owner and its successors that are asked while it is silent.
 MAX_CONTACTS = 3
 
 
 @dataclass(frozen=True)
-class OwnerAnswer:
-    """Newest answer of an owner.
+class LatestReply:
+    """Newest reply of an owner.
 
     Attributes
     ----------
@@ -46,8 +47,8 @@
 class CessionGrant:
     """What comes with a new cession, until the owner confirms it.
 
-    The owner must not count it twice. So the messages that contain it expire together:
-    they all contain the same clock reading.
+    The owner must not count it twice. So all messages that contain it have the same
+    clock reading of the owner, and expire at the same time.
 
     Attributes
     ----------
@@ -87,13 +88,16 @@
         self._lock = threading.RLock()
         self._ranked = ()
         self._hosts = 0
-        self._answers = {}
+        self._replies = {}
+        # Time of the first message to each owner that has not replied since.
         self._unanswered = {}
         self._sent_at = {}
         self._advanced_at = None
         self._ceded_to = None
         self._ceded_until = -math.inf
+        # Number of the first message that releases the share, until a reply to it.
         self._release_sequence = None
+        # When the share was last ceded with its credit.
         self._credited_at = -math.inf
         # Tokens of the released share, until it is ceded again.
         self._carry = None
@@ -194,7 +198,7 @@
         self._ceded_until = now + CESSION_S
         self._release_sequence = None
         grant = self._grant
-        stamp = self._answers[owner].stamp
+        stamp = self._replies[owner].stamp
         return UsageAsk(
             self._group,
             self._name,
@@ -213,17 +217,17 @@
         if has_credit:
             self._credited_at = now
         self._grant = CessionGrant(
-            sequence, self._answers[owner].stamp, has_credit, self._carry
+            sequence, self._replies[owner].stamp, has_credit, self._carry
         )
         self._carry = None
 
     def record_reply(self, reply, now):
-        """Record the answer of an owner.
+        """Record the reply of an owner.
 
         Parameters
         ----------
         reply : UsageReply
-            The answer.
+            The reply.
         now : float
             Clock in seconds.
 
@@ -236,12 +240,12 @@
             owner = reply.host
             if owner not in self._sent_at:
                 return False
-            known = self._answers.get(owner)
+            known = self._replies.get(owner)
             is_first = known is None
             self._unanswered.pop(owner, None)
             if not is_first and reply.sequence <= known.sequence:
                 return False
-            self._answers[owner] = OwnerAnswer(reply.stamp, now, reply.sequence)
+            self._replies[owner] = LatestReply(reply.stamp, now, reply.sequence)
             if owner != self._ceded_to:
                 return is_first
             if not is_first and reply.stamp.run != known.stamp.run:
@@ -279,10 +283,10 @@
         return contacts
 
     def _find_fresh(self, now):
-        """Return the first owner that answered recently, or None."""
+        """Return the first owner that replied recently, or None."""
         for name in self._list_contacts(now):
-            answer = self._answers.get(name)
-            is_recent = answer is not None and now - answer.received_at < FRESH_S
+            reply = self._replies.get(name)
+            is_recent = reply is not None and now - reply.received_at < FRESH_S
             if is_recent and not self._is_silent(name, now):
                 return name
         return None
@@ -295,19 +299,17 @@
         """Tell whether a host should get a message now."""
         sent_at = self._sent_at.get(name, -math.inf)
         since = self._unanswered.get(name)
-        if since is not None and now - since < REPEATS_S:
-            return now - sent_at >= REPEAT_S
-        is_waiting = name != self._ceded_to and self._ceded_to is None
-        if is_waiting and since is None and self._hosts:
-            # The share is held by nobody and this host answers.
-            return now - sent_at >= REPEAT_S
-        if name == self._ceded_to and self._find_fresh(now) not in (None, name):
-            return now - sent_at >= REPEAT_S
-        return now - sent_at >= RENEWAL_S
+        lacks_reply = since is not None and now - since < REPEAT_PERIOD_S
+        # No owner holds the share, and this one replies.
+        can_get_share = self._ceded_to is None and since is None and self._hosts
+        fresh = self._find_fresh(now)
+        must_release = name == self._ceded_to and fresh not in (None, name)
+        is_urgent = lacks_reply or can_get_share or must_release
+        return now - sent_at >= (REPEAT_INTERVAL_S if is_urgent else RENEWAL_S)
 
     def _forget_others(self, contacts):
         """Keep only what is known of the hosts that get messages."""
-        for known in (self._answers, self._unanswered, self._sent_at):
+        for known in (self._replies, self._unanswered, self._sent_at):
             for name in [name for name in known if name not in contacts]:
                 del known[name]
 
