Split the update of known hosts, and reword the messages about rate limits

UsageHosts.update did two things, and several comments and docstrings on shares, tokens and the division of the bound could be read in two ways. An owner's message is a reply everywhere, as in the schema. No change of behaviour: the tests of the rate limits pass.

--- a/redwingspring/policy/usageallotments.py
+++ b/redwingspring/policy/usageallotments.py
@@ -2,12 +2,12 @@
 
 from dataclasses import dataclass
 
-# Time from the moment at which an owner issues a token to the moment at which the
-# request that uses it counts, and tolerance for differing clocks.
+# Longest time from the issue of a token to the moment at which the request that uses
+# it counts, with a tolerance for clocks of different rates.
 LATENESS_S = 0.5
-# The surplus of the bound over the rate limit is divided into equal parts: one each for
-# the rate, the static shares and the credits of two changes of the owner within one
-# window, and the others for the depth, which takes up bursts beyond the limit.
+# The surplus of the bound over the rate limit is divided into equal parts: one for the
+# refill rate, one for the static shares, one for the credits of each of two changes of
+# the owner within a window, and these for the depth, which admits larger bursts.
 SURPLUS_PARTS = 8
 DEPTH_PARTS = 4
 
@@ -108,7 +108,7 @@
         bound = self.compute_bound(limit)
         surplus = bound - refill - limit.burst
         if surplus <= 0.0:
-            # Without a reserve, only less than the rate limit keeps the bound.
+            # Without a surplus, only less than the rate limit keeps the bound.
             factor = bound / (refill + limit.burst)
             return Allotment(
                 limit.rate_per_s * factor, limit.burst * factor, 1.0, 0.0, 0.0
--- a/redwingspring/policy/usagecaps.py
+++ b/redwingspring/policy/usagecaps.py
@@ -1,8 +1,8 @@
 """Owner of the rate limits of a group of teams: issues one token for each request.
 
 Each host holds an equal share of all rate limits. It cedes the share to one owner at a
-time, for a limited time. The refill rate and depth of the owner's token buckets are in
-proportion to the shares that it holds, so the owners of a network partition issue no
+time, for a limited period. The refill rate and depth of the owner's token buckets are
+in proportion to the shares that it holds, so the owners of a network partition issue no
 more together than one owner of all hosts. The algorithm combines leases (Gray and
 Cheriton, 1989) with token buckets.
 """
@@ -141,7 +141,7 @@
         self._lapsed_at = -math.inf
 
     def handle(self, ask, now):
-        """Answer a message of a host.
+        """Handle a message of a host.
 
         Parameters
         ----------
@@ -153,7 +153,7 @@
         Returns
         -------
         UsageReply
-            The answer.
+            The reply.
         """
         stamp = OwnerStamp(self._run, _to_ms(now))
         with self._lock:
--- a/redwingspring/policy/usagehosts.py
+++ b/redwingspring/policy/usagehosts.py
@@ -13,13 +13,13 @@
 # The share of a host that knows no other one is not used for this long.
 ALONE_S = 10.0
 # Both times count only while this process runs: after a suspension it has yet to read
-# what the others sent. A longer step between two updates is a suspension.
+# what the others sent. Of the time between two updates, no more than this counts.
 MAX_STEP_S = 0.5
 MAX_HOSTS = 4096
 # The number of hosts in a message has 16 bits.
 MAX_COUNT = 0xFFFF
-# While the live hosts stay the same, the times at which they were seen are updated at
-# this interval.
+# Interval of the updates of the times at which hosts were seen, while the live hosts
+# stay the same.
 REFRESH_S = 5.0
 
 
@@ -65,6 +65,7 @@
         self._running_s = 0.0
         self._updated_at = now
         self._lock = threading.Lock()
+        # Data centre of each host, and the time at which it was last seen.
         self._hosts = {}
         self._changed_at = now
         self._place = None
@@ -87,26 +88,30 @@
         with self._lock:
             self._running_s += min(MAX_STEP_S, now - self._updated_at)
             self._updated_at = now
-            if latest == self._latest and now - self._refreshed_at < REFRESH_S:
-                if self._place is None:
-                    self._place = self._compute_place(now)
-                return
-            self._latest, self._refreshed_at = latest, now
-            previous = set(self._hosts)
-            for name, data_centre in present.items():
-                if name in self._hosts or len(self._hosts) < MAX_HOSTS:
-                    self._hosts[name] = (data_centre, now)
-            gone = [
-                name
-                for name, (_, seen_at) in self._hosts.items()
-                if now - seen_at > REMEMBERED_S
-            ]
-            for name in (*leaving, *gone):
-                self._hosts.pop(name, None)
-            self._hosts[self._name] = (self._data_centre, now)
-            if set(self._hosts) != previous:
-                self._changed_at = now
-            self._place = self._compute_place(now)
+            is_refresh_due = now - self._refreshed_at >= REFRESH_S
+            if latest != self._latest or is_refresh_due:
+                self._latest, self._refreshed_at = latest, now
+                self._update_hosts(present, leaving, now)
+                self._place = self._compute_place(now)
+            elif self._place is None:
+                self._place = self._compute_place(now)
+
+    def _update_hosts(self, present, leaving, now):
+        """Add the live hosts, and drop those that leave or were lost long ago."""
+        previous = set(self._hosts)
+        for name, data_centre in present.items():
+            if name in self._hosts or len(self._hosts) < MAX_HOSTS:
+                self._hosts[name] = (data_centre, now)
+        lost = [
+            name
+            for name, (_, seen_at) in self._hosts.items()
+            if now - seen_at > REMEMBERED_S
+        ]
+        for name in (*leaving, *lost):
+            self._hosts.pop(name, None)
+        self._hosts[self._name] = (self._data_centre, now)
+        if set(self._hosts) != previous:
+            self._changed_at = now
 
     def find_place(self):
         """Return the place of this host.
--- a/redwingspring/policy/usagemessages.py
+++ b/redwingspring/policy/usagemessages.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 
+# The tokens of a share are stated for this many slots of teams.
 CARRY_SLOTS = 32
+# The age in a message has 16 bits.
 MAX_CARRY_AGE_S = 0xFFFF
-# The lowest bits of a team's key select its group, so they are the same for all teams
-# of an owner and do not select the slot.
-GROUP_FACTOR = 1 << 16
+# The lowest bits of a team's hash select its group, so they are the same for all teams
+# of an owner. The slot is selected by the bits above these.
+SLOT_DIVISOR = 1 << 16
 
 
 @dataclass(frozen=True)
@@ -27,9 +29,9 @@
 
 @dataclass(frozen=True)
 class Carry:
-    """Tokens that a share takes along from one owner to the next.
+    """Tokens of a share, which go with it from one owner to the next.
 
-    The teams are divided into slots by their keys, so the size does not depend on
+    The teams are divided into slots by their hashes, so the size does not depend on
     the number of teams.
 
     Attributes
@@ -59,10 +61,10 @@
         int
             Index into ``levels``.
         """
-        return team // GROUP_FACTOR % CARRY_SLOTS
+        return team // SLOT_DIVISOR % CARRY_SLOTS
 
     def compute_tokens(self, team, allotment):
-        """Return the tokens of a team that belong to all shares together.
+        """Return the tokens that a team would have if the owner had held all shares.
 
         Parameters
         ----------
@@ -74,7 +76,7 @@
         Returns
         -------
         float
-            To be multiplied with the fraction that the share is.
+            Tokens; the share has the fraction of them that it is of all shares.
         """
         level = self.levels[self.find_slot(team)] / 255
         collected = allotment.rate_per_s * self.age_s
@@ -98,7 +100,7 @@
     credit : bool, default=False
         Whether the cession includes the share's credit.
     release : bool, default=False
-        Whether the owner no longer holds the sender's share.
+        Whether the owner is to give up the sender's share.
     stamp : OwnerStamp, default=OwnerStamp(0, 0)
         The newest clock reading of the owner that the sender knows.
     team : int, default=0
@@ -129,7 +131,7 @@
 
 @dataclass(frozen=True)
 class UsageReply:
-    """Answer of an owner.
+    """Reply of an owner.
 
     Attributes
     ----------
@@ -138,7 +140,7 @@
     host : str
         Name of the owner.
     sequence : int
-        The number of the message that is answered.
+        Number of the message to which this is the reply.
     stamp : OwnerStamp
         Clock of the owner.
     granted : bool, default=False
@@ -148,7 +150,7 @@
     retry_after_s : float, default=0.0
         Seconds after which the request should be sent again.
     is_starting : bool, default=False
-        Whether the owner has no tokens because it does not hold its shares for long,
+        Whether the owner has no token because it obtained its shares only recently,
         so that the host should ask again.
     carry : Carry or None, default=None
         Tokens of a released share.
