Tell the announced and the sent close of a connection apart by their names

The attribute _announced_close and the property _announces_close differed by two letters, ConnectionAction.LEAVE had nothing to do with a host that leaves, and the loop of DeadlineReader.readinto ended in three ways.

--- a/redwingspring/callerstreams.py
+++ b/redwingspring/callerstreams.py
@@ -8,7 +8,7 @@
 import termios
 import time
 
-# Interval at which a read checks whether it may still wait.
+# Interval at which a read asks whether it may still wait.
 WAIT_CHECK_INTERVAL_S = 0.1
 
 
@@ -52,21 +52,30 @@
         """
         if self.nonblocking and not is_readable(self._sock):
             return None
-        while self.deadline is not None:
-            remaining = self.deadline - time.monotonic()
-            if remaining <= 0 or (self.may_wait is not None and not self.may_wait()):
-                # cheroot recognises a timeout by this text.
-                raise TimeoutError("timed out")
-            if self.may_wait is None or is_readable(
-                self._sock, min(remaining, WAIT_CHECK_INTERVAL_S)
-            ):
-                self._sock.settimeout(remaining)
-                break
+        if self.deadline is not None:
+            self._prepare_read()
         count = super().readinto(buffer)
         if count:
             self.has_received = True
         return count
 
+    def _prepare_read(self):
+        """Set the socket's timeout; wait for data while ``may_wait`` allows it."""
+        remaining = self._compute_remaining_s()
+        while self.may_wait is not None:
+            if is_readable(self._sock, min(remaining, WAIT_CHECK_INTERVAL_S)):
+                break
+            remaining = self._compute_remaining_s()
+        self._sock.settimeout(remaining)
+
+    def _compute_remaining_s(self):
+        """Return the seconds left for a read; raise TimeoutError if there are none."""
+        remaining = self.deadline - time.monotonic()
+        if remaining <= 0 or (self.may_wait is not None and not self.may_wait()):
+            # cheroot recognises a timeout by this text.
+            raise TimeoutError("timed out")
+        return remaining
+
 
 class SocketWriter:
     """Unbuffered writer.
--- a/redwingspring/pipelining.py
+++ b/redwingspring/pipelining.py
@@ -83,8 +83,8 @@
         """Run the application, in a worker thread if the request has no body."""
         self.received_at = read_clock()
         if not self.conn.accept_request(self.turn):
-            # The connection has been closed, or a response announces that it closes;
-            # its caller takes a request behind that response for not run.
+            # The connection has been closed, or a response states that it closes. The
+            # caller knows that a request behind that response has not run.
             self.close_connection = True
             return
         bodyless = self.method in _BODYLESS_METHODS and not self.chunked_read
@@ -200,11 +200,13 @@
         # The condition guards the attributes below.
         self._changed = threading.Condition()
         self._accepting = True
+        # When the sending side of the connection was shut down.
         self._closed_at = None
         self._last_accepted_turn = None
         # Turn of the last response whose head was sent.
         self._last_begun_turn = None
-        self._announced_close = False
+        # Whether the head of a response stated that the connection closes.
+        self._close_sent = False
         self._streaming_turn = None
         self._active_requests = 0
         # Whether a request that was read waits until a streamed response is complete.
@@ -252,26 +254,26 @@
             self._changed.wait_for(lambda: self._streaming_turn is None)
             self._is_request_waiting = False
             self.rfile.raw.has_received = False
-            if self.ended or self._announces_close:
+            if self.ended or self._is_close_announced:
                 return False
             self._last_accepted_turn = turn
             self._active_requests += 1
             return True
 
     @property
-    def _announces_close(self):
-        """Tell whether a response states that the connection closes, now or later.
+    def _is_close_announced(self):
+        """Tell whether a response states that the connection closes, or will do so.
 
-        Without one, a further request is accepted also while the connection is closing,
-        and its own response states it.
+        Otherwise a further request is accepted although the connection is closing, and
+        the response to it states the close.
         """
-        if self._announced_close:
+        if self._close_sent:
             return True
         is_begun = self._last_begun_turn is self._last_accepted_turn
         return not self._accepting and self._active_requests > 0 and not is_begun
 
     def stop_accepting(self):
-        """Accept no request behind one whose response can close the connection."""
+        """Accept no request behind one whose response can state the close."""
         with self._changed:
             self._accepting = False
 
@@ -291,7 +293,7 @@
         with self._changed:
             self._last_begun_turn = turn
             is_last = not self._accepting and self._last_accepted_turn is turn
-            self._announced_close |= is_last
+            self._close_sent |= is_last
             return is_last
 
     def begin_stream(self, turn):
@@ -358,14 +360,14 @@
         """
         shutdown = self.server.shutdown
         with self._changed:
-            # The lock makes a request either accepted before the connection is closed,
-            # and answered, or dropped.
+            # Under the lock, a request is either accepted before the connection is
+            # closed, and gets a response, or it is dropped.
             if not shutdown.accepts_request(read_clock()):
                 self._accepting = False
             action = shutdown.decide_connection(self._describe_state())
             if action is ConnectionAction.CLOSE:
                 self.shut_down_writing()
-        return action is ConnectionAction.LEAVE
+        return action is ConnectionAction.DONE
 
     def _describe_state(self):
         try:
--- a/redwingspring/shutdown.py
+++ b/redwingspring/shutdown.py
@@ -12,10 +12,10 @@
 
 from .clock import read_clock
 
-# A response is expected this long after the usual processing time at the latest.
+# A response is expected within the usual processing time and this.
 RESPONSE_MARGIN_S = 0.5
-# Once no request is forwarded any more, one of which a part has arrived gets this long
-# for the rest, so that it is rejected with a response.
+# Once further requests are no longer accepted, one that has arrived in part gets this
+# long for the rest, so that it is rejected with a response.
 PARTIAL_READ_S = 0.25
 # A closed connection is still read for this long, since the operating system resets
 # it if a request arrives after the exit of the process.
@@ -41,8 +41,8 @@
     KEEP = "keep"
     # Close it before a further request is read.
     CLOSE = "close"
-    # The process need not wait for it.
-    LEAVE = "leave"
+    # Nothing is left to do; the process need not wait for it.
+    DONE = "done"
 
 
 @dataclass(frozen=True)
@@ -255,7 +255,7 @@
         if state.closed_at is not None:
             lingered = self._clock() - state.closed_at >= LINGER_S
             if lingered and state.is_delivered:
-                return ConnectionAction.LEAVE
+                return ConnectionAction.DONE
             return ConnectionAction.KEEP
         if self.phase in (Phase.ACCEPTING, Phase.READING):
             return ConnectionAction.KEEP
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -130,7 +130,7 @@
         self.begin()
         closed = {"closed_at": 3.0}
         self.assertEqual(ConnectionAction.KEEP, self.decide(3.49, **closed))
-        self.assertEqual(ConnectionAction.LEAVE, self.decide(3.5, **closed))
+        self.assertEqual(ConnectionAction.DONE, self.decide(3.5, **closed))
         closed["is_delivered"] = False
         self.assertEqual(ConnectionAction.KEEP, self.decide(5.0, **closed))
 
