Choose the retry time of a failed call in a function of its own

RouteDispatcher.send ran an attempt and then told four kinds of failure apart, with two exits. No change of behaviour: the tests of the shutdown, the store state and the process pass.

--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -21,8 +21,8 @@
 _FAILURE_WEIGHTS = {Reason.TARGET_REFUSED: 0.4, Reason.NO_ANSWER: 0.5}
 # Reasons with which a request is rejected because no target was found in time.
 _QUEUE_REASONS = frozenset((Reason.NO_CAPACITY, Reason.DEADLINE))
-# The caller sends a request that a stopping host rejects to another host at once. Some
-# callers treat 0 as no retry time.
+# Retry time of a request that a stopping host rejects: its caller is to send it to
+# another host at once, but some callers treat 0 as no retry time.
 STOPPING_RETRY_AFTER_S = 0.01
 # Reasons that do not count as failures of the target.
 _NEUTRAL_REASONS = frozenset(
@@ -221,22 +221,23 @@
         if outcome.is_ok():
             return outcome
         failure = outcome.error
+        return Error(Rejection(failure, self._choose_retry_after(call, failure)))
+
+    def _choose_retry_after(self, call, failure):
+        """Return the retry time of a failed call in seconds, None without one."""
         if failure.reason is Reason.UNCONFIRMED:
-            return Error(Rejection(failure, RENEWAL_RETRY_AFTER_S))
-        retry_after = None
+            return RENEWAL_RETRY_AFTER_S
         if failure.reason is Reason.STOPPING:
-            retry_after = STOPPING_RETRY_AFTER_S
-        elif failure.proves_not_run:
-            waiting = len(self.wait_queues.find(call.service.name))
-            if failure.reason in _QUEUE_REASONS:
-                # The rejected request has left the queue but counts as waiting.
-                waiting += 1
-            retry_after = choose_retry_after(
-                self.build_timing(call),
-                waiting,
-                backoff_s=self.compute_backoff_s(call),
-            )
-        return Error(Rejection(failure, retry_after))
+            return STOPPING_RETRY_AFTER_S
+        if not failure.proves_not_run:
+            return None
+        waiting = len(self.wait_queues.find(call.service.name))
+        if failure.reason in _QUEUE_REASONS:
+            # The rejected request has left the queue but counts as waiting.
+            waiting += 1
+        return choose_retry_after(
+            self.build_timing(call), waiting, backoff_s=self.compute_backoff_s(call)
+        )
 
     def build_timing(self, call):
         """Return the times of a call, on which decisions on waiting depend.
