Reword comments on confirmations, epochs and drains that could be misread

Some named a value without its use, such as the two times of a confirmation in the mirror of the store. No change of code: the same tests pass.

--- a/redwingspring/authentication.py
+++ b/redwingspring/authentication.py
@@ -59,8 +59,8 @@
     last_confirmation : LastConfirmation
         When the store confirmed it.
     strict_revoke_s : float or None
-        Seconds within which all hosts reject a removed key; None accepts the keys in
-        force for as long as they are.
+        Seconds within which all hosts reject a removed key; with None, keys in force
+        are accepted however long ago the store confirmed them.
     metrics : Metrics
         Counters of rejections.
     clock : callable, default=read_clock
@@ -139,7 +139,7 @@
     def _check_identity(self, identity):
         confirmed = self.read_table()
         table = confirmed.table
-        # Its headers were chosen for a configuration with or without teams.
+        # The headers of the request depend on whether there were teams.
         if table is None or (table.teams is not None) != identity.uses_keys:
             return _refuse_changed()
         if identity.key is None:
--- a/redwingspring/confirmations.py
+++ b/redwingspring/confirmations.py
@@ -1,9 +1,9 @@
 """Time at which the store last confirmed the state in force at this host."""
 
-# A newer configuration may exist after this time without a confirmation, so what is
-# unknown to the one in force is not rejected for good.
+# Without a confirmation for this long, a newer configuration may exist. A key or route
+# that is unknown to the one in force then gets 503 instead of a final rejection.
 MAX_CONFIRMED_AGE_S = 3.0
-# Time after which a host that the store has not confirmed may have a confirmation.
+# Retry time of requests that are rejected for lack of a recent confirmation.
 RENEWAL_RETRY_AFTER_S = 0.3
 
 
--- a/redwingspring/drainingentries.py
+++ b/redwingspring/drainingentries.py
@@ -9,10 +9,10 @@
 
 
 class DrainingEntries:
-    """The runs of targets that drain by their entries, with the entries' revisions.
+    """The runs of targets whose entries state a drain, with the entries' revisions.
 
     A store that comes back from a copy may list such a run as ready again, also when
-    its entry was already removed. The class is not thread-safe; the state in force
+    its entry had already been removed. The class is not thread-safe; the state in force
     guards it with its own lock.
     """
 
@@ -36,7 +36,7 @@
         drop_oldest(self._revisions, MAX_DRAINING_RUNS)
 
     def correct(self, instance, revision):
-        """Return an entry of a copy, draining if its run drains by a later entry.
+        """Return an entry of a copy, as draining if a later entry stated the drain.
 
         Parameters
         ----------
@@ -44,9 +44,9 @@
             The entry.
         revision : int
             Revision at which it was written. An entry of the copy has a lower one than
-            the entry that states the drain, because the copy would contain the latter
-            otherwise. An entry of the new epoch that has a lower one too cannot be told
-            apart; it drains until the target writes again.
+            the entry that states the drain, which the copy would contain otherwise. An
+            entry of the new epoch may have a lower one as well. It cannot be told
+            from one of the copy, so its target drains until it writes again.
 
         Returns
         -------
--- a/redwingspring/feed.py
+++ b/redwingspring/feed.py
@@ -54,7 +54,9 @@
         self._history = deque()
         self._position = StorePosition()
         self._history_start = StorePosition()
+        # When the response arrived that confirmed the entries, less its stated age.
         self._confirmed_at = None
+        # Lower bound of the time at which the store held the entries.
         self._earliest_confirmed_at = float("-inf")
         self._hops = 0
 
--- a/redwingspring/feedmessages.py
+++ b/redwingspring/feedmessages.py
@@ -15,9 +15,10 @@
 COMPRESSION_LEVEL = 1
 # Longest message that is decompressed.
 MAX_MESSAGE_BYTES = 64 << 20
+# Largest values of fields of the message.
 _MAX_AGE_MS = 0xFFFFFFFF
 _MAX_HOPS = 0xFF
-# Offset of a confirmation whose time is unknown, and the latest one that fits.
+# Offset of a confirmation whose time is unknown, and the largest one of the field.
 _UNKNOWN_OFFSET_MS = -(2**31)
 _MAX_OFFSET_MS = 2**31 - 1
 
@@ -46,6 +47,7 @@
     confirmed_at: float = float("-inf")
 
 
+# Confirmation by the store at this moment.
 FROM_STORE = Confirmation()
 
 
@@ -107,7 +109,7 @@
 
 
 def _encode_offset(offset_s):
-    """Return an offset in whole milliseconds, rounded to the earlier one."""
+    """Return an offset in whole milliseconds, rounded down."""
     offset_ms = max(_UNKNOWN_OFFSET_MS, min(_MAX_OFFSET_MS, offset_s * 1000))
     return math.floor(offset_ms)
 
--- a/redwingspring/logs.py
+++ b/redwingspring/logs.py
@@ -162,7 +162,7 @@
         Parameters
         ----------
         wait_s : float, default=2.0
-            Seconds for which to wait for space in the queue, and again for its end.
+            Seconds to wait for space in the queue, and again until it is written.
         """
         thread, self._thread = self._thread, None
         if thread is None:
--- a/redwingspring/missingentries.py
+++ b/redwingspring/missingentries.py
@@ -2,7 +2,7 @@
 
 
 class MissingEntries:
-    """The removals that take effect later, unless the entries are written again.
+    """The removals that take effect later unless their entries are written again.
 
     The class is not thread-safe; the state in force guards it with its own lock.
     """
@@ -11,7 +11,7 @@
         self._removal_times = {}
 
     def keep(self, removal, until):
-        """Keep an entry in use; a time that was set before stays.
+        """Keep an entry in use until a time, or until the time set before.
 
         Parameters
         ----------
--- a/redwingspring/policy/placement.py
+++ b/redwingspring/policy/placement.py
@@ -121,6 +121,7 @@
         self._sizes = {}
         self._work_s = {}
         self._slowdowns = {}
+        # Prefixes of the routes of each service whose work is known.
         self._prefixes = {}
 
     def record(self, answered):
--- a/redwingspring/routedprocess.py
+++ b/redwingspring/routedprocess.py
@@ -22,7 +22,8 @@
 logger = logging.getLogger("redwingspring.routedprocess")
 
 EXIT_INVALID = 2
-# Time for the last log lines, twice of which is part of the time for the exit.
+# Wait for space in the queue of log lines, and again for the last lines to be written.
+# Both are part of the time between the end of the shutdown and the grace period.
 LOG_WAIT_S = 0.15
 
 _reload_lock = threading.Lock()
--- a/redwingspring/storestate.py
+++ b/redwingspring/storestate.py
@@ -140,6 +140,7 @@
         self._evacuated = set()
         self._missing = MissingEntries()
         self._draining = DrainingEntries()
+        # Whether the first snapshot of a new epoch is being applied.
         self._begins_epoch = False
         # A host that starts has no data yet, but it has not seen the store away.
         self._lost_at = clock()
@@ -267,9 +268,10 @@
         )
 
     def _keep_missing(self, keys):
-        """Apply the removal of entries of an older epoch; it mostly takes effect later.
+        """Remove the entries of an older epoch that the new one lacks.
 
-        The removals have no revision, because the new epoch did not state them.
+        Instances and evacuations stay in use for ``MISSING_GRACE_S``. The removals have
+        no revision, because the new epoch does not state them.
         """
         for key in sorted(keys):
             removal = self._decode(StoreChange(key, None, 0))
