Say how the wait factor acts, and keep the samples of a search in one place

The number of targets that a search samples stood in targetsearch and in policy/precedence, where the two had to agree; begin_period also extended a period, and the comment on the factors did not say what they multiply. No change of behaviour: the tests of overload, shares, wait queues and the routed path pass.

--- a/redwingspring/overload.py
+++ b/redwingspring/overload.py
@@ -11,7 +11,7 @@
 
 
 class OverloadControl:
-    """Applies the policies on pressure and precedence to the calls of this host.
+    """Chooses the precedence of calls by the pressure on their services.
 
     Parameters
     ----------
@@ -61,15 +61,15 @@
             ``NO_PRESSURE`` while the service has enough room.
         """
         service = call.service.name
+        if call.profile is None:
+            return NO_PRESSURE
         pressure = self._pressures.find(service)
         full_share = pressure.full_share
-        if call.profile is None or not has_pressure(
-            full_share, call.profile, PROBE_INTERVAL_S
-        ):
+        if not has_pressure(full_share, call.profile, PROBE_INTERVAL_S):
             return NO_PRESSURE
         if not pressure.has_requests_in_time:
             return NO_PRESSURE
-        if pressure.begin_period():
+        if pressure.record_pressure():
             self._metrics.increment("overload.periods")
             self._decisions.record(
                 "service lacks room",
--- a/redwingspring/policy/precedence.py
+++ b/redwingspring/policy/precedence.py
@@ -2,15 +2,15 @@
 
 No input or output. Load pattern: for seconds, the targets of a service cannot run all
 requests that arrive. Each request that gets a slot then displaces another one, mostly
-of another host. A request that is late already is worth little to its caller and can
-wait, so it takes only slots that nobody else wants. A request of a lower priority, or
-one that needs more work than others, accepts a target that is not quite free only after
-a longer wait, so that the others find such targets first.
+of another host. The response to a request that is late already has little value for its
+caller, so it takes only slots of idle targets. A request of a lower priority, or one
+that needs more work than others, accepts a target that is slower or nearly full only
+after a longer wait, so that the others find such targets first.
 """
 
 from dataclasses import dataclass
 
-# Targets that one search samples.
+# Targets that are probed concurrently in one search.
 SEARCH_SAMPLES = 2
 # A service has too little room when a search takes longer than this share of the
 # shortest target latency of its routes.
@@ -18,9 +18,9 @@
 # Up to this share of targets without room there is no pressure, however short the
 # target latencies are: most searches find a target with room at once.
 MAX_CALM_SHARE = 0.5
-# Factors on the wait of a request, as far as it decides which targets are accepted: of
-# requests below the highest priority, and the least for those that need much work. No
-# kind of request starves, since its wait still counts.
+# A request accepts slower and fuller targets the longer it has waited. Under pressure
+# its wait counts less, by this factor below the highest priority, and at least by the
+# other one if it needs much work. It is never 0, so no kind of request starves.
 LOWER_PRIORITY_FACTOR = 0.5
 MIN_WORK_FACTOR = 0.5
 
@@ -34,7 +34,7 @@
     has_pressure : bool, default=False
         Whether the service has too little room.
     wait_factor : float, default=1.0
-        Factor on the wait of the request, up to 1.
+        Factor on the wait by which the request accepts targets; at most 1.
     """
 
     has_pressure: bool = False
@@ -63,9 +63,11 @@
     """
     if full_share <= MAX_CALM_SHARE:
         return False
-    success = 1.0 - full_share**SEARCH_SAMPLES
+    success_probability = 1.0 - full_share**SEARCH_SAMPLES
     longest_s = MAX_SEARCH_SHARE * profile.shortest_latency_s
-    return search_interval_s > success * longest_s
+    # A search is expected to take search_interval_s / success_probability, which may
+    # be a division by 0.
+    return search_interval_s > longest_s * success_probability
 
 
 def compute_wait_factor(priority, profile, work_s, least_work_s):
@@ -80,7 +82,8 @@
     work_s : float
         Seconds that a target needs for it.
     least_work_s : float
-        Seconds that a target needs for a request of the route with the least work.
+        Seconds that a target needs for a request of the route with the least work;
+        infinite if it is unknown.
 
     Returns
     -------
--- a/redwingspring/policy/pressure.py
+++ b/redwingspring/policy/pressure.py
@@ -14,11 +14,12 @@
 from .placement import is_nearly_full, predict_slowdown
 from .waitpolicy import adds_throughput
 
-# Samples within this time count. A slow period of a target lasts about as long, so
-# older samples describe another situation.
+# Only samples of this time count. A slow period of a target lasts about as long, so
+# older samples say little about the load at the moment.
 SAMPLE_WINDOW_S = 0.3
-# With fewer samples the share is not known.
+# With fewer samples the share is unknown.
 MIN_SAMPLES = 6
+# Samples that are kept, also when more than these arrive in the window.
 MAX_SAMPLES = 64
 # Highest predicted slowdown of a target that counts as having room.
 MAX_ROOM_SLOWDOWN = 1.6
@@ -99,8 +100,8 @@
         """Tell whether such a request arrived recently, for which others give way."""
         return self._clock() - self._in_time_at < IN_TIME_MEMORY_S
 
-    def begin_period(self):
-        """Record that there is too little room now.
+    def record_pressure(self):
+        """Record that there is too little room now; begin or extend a period.
 
         Returns
         -------
--- a/redwingspring/policy/waitpolicy.py
+++ b/redwingspring/policy/waitpolicy.py
@@ -97,7 +97,10 @@
 
     @property
     def acceptance_share(self):
-        """Return the wait as a share of the target latency, less what gives way."""
+        """Return the wait by which targets are accepted, as ``waited_share``.
+
+        Under pressure it is shorter for requests that give way to others.
+        """
         return self.waited_share * self.precedence.wait_factor
 
 
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -11,6 +11,7 @@
     candidate_policies,
     choose_best,
 )
+from .policy.precedence import SEARCH_SAMPLES
 from .policy.waitpolicy import (
     PROBE_INTERVAL_S,
     accepts_target,
@@ -22,9 +23,7 @@
 from .polling import poll_exchanges
 from .verdict import Reason, refuse, refuse_stopping
 
-# Targets that are probed concurrently in one search, and the number of searches
-# before a request enters the wait queue.
-CANDIDATE_COUNT = 2
+# Searches before a request enters the wait queue.
 SEARCHES_BEFORE_QUEUE = 2
 # Interval at which a request that is not at the head of the queue checks whether it
 # is to be rejected.
@@ -172,9 +171,9 @@
         reports_load = any(state.reports_load for state in states)
         probes = 0
         if reports_load:
-            probes = self._dispatcher.probes.take(service, len(states), CANDIDATE_COUNT)
+            probes = self._dispatcher.probes.take(service, len(states), SEARCH_SAMPLES)
         preferred_ids = self._choose_preferred(timing)
-        query = self._build_query(timing, probes or CANDIDATE_COUNT, preferred_ids)
+        query = self._build_query(timing, probes or SEARCH_SAMPLES, preferred_ids)
         if probes:
             candidates = candidate_policies.find("fresh-load")(usable, query)
             return self._select(self._probe(candidates, accepts), accepts)
--- a/tests/overloadreplay.py
+++ b/tests/overloadreplay.py
@@ -8,6 +8,7 @@
 from redwingspring.policy.loadsamples import LoadSample
 from redwingspring.policy.precedence import (
     NO_PRESSURE,
+    SEARCH_SAMPLES,
     Precedence,
     compute_wait_factor,
     has_pressure,
@@ -22,6 +23,7 @@
 
 SLOTS = 3
 NEARLY_FULL_SLOWDOWN = 1.7
+# Time until the deadline of a request; it is rejected after half of it.
 BUDGET_S = 3.0
 # Each waiting request searches once in a step.
 STEP_S = PROBE_INTERVAL_S
@@ -82,7 +84,7 @@
         self.least_work_s = min(kind.work_s for kind in kinds)
 
     def run(self, seconds, load):
-        """Play a time with a load relative to what the targets can run."""
+        """Replay some seconds with a load relative to what the targets can run."""
         mean_work_s = sum(kind.work_s * kind.share for kind in self.kinds)
         rate = load * self.targets * (SLOTS - 1) / mean_work_s
         end = self.clock.now + seconds
@@ -142,7 +144,7 @@
 
     def _search(self, host, request):
         timing = self._build_timing(host, request)
-        for target in self.rng.sample(range(self.targets), 2):
+        for target in self.rng.sample(range(self.targets), SEARCH_SAMPLES):
             if self.rng.random() < self.lost_share:
                 continue
             stale_running = self.history[target][0][1]
