--- a/redwingspring/policy/pressure.py
+++ b/redwingspring/policy/pressure.py
@@ -68,16 +68,16 @@
         self._period_end = float("-inf")
         self._in_time_at = float("-inf")
 
-    def record(self, has_room):
+    def record(self, target_has_room):
         """Record whether a sampled target had room.
 
         Parameters
         ----------
-        has_room : bool
+        target_has_room : bool
             Whether it could run one more request at about its usual speed.
         """
         with self._lock:
-            self._samples.append((self._clock(), has_room))
+            self._samples.append((self._clock(), target_has_room))
 
     @property
     def full_share(self):
@@ -88,7 +88,7 @@
                 self._samples.popleft()
             if len(self._samples) < MIN_SAMPLES:
                 return 0.0
-            full = sum(not has_room for _, has_room in self._samples)
+            full = sum(not target_has_room for _, target_has_room in self._samples)
             return full / len(self._samples)
 
     def record_in_time(self):
--- a/redwingspring/usagereports.py
+++ b/redwingspring/usagereports.py
@@ -19,12 +19,15 @@
 )
 
 PROTOCOL_VERSION = 1
-# Precedes each message. A gossip datagram never begins with this byte: the first four
-# bytes of a capnp message of one segment are zero, and packing encodes that.
+# Precedes each message. A gossip datagram begins with another byte: the first four
+# bytes of a capnp message of one segment are zero, so the low four bits of the tag with
+# which its packed form begins are zero too.
 PREFIX = b"\xffU"
 MAX_DATAGRAM_BYTES = 256
 MAX_NAME_LENGTH = 63
+# Largest time that the fields of a reply hold.
 MAX_DELAY_MS = 0xFFFFFFFF
+# Largest rate in requests per second, and largest burst in requests.
 MAX_RATE = 1e9
 
 capnp.remove_import_hook()
