Return the rejection of a late request without a result around it

Two of three callers unwrapped the Error at once. The body passes its question on in one call, as the connection takes None for none. No change of behaviour: the tests of the shutdown and of bodies pass.

--- a/redwingspring/body.py
+++ b/redwingspring/body.py
@@ -79,7 +79,8 @@
         Unix time in seconds by which the body must have arrived.
     set_read_timeout : callable or None, default=None
         Limits the total time of the following reads; takes seconds from now, or
-        None to remove the limit, and a callable that tells whether they may wait.
+        None to remove the limit, and optionally a callable that tells whether they may
+        still wait.
     clock : callable, default=time.time
         Clock of the deadline; returns a time in seconds.
     budget : BufferBudget or None, default=None
@@ -188,10 +189,7 @@
     def _read(self):
         """Read the next block and detect the end of the body."""
         timeout_s = max(0.001, self._deadline - self._clock())
-        if self._may_wait is None:
-            self._set_read_timeout(timeout_s)
-        else:
-            self._set_read_timeout(timeout_s, self._may_wait)
+        self._set_read_timeout(timeout_s, self._may_wait)
         try:
             data = self._stream.read(READ_SIZE)
         except TimeoutError:
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -138,7 +138,7 @@
     def _read_call(self, environ, received_at):
         """Return Ok with a RoutedCall, or an Error with a Rejection."""
         if not self.shutdown.accepts_request(received_at):
-            return _reject_late()
+            return Error(_reject_late())
         confirmed = self.authenticator.read_table()
         table = confirmed.table
         if table is None:
@@ -209,12 +209,12 @@
         environ, route = admitted.environ, admitted.route
         connection = environ.get("redwingspring.connection")
         request = environ.get("redwingspring.request")
-        failure = self._buffer_body(body)
+        rejection = self._buffer_body(body)
         read_at = self._clock() if body.exists else received_at
-        if failure is None and not self.shutdown.accepts_request(read_at):
-            failure = _reject_late().error
-        if failure is not None:
-            return Error(failure)
+        if rejection is None and not self.shutdown.accepts_request(read_at):
+            rejection = _reject_late()
+        if rejection is not None:
+            return Error(rejection)
         service = admitted.table.services[self._round_robin.choose(route)]
         identity = admitted.identity
         return Ok(
@@ -242,14 +242,14 @@
         )
 
     def _buffer_body(self, body):
-        """Buffer the beginning of a body; return the Rejection if that fails."""
+        """Buffer the beginning of a body; return a Rejection if that fails."""
         try:
             body.buffer(MAX_BUFFERED_BODY_BYTES, self.shutdown.may_await_rest)
         except CallerGone as error:
             return Rejection(refuse(error.reason, str(error), error.status))
         except TimeoutError:
             if not self.shutdown.may_await_rest():
-                return _reject_late().error
+                return _reject_late()
             return Rejection(refuse(Reason.DEADLINE, "the request body was late"))
         return None
 
@@ -347,8 +347,8 @@
 
 
 def _reject_late():
-    """Return the Error of a request that was read too late by a stopping host."""
-    return Error(Rejection(refuse_stopping(), STOPPING_RETRY_AFTER_S))
+    """Return the rejection of a request that a stopping host read too late."""
+    return Rejection(refuse_stopping(), STOPPING_RETRY_AFTER_S)
 
 
 class _StreamedBody:
