--- a/redwingspring/overload.py
+++ b/redwingspring/overload.py
@@ -47,6 +47,24 @@
         slowdown = self._statistics.estimate_nearly_full_slowdown(service)
         self._pressures.find(service).record(has_room(sample, slowdown))
 
+    def lacks_room(self, call):
+        """Tell whether the targets of a call's service have too little room.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            The call.
+
+        Returns
+        -------
+        bool
+            False also if too few targets were sampled.
+        """
+        if call.profile is None:
+            return False
+        full_share = self._pressures.find(call.service.name).full_share
+        return has_pressure(full_share, call.profile, PROBE_INTERVAL_S)
+
     def choose_precedence(self, call):
         """Return the precedence of a call over others that want the same slots.
 
@@ -60,13 +78,10 @@
         Precedence
             ``NO_PRESSURE`` while the service has enough room.
         """
-        service = call.service.name
-        if call.profile is None:
+        if not self.lacks_room(call):
             return NO_PRESSURE
+        service = call.service.name
         pressure = self._pressures.find(service)
-        full_share = pressure.full_share
-        if not has_pressure(full_share, call.profile, PROBE_INTERVAL_S):
-            return NO_PRESSURE
         if not pressure.has_requests_in_time:
             return NO_PRESSURE
         if pressure.record_pressure():
@@ -74,7 +89,7 @@
             self._decisions.record(
                 "service lacks room",
                 service=service,
-                full_share=round(full_share, 2),
+                full_share=round(pressure.full_share, 2),
                 waiting=len(self._wait_queues.find(service)),
             )
         factor = compute_wait_factor(
--- a/redwingspring/policy/pressure.py
+++ b/redwingspring/policy/pressure.py
@@ -14,9 +14,9 @@
 from .placement import is_nearly_full, predict_slowdown
 from .waitpolicy import adds_throughput
 
-# Only samples of this time count. A slow period of a target lasts about as long, so
-# older samples say little about the load at the moment.
-SAMPLE_WINDOW_S = 0.3
+# Only samples of this time count. It is a few slow periods of a target, and long enough
+# for the samples that hosts take while their shares of probes are used up.
+SAMPLE_WINDOW_S = 0.5
 # With fewer samples the share is unknown.
 MIN_SAMPLES = 6
 # Samples that are kept, also when more than these arrive in the window.
