--- a/redwingspring/overload.py
+++ b/redwingspring/overload.py
@@ -7,7 +7,6 @@
     has_pressure,
 )
 from .policy.pressure import Pressures, has_room
-from .policy.waitpolicy import PROBE_INTERVAL_S
 
 
 class OverloadControl:
@@ -62,8 +61,7 @@
         """
         if call.profile is None:
             return False
-        full_share = self._pressures.find(call.service.name).full_share
-        return has_pressure(full_share, call.profile, PROBE_INTERVAL_S)
+        return has_pressure(self._pressures.find(call.service.name).full_share)
 
     def choose_precedence(self, call):
         """Return the precedence of a call over others that want the same slots.
--- a/redwingspring/policy/precedence.py
+++ b/redwingspring/policy/precedence.py
@@ -12,12 +12,8 @@
 
 # Targets that are probed concurrently in one search.
 SEARCH_SAMPLES = 2
-# A service has too little room when a search takes longer than this share of the
-# shortest target latency of its routes.
-MAX_SEARCH_SHARE = 0.06
-# Up to this share of targets without room there is no pressure, however short the
-# target latencies are: most searches find a target with room at once.
-MAX_CALM_SHARE = 0.5
+# A service lacks room when searches fail more often than this.
+MAX_FAILED_SEARCHES = 0.5
 # A request accepts slower and fuller targets the longer it has waited. Under pressure
 # its wait counts less, by this factor below the highest priority, and at least by the
 # other one if it needs much work. It is never 0, so no kind of request starves.
@@ -44,30 +40,20 @@
 NO_PRESSURE = Precedence()
 
 
-def has_pressure(full_share, profile, search_interval_s):
+def has_pressure(full_share):
     """Tell whether a service has too little room.
 
     Parameters
     ----------
     full_share : float
         Share of its targets without room.
-    profile : ServiceProfile
-        Its routes.
-    search_interval_s : float
-        Seconds between two searches of a waiting request.
 
     Returns
     -------
     bool
-        True if a search is expected to take too long for its most urgent route.
+        True if most searches of waiting requests fail.
     """
-    if full_share <= MAX_CALM_SHARE:
-        return False
-    success_probability = 1.0 - full_share**SEARCH_SAMPLES
-    longest_s = MAX_SEARCH_SHARE * profile.shortest_latency_s
-    # A search is expected to take search_interval_s / success_probability, which may
-    # be a division by 0.
-    return search_interval_s > longest_s * success_probability
+    return full_share**SEARCH_SAMPLES > MAX_FAILED_SEARCHES
 
 
 def compute_wait_factor(priority, profile, work_s, least_work_s):
--- a/redwingspring/policy/waitpolicy.py
+++ b/redwingspring/policy/waitpolicy.py
@@ -125,7 +125,7 @@
         return False
     slowdown = predict_slowdown(sample, nearly_full_slowdown)
     if timing.is_late:
-        if timing.precedence.has_pressure and sample.running:
+        if timing.precedence.has_pressure and not _leaves_room(sample):
             return False
         return slowdown <= MAX_LATE_SLOWDOWN
     if slowdown * timing.work_s > timing.target_latency_left_s * WORK_MARGIN:
@@ -138,6 +138,11 @@
     )
 
 
+def _leaves_room(sample):
+    """Tell whether a target keeps half of its slots free for requests in time."""
+    return sample.running < max(1, count_full_speed_slots(sample.slots) // 2)
+
+
 def adds_throughput(sample, nearly_full_slowdown):
     """Tell whether a target has a higher throughput with all its slots in use.
 
--- a/redwingspring/routes.py
+++ b/redwingspring/routes.py
@@ -118,12 +118,9 @@
     ----------
     highest_priority : int
         Highest priority of its routes, which is the smallest number.
-    shortest_latency_s : float
-        Shortest target latency of its routes in seconds.
     """
 
     highest_priority: int
-    shortest_latency_s: float
 
 
 @dataclass(frozen=True)
@@ -222,10 +219,7 @@
         for share in route.weighted_services:
             routes_by_service.setdefault(share.service, []).append(route)
     return {
-        service: ServiceProfile(
-            min(route.priority for route in group),
-            min(route.target_latency_s for route in group),
-        )
+        service: ServiceProfile(min(route.priority for route in group))
         for service, group in routes_by_service.items()
     }
 
