--- a/redwingspring/policy/precedence.py
+++ b/redwingspring/policy/precedence.py
@@ -3,7 +3,7 @@
 No input or output. Load pattern: for seconds, the targets of a service cannot run all
 requests that arrive. Each request that gets a slot then displaces another one, mostly
 of another host. The response to a request that is late already has little value for its
-caller, so it takes only slots of idle targets. A request of a lower priority, or one
+caller, so it leaves half of the slots to others. A request of a lower priority, or one
 that needs more work than others, accepts a target that is slower or nearly full only
 after a longer wait, so that the others find such targets first.
 """
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -93,7 +93,7 @@
         self.assertTrue(has_room(LoadSample(1, 0, 2), SLOWDOWN))
 
     def test_there_is_pressure_while_most_searches_fail(self):
-        """With room at half of the targets, requests would yield in normal operation."""
+        """With room at half of the targets, requests would yield in calm times."""
         for full_share, expected in ((0.0, False), (0.5, False), (0.7, False)):
             self.assertEqual(expected, has_pressure(full_share), full_share)
         for full_share in (0.75, 1.0):
