--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -35,6 +35,11 @@
 
 
 class ReturnRampTest(RedwingspringTestCase):
+    def setUp(self):
+        super().setUp()
+        # The bounds are three standard deviations away, so free seeds fail at times.
+        random.seed(20261207)
+
     def count_returned(self, states):
         """Return how many of 2,000 requests go to returned targets."""
         configuration = SimpleNamespace(service_value=lambda key, service: "")
