--- a/redwingspring/overload.py
+++ b/redwingspring/overload.py
@@ -1,5 +1,6 @@
 """Overload control: which calls give way while their service lacks room."""
 
+from .mappings import drop_oldest
 from .policy.precedence import (
     NO_PRESSURE,
     Precedence,
@@ -7,6 +8,11 @@
     has_pressure,
 )
 from .policy.pressure import Pressures, has_room
+from .routes import MAX_ROUTES
+
+# A waiting call asks for its precedence for each target of each search. Computed every
+# time, it would take a large part of the processor time of an overloaded host.
+PRECEDENCE_REUSE_S = 0.02
 
 
 class OverloadControl:
@@ -31,7 +37,9 @@
         self._wait_queues = wait_queues
         self._metrics = metrics
         self._decisions = decisions
+        self._clock = clock
         self._pressures = Pressures(clock)
+        self._chosen = {}
 
     def record_sample(self, service, sample):
         """Record a fresh load sample of a target as a measure of the pressure.
@@ -46,23 +54,6 @@
         slowdown = self._statistics.estimate_nearly_full_slowdown(service)
         self._pressures.find(service).record(has_room(sample, slowdown))
 
-    def lacks_room(self, call):
-        """Tell whether the targets of a call's service have too little room.
-
-        Parameters
-        ----------
-        call : RoutedCall
-            The call.
-
-        Returns
-        -------
-        bool
-            False also if too few targets were sampled.
-        """
-        if call.profile is None:
-            return False
-        return has_pressure(self._pressures.find(call.service.name).full_share)
-
     def choose_precedence(self, call):
         """Return the precedence of a call over others that want the same slots.
 
@@ -76,11 +67,21 @@
         Precedence
             ``NO_PRESSURE`` while the service has enough room.
         """
-        if not self.lacks_room(call):
+        key = (call.service.name, call.route.prefix, call.priority)
+        now = self._clock()
+        reuse_until, precedence = self._chosen.get(key, (float("-inf"), None))
+        if now >= reuse_until:
+            precedence = self._compute_precedence(call)
+            self._chosen[key] = (now + PRECEDENCE_REUSE_S, precedence)
+            drop_oldest(self._chosen, MAX_ROUTES)
+        return precedence
+
+    def _compute_precedence(self, call):
+        if call.profile is None:
             return NO_PRESSURE
         service = call.service.name
         pressure = self._pressures.find(service)
-        if not pressure.has_requests_in_time:
+        if not has_pressure(pressure.full_share) or not pressure.has_requests_in_time:
             return NO_PRESSURE
         if pressure.record_pressure():
             self._metrics.increment("overload.periods")
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -345,30 +345,29 @@
             s for s in states if self.regions.get(s.instance.data_centre) in allowed
         )
 
-    def may_send_without_probe(self, call, states):
-        """Tell whether a call may be sent to a target without its fresh load.
+    def may_send_without_probe(self, service, states):
+        """Tell whether a request may be sent to a target without its fresh load.
 
         Load pattern: in a long burst the share of probes is used up. Hosts that
         then sent to every target where they had no request in progress filled the
         queues of the targets, and requests waited there until they were late. Targets
         that do not answer a request which they cannot queue lost it altogether. So
-        while most targets are full, a request that waits does so until a target is
-        known to have room.
+        a request that waits does so until a target is known to have room.
 
         Parameters
         ----------
-        call : RoutedCall
-            The call.
+        service : str
+            Name of the service.
         states : sequence of InstanceState
             Instances of the service.
 
         Returns
         -------
         bool
-            True while this host uses less than an equal share of the slots, unless
-            requests wait here and the service lacks room.
+            True while no request waits at this host and it uses less than an equal
+            share of the slots.
         """
-        if self.wait_queues.find(call.service.name) and self.overload.lacks_room(call):
+        if self.wait_queues.find(service):
             return False
         slots = sum(state.instance.slots for state in states)
         in_progress = sum(state.in_flight for state in states)
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -178,7 +178,7 @@
             candidates = candidate_policies.find("fresh-load")(usable, query)
             return self._select(self._probe(candidates, accepts), accepts)
         if reports_load and not self._dispatcher.may_send_without_probe(
-            self._call, states
+            service, states
         ):
             return None
         return self._open_by_own_requests(
