--- a/redwingspring/policy/shares.py
+++ b/redwingspring/policy/shares.py
@@ -13,7 +13,7 @@
 # Fraction of the retry ratio that is used. Each host counts its own requests, so
 # differing views of the membership do not matter here.
 RATIO_FRACTION = 0.9
-# The retries that the rest of the window needs are estimated from those within this time.
+# Retries within this time give the rate at which more are expected in the window.
 RETRY_RATE_WINDOW_S = 2.0
 # Rendezvous hashing assigns each cold target to one host, which sends at most this
 # fraction of the rate that the target tolerates.
