--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -171,6 +171,8 @@
         if probes:
             candidates = candidate_policies.find("fresh-load")(usable, query)
             return self._select(self._probe(candidates, accepts), accepts)
+        if reports_load and self._dispatcher.wait_queues.find(service):
+            return None
         if reports_load and not self._dispatcher.may_send_without_probe(states):
             return None
         return self._open_by_own_requests(
