--- a/redwingspring/policy/placement.py
+++ b/redwingspring/policy/placement.py
@@ -121,6 +121,7 @@
         self._sizes = {}
         self._work_s = {}
         self._slowdowns = {}
+        self._prefixes = {}
 
     def record(self, answered):
         """Update the estimates with an answered request.
@@ -141,6 +142,8 @@
         prefix = answered.route.prefix
         if not is_nearly_full(sample):
             _update_quantile(self._work_s, prefix, seconds)
+            self._prefixes.setdefault(answered.service, set()).add(prefix)
+            drop_oldest(self._prefixes, MAX_ROUTES)
             return
         work_s = self._work_s.get(prefix)
         if work_s is not None:
@@ -181,6 +184,24 @@
             route.prefix, INITIAL_WORK_SHARE * route.target_latency_s
         )
 
+    def estimate_least_work_s(self, service):
+        """Return the least processing time among the requests of a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float
+            Seconds, for the route with the shortest requests; infinite before the
+            first response.
+        """
+        prefixes = tuple(self._prefixes.get(service, ()))
+        known = [self._work_s[p] for p in prefixes if p in self._work_s]
+        return min(known, default=float("inf"))
+
     def estimate_nearly_full_slowdown(self, service):
         """Return how much slower nearly full targets of a service are.
 
--- a/redwingspring/policy/waitpolicy.py
+++ b/redwingspring/policy/waitpolicy.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from .placement import count_full_speed_slots, is_nearly_full, predict_slowdown
+from .precedence import NO_PRESSURE
 
 # Highest predicted slowdowns that are accepted until a share of the target latency
 # has passed. After that every target that answers in time is accepted.
@@ -68,6 +69,8 @@
         Expected processing time in seconds at an idle target.
     prior_wait_s : float, default=0.0
         Seconds that the caller had waited before this request arrived.
+    precedence : Precedence, default=NO_PRESSURE
+        Precedence over others that want the same slots.
     """
 
     waited_s: float
@@ -75,6 +78,7 @@
     target_latency_s: float
     work_s: float = 0.0
     prior_wait_s: float = 0.0
+    precedence: object = NO_PRESSURE
 
     @property
     def target_latency_left_s(self):
@@ -91,6 +95,11 @@
         """Return the wait as a share of the target latency."""
         return self.waited_s / self.target_latency_s
 
+    @property
+    def acceptance_share(self):
+        """Return the wait as a share of the target latency, less what gives way."""
+        return self.waited_share * self.precedence.wait_factor
+
 
 def accepts_target(sample, timing, nearly_full_slowdown):
     """Tell whether a request is sent to a target now.
@@ -113,13 +122,15 @@
         return False
     slowdown = predict_slowdown(sample, nearly_full_slowdown)
     if timing.is_late:
+        if timing.precedence.has_pressure and sample.running:
+            return False
         return slowdown <= MAX_LATE_SLOWDOWN
     if slowdown * timing.work_s > timing.target_latency_left_s * WORK_MARGIN:
         return False
     if is_nearly_full(sample) and not adds_throughput(sample, nearly_full_slowdown):
-        return timing.waited_share >= LAST_SLOTS_WAIT_SHARE
+        return timing.acceptance_share >= LAST_SLOTS_WAIT_SHARE
     return all(
-        timing.waited_share >= until_share or slowdown <= accepted
+        timing.acceptance_share >= until_share or slowdown <= accepted
         for until_share, accepted in MAX_SLOWDOWNS
     )
 
--- a/redwingspring/routedispatch.py
+++ b/redwingspring/routedispatch.py
@@ -8,7 +8,14 @@
 from .deliveries import Delivery
 from .policy.callertimeouts import CallerTimeouts
 from .policy.placement import ResponseStatistics
-from .policy.waitpolicy import RequestTiming, choose_retry_after
+from .policy.precedence import (
+    NO_PRESSURE,
+    Precedence,
+    compute_wait_factor,
+    has_pressure,
+)
+from .policy.pressure import Pressures, has_room
+from .policy.waitpolicy import PROBE_INTERVAL_S, RequestTiming, choose_retry_after
 from .policy.waitqueues import WaitQueues
 from .upstream import allow_stream
 from .verdict import Reason
@@ -54,6 +61,8 @@
         Seconds that the caller had waited before this request arrived.
     begin_stream : callable, optional
         Called before a long response is relayed in parts; returns whether it may be.
+    profile : ServiceProfile or None, default=None
+        What the routes of the service have in common.
     """
 
     request_id: str
@@ -68,6 +77,7 @@
     caller_socket: object
     prior_wait_s: float = 0.0
     begin_stream: object = allow_stream
+    profile: object = None
 
 
 @dataclass(frozen=True)
@@ -139,6 +149,7 @@
         self.probes = probes
         self.wait_queues = WaitQueues()
         self.statistics = ResponseStatistics()
+        self.pressures = Pressures(clock)
         self.caller_timeouts = CallerTimeouts()
         self.cold = cold
         self.hosts = hosts
@@ -200,8 +211,50 @@
             call.route.target_latency_s,
             self.statistics.estimate_work_s(call.route),
             call.prior_wait_s,
+            self.choose_precedence(call),
         )
 
+    def choose_precedence(self, call):
+        """Return the precedence of a call over others that want the same slots.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            The call.
+
+        Returns
+        -------
+        Precedence
+            ``NO_PRESSURE`` while the service has enough room.
+        """
+        service = call.service.name
+        profile = call.profile
+        if profile is None:
+            return NO_PRESSURE
+        full_share = self.pressures.find(service).full_share
+        if not has_pressure(full_share, profile, PROBE_INTERVAL_S):
+            return NO_PRESSURE
+        factor = compute_wait_factor(
+            call.route.priority,
+            profile,
+            self.statistics.estimate_work_s(call.route),
+            self.statistics.estimate_least_work_s(service),
+        )
+        return Precedence(True, factor)
+
+    def record_sample(self, service, sample):
+        """Record a fresh load sample of a target as a measure of the pressure.
+
+        Parameters
+        ----------
+        service : str
+            Name of its service.
+        sample : LoadSample
+            The load.
+        """
+        slowdown = self.statistics.estimate_nearly_full_slowdown(service)
+        self.pressures.find(service).record(has_room(sample, slowdown))
+
     def find_instances(self, call):
         """Return the instances that may run a call.
 
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -157,6 +157,7 @@
                     route, metadata.time_left_s
                 ),
                 begin_stream=getattr(request, "begin_stream", allow_stream),
+                profile=table.profiles.get(service.name),
             )
         )
 
--- a/redwingspring/routes.py
+++ b/redwingspring/routes.py
@@ -107,6 +107,22 @@
     idle_timeout_s: float = 30.0
 
 
+@dataclass(frozen=True)
+class ServiceProfile:
+    """What the routes of one service have in common.
+
+    Attributes
+    ----------
+    highest_priority : int
+        Highest priority of its routes, which is the smallest number.
+    shortest_latency_s : float
+        Shortest target latency of its routes in seconds.
+    """
+
+    highest_priority: int
+    shortest_latency_s: float
+
+
 @dataclass(frozen=True)
 class RoutingTable:
     """One version of the routing configuration.
@@ -121,12 +137,15 @@
         Services by name.
     limits : CallerLimits
         Limits on callers.
+    profiles : mapping of str to ServiceProfile
+        What the routes of each service have in common.
     """
 
     version: int
     hosts: MappingProxyType
     services: MappingProxyType
     limits: CallerLimits = field(default_factory=CallerLimits)
+    profiles: MappingProxyType = field(default_factory=lambda: MappingProxyType({}))
 
     def find_route(self, host, path):
         """Return the route that matches a request.
@@ -158,7 +177,7 @@
     ----------
     version : int
         Version of the configuration.
-    routes : iterable of tuple of (str, Route)
+    routes : sequence of tuple of (str, Route)
         Pairs of a virtual host and a route.
     services : iterable of RoutedService
         All services.
@@ -182,9 +201,25 @@
         MappingProxyType(ordered),
         MappingProxyType({service.name: service for service in services}),
         limits,
+        MappingProxyType(_build_profiles(route for _, route in routes)),
     )
 
 
+def _build_profiles(routes):
+    """Return the profile of each service that has a route."""
+    routes_by_service = {}
+    for route in routes:
+        for share in route.weighted_services:
+            routes_by_service.setdefault(share.service, []).append(route)
+    return {
+        service: ServiceProfile(
+            min(route.priority for route in group),
+            min(route.target_latency_s for route in group),
+        )
+        for service, group in routes_by_service.items()
+    }
+
+
 class WeightedRoundRobin:
     """Smooth weighted round-robin over the services of routes with a traffic split.
 
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -267,6 +267,7 @@
     def _add_by_stage(self, exchange, pending, answered):
         """Add an exchange to the pending or answered ones, or record its failure."""
         if exchange.stage is Stage.READY:
+            self._dispatcher.record_sample(self._call.service.name, exchange.sample)
             answered.append(exchange)
         elif exchange.stage is Stage.CLOSED:
             self._record_probe_failure(exchange)
