--- a/redwingspring/policy/waitpolicy.py
+++ b/redwingspring/policy/waitpolicy.py
@@ -37,7 +37,7 @@
 # Share of the target latency after which a request may use all data centres.
 CROSS_DATA_CENTRE_SHARE = 0.1
 LONG_CROSS_DATA_CENTRE_SHARE = 0.6
-LONG_RESPONSE_BYTES = 20_000
+LONG_TRANSFER_BYTES = 20_000
 # Share of the target latency after which ejected targets may be used too.
 EJECTED_WAIT_SHARE = 0.12
 # Share of the target latency for which the targets that this host prefers come first.
@@ -157,26 +157,26 @@
     return sample.slots / nearly_full_slowdown > MIN_THROUGHPUT_GAIN * full_speed_slots
 
 
-def may_cross_data_centres(timing, response_bytes):
+def may_cross_data_centres(timing, transfer_bytes):
     """Tell whether a request may be sent to targets in other data centres.
 
     Load pattern: no good target is free in the local data centre for a moment.
     Traffic between data centres costs more than a short wait, that of a long
-    response much more.
+    response or a large upload much more.
 
     Parameters
     ----------
     timing : RequestTiming
         Times of the request.
-    response_bytes : float
-        Expected size of the response.
+    transfer_bytes : float
+        Expected size of the bodies of request and response together.
 
     Returns
     -------
     bool
         False while targets in the local data centre are preferred.
     """
-    long = response_bytes >= LONG_RESPONSE_BYTES
+    long = transfer_bytes >= LONG_TRANSFER_BYTES
     share = LONG_CROSS_DATA_CENTRE_SHARE if long else CROSS_DATA_CENTRE_SHARE
     return timing.waited_share > share
 
--- a/redwingspring/targetsearch.py
+++ b/redwingspring/targetsearch.py
@@ -190,15 +190,18 @@
         return CandidateQuery(
             self._dispatcher.data_centre,
             count,
-            may_cross_data_centres(
-                timing, self._dispatcher.statistics.estimate_size(self._call.route)
-            ),
+            may_cross_data_centres(timing, self._estimate_bytes()),
             frozenset(self.tried_ids),
             self._clock(),
             may_use_ejected(timing),
             preferred_ids,
         )
 
+    def _estimate_bytes(self):
+        """Return the bytes that the call is expected to transfer in both directions."""
+        response_bytes = self._dispatcher.statistics.estimate_size(self._call.route)
+        return response_bytes + (self._call.body.length or 0)
+
     def _open_by_recent_load(self, usable, timing, accepts):
         """Return an exchange with an instance that has just reported its load."""
         query = self._build_query(timing, len(usable))
