--- a/redwingspring/body.py
+++ b/redwingspring/body.py
@@ -1,5 +1,6 @@
 """Request bodies, read from callers' connections."""
 
+import threading
 import time
 
 from .upstream import READ_SIZE, CallerGone
@@ -19,6 +20,50 @@
     reason = Reason.MALFORMED
 
 
+class BufferBudget:
+    """Bytes that the buffered bodies of all requests may hold together.
+
+    Parameters
+    ----------
+    limit : int
+        Number of bytes.
+    """
+
+    def __init__(self, limit):
+        self._lock = threading.Lock()
+        self._free = limit
+
+    def take(self, size):
+        """Take bytes from the budget.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes.
+
+        Returns
+        -------
+        bool
+            False if so many are not free; then none is taken.
+        """
+        with self._lock:
+            if size > self._free:
+                return False
+            self._free -= size
+            return True
+
+    def give_back(self, size):
+        """Return bytes that were taken.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes.
+        """
+        with self._lock:
+            self._free += size
+
+
 class RequestBody:
     """Body of one request, of which the beginning can be buffered and replayed.
 
@@ -37,16 +82,27 @@
         None to remove the limit.
     clock : callable, default=time.time
         Clock of the deadline; returns a time in seconds.
+    budget : BufferBudget or None, default=None
+        Budget for the buffered bodies of all requests.
     """
 
     def __init__(
-        self, stream, length, limit, deadline, set_read_timeout=None, clock=time.time
+        self,
+        stream,
+        length,
+        limit,
+        deadline,
+        set_read_timeout=None,
+        clock=time.time,
+        budget=None,
     ):
         self._clock = clock
         self._stream = stream
         self._limit = limit
         self._deadline = deadline
         self._set_read_timeout = set_read_timeout or (lambda seconds: None)
+        self._budget = budget
+        self._reserved_bytes = 0
         self._buffered = []
         self._received_bytes = 0
         self._ended = length == 0
@@ -64,7 +120,8 @@
         Parameters
         ----------
         limit : int
-            Number of bytes at which buffering stops; the last block may exceed it.
+            Number of bytes at which buffering stops; the last block may exceed it. It
+            also stops at the first block that the budget for all requests cannot hold.
 
         Raises
         ------
@@ -73,12 +130,31 @@
         TimeoutError
             If the body does not arrive before its deadline.
         """
-        while not self._ended and self._received_bytes < limit:
-            self._buffered.append(self._read())
+        may_continue = True
+        while may_continue and not self._ended and self._received_bytes < limit:
+            data = self._read()
+            self._buffered.append(data)
+            may_continue = self._reserve(len(data))
         if self._ended:
             # The length of a fully buffered chunked body is now known.
             self.length = self._received_bytes
 
+    def _reserve(self, size):
+        """Take bytes from the budget; tell whether they were free."""
+        if self._budget is None:
+            return True
+        if not self._budget.take(size):
+            return False
+        self._reserved_bytes += size
+        return True
+
+    def release(self):
+        """Drop the buffered beginning after the last attempt."""
+        self._buffered = []
+        if self._reserved_bytes:
+            self._budget.give_back(self._reserved_bytes)
+            self._reserved_bytes = 0
+
     @property
     def replayable(self):
         """Tell whether the body can still be sent from its start."""
--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -2,7 +2,7 @@
 
 from expression import Error, Ok
 
-from .body import RequestBody
+from .body import BufferBudget, RequestBody
 from .calls import HOP_BY_HOP_HEADERS, read_content_length, read_headers
 from .clock import read_clock
 from .routedispatch import Rejection, RoutedCall
@@ -23,6 +23,8 @@
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
 # Request bodies up to this size are buffered, so that they can be replayed in a retry.
 MAX_BUFFERED_BODY_BYTES = 256 << 10
+# The buffered bodies of all requests together; hosts have as little as 200 MB of memory.
+MAX_BUFFERED_BYTES = 32 << 20
 # With a configuration that was not confirmed for longer than this, a request without
 # a matching route may belong to a route that this host does not know yet.
 MAX_CONFIRMED_AGE_S = 3.0
@@ -67,6 +69,7 @@
         self.latencies = latencies
         self._clock = clock
         self._round_robin = WeightedRoundRobin()
+        self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES)
 
     def __call__(self, environ, start_response):
         """Handle one request.
@@ -90,7 +93,10 @@
         if call_result.is_error():
             return self._reject(environ, start_response, call_result.error, received_at)
         call = call_result.ok
-        outcome = self.dispatcher.send(call)
+        try:
+            outcome = self.dispatcher.send(call)
+        finally:
+            call.body.release()
         latency_s = self._clock() - received_at
         if outcome.is_error():
             self.latencies.observe(call.route, "failed", latency_s)
@@ -132,12 +138,15 @@
             deadline,
             connection.set_read_timeout if connection else None,
             self._clock,
+            self._buffer_budget,
         )
         try:
             body.buffer(MAX_BUFFERED_BODY_BYTES)
         except CallerGone as error:
+            body.release()
             return Error(Rejection(refuse(error.reason, str(error), error.status)))
         except TimeoutError:
+            body.release()
             failure = refuse(Reason.DEADLINE, "the request body was late")
             return Error(Rejection(failure))
         service = table.services[self._round_robin.choose(route)]
