--- a/redwingspring/routeforwarder.py
+++ b/redwingspring/routeforwarder.py
@@ -23,7 +23,7 @@
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
 # Request bodies up to this size are buffered, so that they can be replayed in a retry.
 MAX_BUFFERED_BODY_BYTES = 256 << 10
-# The buffered bodies of all requests together; hosts have as little as 200 MB of memory.
+# Bodies of all requests that are buffered together. The smallest hosts have 200 MB.
 MAX_BUFFERED_BYTES = 32 << 20
 # With a configuration that was not confirmed for longer than this, a request without
 # a matching route may belong to a route that this host does not know yet.
--- a/tests/test_body.py
+++ b/tests/test_body.py
@@ -8,11 +8,11 @@
 
 from .base import RedwingspringTestCase
 
-BLOCKS = 4
-CONTENT = b"x" * (BLOCKS * READ_SIZE)
+CONTENT = b"x" * (4 * READ_SIZE)
+LENGTH = len(CONTENT)
 
 
-def build_body(budget, length=len(CONTENT)):
+def build_body(budget, length=LENGTH):
     stream = io.BytesIO(CONTENT)
     return RequestBody(stream, length, len(CONTENT), time.time() + 5, budget=budget)
 
