--- a/redwingspring/deliveries.py
+++ b/redwingspring/deliveries.py
@@ -3,7 +3,6 @@
 from expression import Error
 
 from .policy.placement import AnsweredRequest, is_nearly_full, predict_slowdown
-from .policy.retrypriority import HEDGE_USE, choose_retry_use
 from .polling import poll_exchanges
 from .targetsearch import TargetSearch
 from .upstream import Attempt
@@ -14,6 +13,8 @@
 # A target whose predicted time relative to the usual time exceeds this gets no hedge.
 MAX_HEDGE_FACTOR = 1.6
 HEDGE_INTERVAL_S = 0.03
+# Fraction of the retry budget that hedges may use; the rest is kept for retries.
+HEDGE_BUDGET_FRACTION = 0.85
 # An error response of a target is replaced by another attempt only while this
 # fraction of the target latency is left.
 MIN_REPLACEMENT_FRACTION = 0.4
@@ -88,8 +89,7 @@
             return False
         if self._sends == 0:
             return True
-        use = choose_retry_use(failure.proves_not_run, call.prior_wait_s)
-        allowed = self._dispatcher.retries.take(call.service.name, use)
+        allowed = self._dispatcher.retries.take(call.service.name)
         self._metrics.increment("retries.sent" if allowed else "retries.over_budget")
         return allowed
 
@@ -234,7 +234,7 @@
         exchange = self._search.search_once(states, timing, _accepts_hedge)
         if exchange is None:
             return
-        if not self._dispatcher.retries.take(call.service.name, HEDGE_USE):
+        if not self._dispatcher.retries.take(call.service.name, HEDGE_BUDGET_FRACTION):
             self._metrics.increment("hedges.over_budget")
             exchange.release()
             return
--- a/redwingspring/policy/shares.py
+++ b/redwingspring/policy/shares.py
@@ -5,7 +5,6 @@
 
 from ..clock import read_clock
 from .rendezvous import find_owner
-from .retrypriority import RETRY_USE
 
 # Fraction of a common limit that is divided among the hosts; the rest is a reserve
 # for periods in which their views of the membership differ.
@@ -13,8 +12,6 @@
 # Fraction of the retry ratio that is used. Each host counts its own requests, so
 # differing views of the membership do not matter here.
 RATIO_FRACTION = 0.9
-# Retries within this time give the rate at which more are expected in the window.
-RETRY_RATE_WINDOW_S = 2.0
 # Rendezvous hashing assigns each cold target to one host, which sends at most this
 # fraction of the rate that the target tolerates.
 COLD_RATE_FRACTION = 0.8
@@ -94,7 +91,6 @@
         self._lock = threading.Lock()
         self._requests = {}
         self._extra_sends = {}
-        self._retries = {}
 
     def record_request(self, service):
         """Count a request that a caller sent.
@@ -123,20 +119,20 @@
         with self._lock:
             return self._count_recent(self._requests, service, self._clock())
 
-    def take(self, service, use=RETRY_USE):
+    def take(self, service, fraction=1.0):
         """Take one extra send from the budget.
 
         Parameters
         ----------
         service : str
             The service that it goes to.
-        use : BudgetUse, default=RETRY_USE
-            Part of the share that this purpose may use up.
+        fraction : float, default=1.0
+            Fraction of the share that this purpose may use up.
 
         Returns
         -------
         bool
-            False when that part is used up.
+            False when the share is used up.
         """
         with self._lock:
             now = self._clock()
@@ -145,23 +141,12 @@
             # Each request is counted by exactly one host, so the ratio is not
             # divided among the hosts; the slack is divided evenly.
             slack = ALLOTTED_FRACTION * self._slack / self._hosts.value
-            allowed = (RATIO_FRACTION * self._ratio * requests + slack) * use.fraction
-            if use.yields_to_retries:
-                allowed -= self._estimate_retries(service, now)
-            if extra_sends + 1 > allowed:
+            allowed = RATIO_FRACTION * self._ratio * requests + slack
+            if extra_sends + 1 > allowed * fraction:
                 return False
             self._extra_sends[service].append(now)
-            if not use.yields_to_retries:
-                self._retries.setdefault(service, deque()).append(now)
             return True
 
-    def _estimate_retries(self, service, now):
-        """Return the retries in a window at the recent rate; the lock is held."""
-        recent = self._retries.setdefault(service, deque())
-        while recent and now - recent[0] > RETRY_RATE_WINDOW_S:
-            recent.popleft()
-        return len(recent) * self._window_s / RETRY_RATE_WINDOW_S
-
     def _count_recent(self, times, service, now):
         """Return the number of times within the window; drop the others."""
         recent = times.setdefault(service, deque())
