--- a/review/rig2.py
+++ b/review/rig2.py
@@ -52,7 +52,7 @@
 
 
 class Store:
-    """The platform's store: range reads and watches; it loses nothing but in a drill."""
+    """The platform's store: range reads and watches; only a drill loses data."""
 
     def __init__(self):
         self._era = 1
@@ -147,7 +147,8 @@
                 connection.sendall(
                     f"HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n"
                     f"Store-Era: {era}\r\n"
-                    f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+                    f"Content-Length: {len(body)}\r\n\r\n".encode()
+                    + body
                 )
         except OSError:
             pass
@@ -320,7 +321,8 @@
         return (
             f"HTTP/1.1 {status} Answer\r\nRequest-Id: {request_id}\r\n"
             f"Response-Signature: {request_id}.{status}.{digest}\r\n"
-            f"{self.load}Content-Length: {len(body)}\r\n\r\n".encode() + body
+            f"{self.load}Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
         )
 
 
@@ -504,7 +506,8 @@
     length = f"Content-Length: {len(body)}\r\n" if body else ""
     return (
         f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        f"Deadline-Ms: {budget_ms}\r\n{length}\r\n".encode() + body
+        f"Deadline-Ms: {budget_ms}\r\n{length}\r\n".encode()
+        + body
     )
 
 
